--- /dev/null
+++ b/admitter/prioritizer/queue.go
@@ -0,0 +1,547 @@
+package prioritizer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// recheck is how often a queue with waiting requests looks for room that came
+// free elsewhere.
+const recheck = 20 * time.Millisecond
+
+// holdGain is the weight of a new observation of how long a place is held.
+const holdGain = 0.1
+
+// told is the demand on a peer.
+type told struct {
+	at     time.Time
+	wanted int
+}
+
+// queue is the queue of one service.
+type queue struct {
+	service quetzalroad.ServiceName
+	owner   *Prioritizer
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. Sums over tiers never pass the
+	// node's part of the slots, but for what was running when it shrank.
+	tiers [quetzalroad.MaxTiers]tier
+	// pausing counts the requests told to give back their place.
+	pausing int
+	// peers is the demand on the other nodes of the data centre.
+	peers map[quetzalroad.NodeName]told
+	// armed tells that a recheck is due.
+	armed bool
+}
+
+// room is how much a queue may run, as of one moment.
+type room struct {
+	// slots is the node's part of the service's slots.
+	slots int
+	// floor is the node's part of the extra places.
+	floor int
+}
+
+func (q *queue) wanted() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.wantedLocked()
+}
+
+func (q *queue) wantedLocked() int {
+	sum := 0
+	for i := range q.tiers {
+		t := &q.tiers[i]
+		sum += t.running + t.floor + t.waiting
+	}
+	return sum
+}
+
+func (q *queue) setPeer(n quetzalroad.NodeName, t told) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peers == nil {
+		q.peers = make(map[quetzalroad.NodeName]told)
+	}
+	q.peers[n] = t
+}
+
+// roomLocked shares the slots out between the nodes of the data centre: a
+// static part evenly, the rest by demand.
+func (q *queue) roomLocked(now time.Time, c quetzalroad.Capacity) room {
+	nodes := 1
+	others := 0
+	for _, p := range q.peers {
+		if now.Sub(p.at) < q.owner.policy.peerLifetime {
+			nodes++
+			others += p.wanted
+		}
+	}
+	total := float64(max(0, c.Slots-c.Unexplained))
+	floor := math.Ceil(q.owner.policy.floorShare * float64(c.Slots))
+	if nodes == 1 {
+		return room{slots: int(total), floor: int(floor)}
+	}
+	own := q.wantedLocked()
+	static := q.owner.policy.staticShare
+	part := total / float64(nodes)
+	if own+others > 0 {
+		part = static*part + (1-static)*total*float64(own)/float64(own+others)
+	}
+	return room{slots: int(math.Ceil(part)), floor: q.floorPart(now, int(floor), nodes)}
+}
+
+// floorTurn is how long a node keeps its turn at the floor.
+const floorTurn = 5 * time.Second
+
+// floorPart shares the floor out between nodes in turn, without agreement.
+func (q *queue) floorPart(now time.Time, floor, nodes int) int {
+	whole := floor / nodes
+	rest := floor % nodes
+	turn := uint64(now.UnixNano()/int64(floorTurn)) + xxhash.Sum64String(string(q.owner.name))
+	if int(turn%uint64(nodes)) < rest {
+		whole++
+	}
+	return whole
+}
+
+// enter puts a request into the queue, or refuses it where waiting can't help.
+func (q *queue) enter(now time.Time, w *waiter) error {
+	c := q.owner.capacity.Capacity(now, q.service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t := &q.tiers[w.tier()]
+	if err := q.makeSpaceLocked(w); err != nil {
+		return err
+	}
+	q.pushLocked(w)
+	t.notePeak(now)
+	q.dispatchLocked(now, c)
+	if w.state != stateWaiting || !w.request.Profile.Interactive {
+		return nil
+	}
+	wait := q.predictLocked(w)
+	budget := q.owner.patience(w.request)
+	if wait <= budget {
+		return nil
+	}
+	t.remove(w)
+	w.state = stateOut
+	q.checkRefusalLocked(w, quetzalroad.ReasonTargetUnreachable)
+	return unreachable(wait - budget)
+}
+
+func unreachable(over time.Duration) *quetzalroad.Refusal {
+	after := max(time.Second, over.Round(time.Second))
+	return quetzalroad.Refuse(quetzalroad.ReasonTargetUnreachable, "the target can't be met at the moment", after)
+}
+
+// reenter puts a paused request back into its line.
+func (q *queue) reenter(now time.Time, w *waiter) error {
+	c := q.owner.capacity.Capacity(now, q.service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w.cost = 0
+	q.pushLocked(w)
+	q.dispatchLocked(now, c)
+	return nil
+}
+
+func (q *queue) pushLocked(w *waiter) {
+	w.granted = make(chan struct{})
+	w.paused = make(chan struct{})
+	w.state = stateWaiting
+	w.grantsBelow = q.grantsBelowLocked(w.tier())
+	q.tiers[w.tier()].push(w)
+}
+
+func (q *queue) grantsBelowLocked(t quetzalroad.Tier) uint64 {
+	var sum uint64
+	for i := t + 1; i <= quetzalroad.LowestTier; i++ {
+		sum += q.tiers[i].grants
+	}
+	return sum
+}
+
+// makeSpaceLocked keeps the queue within its bound. A newcomer takes the
+// place of the last waiter of a lower tier, else it is refused.
+func (q *queue) makeSpaceLocked(w *waiter) error {
+	waiting := 0
+	for i := range q.tiers {
+		waiting += q.tiers[i].waiting
+	}
+	if waiting < q.owner.policy.maxQueued {
+		return nil
+	}
+	for i := quetzalroad.LowestTier; i > w.tier(); i-- {
+		if victim := q.tiers[i].last(); victim != nil {
+			q.tiers[i].remove(victim)
+			victim.state = stateOut
+			victim.refusal = queueFull()
+			close(victim.granted)
+			return nil
+		}
+	}
+	return queueFull()
+}
+
+func queueFull() *quetzalroad.Refusal {
+	return quetzalroad.Refuse(quetzalroad.ReasonQueueFull, "too many requests are waiting", time.Second)
+}
+
+// last gives the waiter with the latest deadline of the longest line.
+func (t *tier) last() *waiter {
+	var longest *line
+	for _, l := range t.active {
+		if longest == nil || len(l.heap) > len(longest.heap) {
+			longest = l
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	latest := longest.heap[0]
+	for _, w := range longest.heap {
+		if dueOf(latest).Before(dueOf(w)) {
+			latest = w
+		}
+	}
+	return latest
+}
+
+// wait waits for a place. A positive patience bounds the wait.
+func (q *queue) wait(ctx context.Context, w *waiter, patience time.Duration) error {
+	select {
+	case <-w.granted:
+		return q.granted(w)
+	default:
+	}
+	var expired <-chan time.Time
+	if patience > 0 {
+		timer := time.NewTimer(patience)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-w.granted:
+		return q.granted(w)
+	case <-expired:
+		return q.leave(w, unreachable(0))
+	case <-ctx.Done():
+		return q.leave(w, leaving(ctx))
+	}
+}
+
+func (q *queue) granted(w *waiter) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.refusal != nil {
+		return w.refusal
+	}
+	return nil
+}
+
+// leaving tells a caller that left from a request that ran out of time.
+func leaving(ctx context.Context) *quetzalroad.Refusal {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return quetzalroad.Refuse(quetzalroad.ReasonTimeout, "the request waited too long", time.Second)
+	}
+	return quetzalroad.Refuse(quetzalroad.ReasonCallerLeft, "the caller left while waiting", 0)
+}
+
+// leave takes a waiter out, unless it got a place in the meantime.
+func (q *queue) leave(w *waiter, refusal *quetzalroad.Refusal) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.refusal != nil {
+		return w.refusal
+	}
+	if w.state != stateWaiting {
+		return nil
+	}
+	q.tiers[w.tier()].remove(w)
+	w.state = stateOut
+	q.checkRefusalLocked(w, refusal.Reason)
+	return refusal
+}
+
+// checkRefusalLocked asserts that no lower tier got a place while a request
+// waited that is now refused, and that none holds one that could be paused.
+func (q *queue) checkRefusalLocked(w *waiter, reason quetzalroad.Reason) {
+	if got := q.grantsBelowLocked(w.tier()) - w.grantsBelow; got > 0 {
+		q.owner.recorder.Breach("higher-tier-not-shed-for-lower",
+			fmt.Sprintf("request %s of tier %d refused (%s) while %d places of %s went to lower tiers", w.request.ID, w.tier(), reason, got, q.service))
+	}
+	if reason != quetzalroad.ReasonTargetUnreachable {
+		return
+	}
+	if free := q.pausableLocked(w.tier()) - q.waitingAboveLocked(w.tier()); free > 0 {
+		q.owner.recorder.Breach("lower-tier-paused-before-shedding",
+			fmt.Sprintf("request %s of tier %d refused while %d places of %s could be paused", w.request.ID, w.tier(), free, q.service))
+	}
+}
+
+// pausableLocked counts the places of lower tiers that can still be paused.
+func (q *queue) pausableLocked(t quetzalroad.Tier) int {
+	sum := 0
+	for i := t + 1; i <= quetzalroad.LowestTier; i++ {
+		sum += len(q.tiers[i].pausable)
+	}
+	return sum
+}
+
+// waitingAboveLocked counts the requests of a tier and those above it that
+// wait.
+func (q *queue) waitingAboveLocked(t quetzalroad.Tier) int {
+	sum := 0
+	for i := quetzalroad.Tier(0); i <= t; i++ {
+		sum += q.tiers[i].waiting
+	}
+	return sum
+}
+
+// predictLocked estimates the wait of an interactive request: what waits
+// before it, less the places that are being given back, at the rate at which
+// places come free.
+func (q *queue) predictLocked(w *waiter) time.Duration {
+	ahead := q.waitingAboveLocked(w.tier()) - q.pausing
+	if ahead <= 0 {
+		return 0
+	}
+	var rate float64
+	for i := range q.tiers {
+		t := &q.tiers[i]
+		if t.hold > 0 {
+			rate += float64(t.running) / t.hold.Seconds()
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// runningLocked counts the places held, without the floor's.
+func (q *queue) runningLocked() int {
+	sum := 0
+	for i := range q.tiers {
+		sum += q.tiers[i].running
+	}
+	return sum
+}
+
+// reserveLocked is the room that a tier leaves to those above it: enough for
+// the usual swing of their recent demand, and for work that can't be paused
+// also what their recent peak would take beyond what they run.
+func (q *queue) reserveLocked(now time.Time, w *waiter, r room) int {
+	bound := int(q.owner.policy.reserveShare * float64(r.slots))
+	sum := 0
+	for i := quetzalroad.Tier(0); i < w.tier(); i++ {
+		t := &q.tiers[i]
+		peak := t.peakNow(now)
+		need := int(math.Ceil(math.Sqrt(peak)))
+		if !w.request.Profile.Preemptible {
+			need = max(need, int(peak)-t.running)
+		}
+		sum += min(need, bound)
+	}
+	return min(sum, bound)
+}
+
+// dispatchLocked gives places as long as there is room, asks for places back
+// where a higher tier lacks them, and serves the floor.
+func (q *queue) dispatchLocked(now time.Time, c quetzalroad.Capacity) {
+	r := q.roomLocked(now, c)
+	for q.grantNextLocked(now, r) {
+	}
+	q.pauseLocked()
+	for q.grantFloorLocked(now, r) {
+	}
+	q.armLocked()
+}
+
+// grantNextLocked gives a place to the first tier that has work waiting. A
+// lower tier gets none while a higher one waits.
+func (q *queue) grantNextLocked(now time.Time, r room) bool {
+	for i := range q.tiers {
+		t := &q.tiers[i]
+		if t.waiting == 0 {
+			continue
+		}
+		head := t.head()
+		if q.runningLocked()+q.reserveLocked(now, head, r) >= r.slots {
+			return false
+		}
+		w := t.pop()
+		t.running++
+		t.grants++
+		w.state = stateRunning
+		if w.request.Profile.Preemptible && !w.request.Profile.Interactive {
+			t.pausable = append(t.pausable, w)
+		}
+		q.startLocked(now, w)
+		return true
+	}
+	return false
+}
+
+func (q *queue) startLocked(now time.Time, w *waiter) {
+	w.started = now
+	close(w.granted)
+}
+
+// grantFloorLocked gives a place of the floor to the tier below the first
+// that has waited longest since it last got one.
+func (q *queue) grantFloorLocked(now time.Time, r room) bool {
+	used := 0
+	for i := range q.tiers {
+		used += q.tiers[i].floor
+	}
+	if used >= r.floor {
+		return false
+	}
+	t := q.starvingLocked(now)
+	if t == nil {
+		return false
+	}
+	w := t.pop()
+	t.floor++
+	t.floorAt = now
+	w.state = stateFloor
+	q.startLocked(now, w)
+	return true
+}
+
+func (q *queue) starvingLocked(now time.Time) *tier {
+	var best *tier
+	for i := 1; i < len(q.tiers); i++ {
+		t := &q.tiers[i]
+		if t.waiting == 0 || t.oldest(now) < q.owner.policy.floorAfter {
+			continue
+		}
+		if best == nil || t.floorAt.Before(best.floorAt) {
+			best = t
+		}
+	}
+	return best
+}
+
+// pauseLocked asks the last started pausable requests of lower tiers for
+// their places, one for each request waiting above them.
+func (q *queue) pauseLocked() {
+	for i := range q.tiers {
+		t := quetzalroad.Tier(i)
+		if q.tiers[i].waiting == 0 {
+			continue
+		}
+		for q.pausing < q.waitingAboveLocked(t) {
+			victim := q.victimLocked(t)
+			if victim == nil {
+				break
+			}
+			q.tellLocked(victim, t)
+		}
+	}
+}
+
+// victimLocked takes the last started request of the lowest tier below t that
+// may be paused.
+func (q *queue) victimLocked(t quetzalroad.Tier) *waiter {
+	for i := quetzalroad.LowestTier; i > t; i-- {
+		pausable := q.tiers[i].pausable
+		if len(pausable) > 0 {
+			victim := pausable[len(pausable)-1]
+			q.tiers[i].pausable = pausable[:len(pausable)-1]
+			return victim
+		}
+	}
+	return nil
+}
+
+func (q *queue) tellLocked(victim *waiter, gainer quetzalroad.Tier) {
+	p := victim.request.Profile
+	if victim.tier() <= gainer || !p.Preemptible || p.Interactive {
+		q.owner.recorder.Breach("only-lower-preemptible-work-paused",
+			fmt.Sprintf("request %s of tier %d paused for tier %d", victim.request.ID, victim.tier(), gainer))
+	}
+	victim.state = statePausing
+	q.pausing++
+	close(victim.paused)
+}
+
+// armLocked sees to another dispatch while requests wait.
+func (q *queue) armLocked() {
+	if q.armed || q.waitingAboveLocked(quetzalroad.LowestTier) == 0 {
+		return
+	}
+	q.armed = true
+	time.AfterFunc(recheck, q.recheck)
+}
+
+func (q *queue) recheck() {
+	now := time.Now()
+	c := q.owner.capacity.Capacity(now, q.service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.armed = false
+	q.dispatchLocked(now, c)
+}
+
+func (q *queue) pausedOf(w *waiter) <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return w.paused
+}
+
+// settle corrects what a team was charged by what the request really took.
+func (q *queue) settle(w *waiter, actual float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tiers[w.tier()].settle(w.request.Team, actual-w.cost)
+}
+
+// giveBack frees the place of a request.
+func (q *queue) giveBack(now time.Time, w *waiter) {
+	c := q.owner.capacity.Capacity(now, q.service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t := &q.tiers[w.tier()]
+	switch w.state {
+	case stateRunning:
+		t.running--
+		t.unpausable(w)
+	case statePausing:
+		t.running--
+		q.pausing--
+	case stateFloor:
+		t.floor--
+	case stateOut, stateWaiting:
+		return
+	}
+	w.state = stateOut
+	held := now.Sub(w.started)
+	if t.hold == 0 {
+		t.hold = held
+	} else {
+		t.hold += time.Duration(holdGain * float64(held-t.hold))
+	}
+	q.dispatchLocked(now, c)
+}
+
+// unpausable takes a request that ended out of those that may be paused.
+func (t *tier) unpausable(w *waiter) {
+	for i, have := range t.pausable {
+		if have == w {
+			t.pausable = append(t.pausable[:i], t.pausable[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/balancer/estimator/estimator.go
@@ -0,0 +1,145 @@
+// Package estimator chooses the upstream with the least estimated cost among a
+// few random ones. The cost joins the estimated number of requests there with
+// the token time that this node saw lately, so that a slow upstream gets less
+// before its report tells. Requests with the same prompt prefix go to the same
+// upstream as long as its load allows. Long work is kept off a share of the
+// upstreams, which short work prefers.
+package estimator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotBalancer, Name: "estimator", Default: true,
+		New: func() kernel.Part { return new(Estimator) },
+	})
+}
+
+// Estimator is the part that chooses.
+type Estimator struct {
+	load       quetzalroad.LoadTracker
+	choices    int
+	affinity   float64
+	shortShare float64
+	times      timeCache
+}
+
+// Declare implements kernel.Part.
+func (e *Estimator) Declare(s *configurer.Section) {
+	s.Int("choices", &e.choices, 3, 1, 64, "How many upstreams are drawn at random and compared.")
+	s.Float("affinity", &e.affinity, 0.75, 0, 1, "Load, as a share of an upstream's slots, up to which a request follows its prompt prefix.")
+	s.Float("short-share", &e.shortShare, 0.34, 0, 0.9, "Share of the upstreams that preemptible work leaves to interactive work.")
+}
+
+// Build implements kernel.Part.
+func (e *Estimator) Build(n *kernel.Node) error {
+	e.load = n.Load
+	n.Balancer = e
+	return nil
+}
+
+// Choose implements quetzalroad.Balancer.
+func (e *Estimator) Choose(now time.Time, r *quetzalroad.Request, candidates []quetzalroad.Upstream) quetzalroad.Upstream {
+	if len(candidates) == 1 {
+		return candidates[0]
+	}
+	low, high := e.span(r, len(candidates))
+	usual := e.times.usual(r.Service.Name)
+	if near, ok := e.near(now, r, candidates[low:high], usual); ok {
+		return near
+	}
+	best := candidates[low+rand.IntN(high-low)]
+	least := e.cost(now, r, best, usual)
+	for range e.choices - 1 {
+		u := candidates[low+rand.IntN(high-low)]
+		c := e.cost(now, r, u, usual)
+		if c < least {
+			best = u
+			least = c
+		}
+	}
+	return best
+}
+
+// span gives the part of the candidates that a request may use. Candidates
+// are in order of name, the same on all nodes, so the first ones are left to
+// interactive work without any agreement. Interactive work may use them all
+// and prefers the ones left to it by their lower load.
+func (e *Estimator) span(r *quetzalroad.Request, count int) (low, high int) {
+	if !r.Profile.Preemptible {
+		return 0, count
+	}
+	low = int(e.shortShare * float64(count))
+	if low >= count {
+		low = count - 1
+	}
+	return low, count
+}
+
+// near gives the upstream that a request's prefix leads to, if its load
+// allows.
+func (e *Estimator) near(now time.Time, r *quetzalroad.Request, candidates []quetzalroad.Upstream, usual time.Duration) (quetzalroad.Upstream, bool) {
+	if r.PrefixHash == 0 || e.affinity == 0 {
+		return quetzalroad.Upstream{}, false
+	}
+	best := candidates[0]
+	var most uint64
+	for _, u := range candidates {
+		h := xxhash.Sum64String(string(u.Name)) ^ r.PrefixHash
+		h *= mix
+		h ^= h >> 32
+		if h >= most {
+			best = u
+			most = h
+		}
+	}
+	estimate := e.load.Estimate(best.Name, now)
+	if estimate.Suspect || float64(estimate.Running) >= e.affinity*float64(best.Slots) || slow(estimate, usual) {
+		return quetzalroad.Upstream{}, false
+	}
+	return best, true
+}
+
+const (
+	// mix spreads the bits of two joined hashes.
+	mix = 0x9E3779B97F4A7C15
+	// slowFactor is how many times the usual token time counts as slow.
+	slowFactor = 2
+	// suspectPenalty makes a suspect upstream a last resort.
+	suspectPenalty = 1000
+	// overfullPenalty weighs each request beyond the slots.
+	overfullPenalty = 4
+)
+
+func slow(estimate quetzalroad.LoadEstimate, usual time.Duration) bool {
+	return usual > 0 && estimate.TokenTime > slowFactor*usual
+}
+
+// cost is the estimated load of an upstream relative to its slots, times its
+// slowness relative to the service's usual token time.
+func (e *Estimator) cost(now time.Time, r *quetzalroad.Request, u quetzalroad.Upstream, usual time.Duration) float64 {
+	estimate := e.load.Estimate(u.Name, now)
+	e.times.learn(r.Service.Name, estimate.TokenTime)
+	running := float64(estimate.Running + 1)
+	if over := estimate.Running + 1 - u.Slots; over > 0 {
+		running += overfullPenalty * float64(over)
+	}
+	cost := running / float64(max(1, u.Slots))
+	if usual > 0 && estimate.TokenTime > 0 {
+		ratio := float64(estimate.TokenTime) / float64(usual)
+		cost *= max(1, ratio*ratio)
+	}
+	if estimate.Suspect {
+		cost += suspectPenalty
+	}
+	return cost
+}
--- /dev/null
+++ b/balancer/rotator/rotator.go
@@ -0,0 +1,59 @@
+// Package rotator chooses upstreams in turn. It is the plain baseline of the
+// balancers.
+package rotator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotBalancer, Name: "rotator",
+		New: func() kernel.Part { return new(Rotator) },
+	})
+}
+
+// shardCount is the number of shards of the turns.
+const shardCount = 16
+
+// shard holds the turns of the services that hash to it.
+type shard struct {
+	mu sync.Mutex
+	// turns counts the choices of each service and is guarded by mu.
+	turns map[quetzalroad.ServiceName]int
+}
+
+// Rotator is round robin. The zero value is ready for use.
+type Rotator struct {
+	shards [shardCount]shard
+}
+
+// Declare implements kernel.Part.
+func (r *Rotator) Declare(*configurer.Section) {}
+
+// Build implements kernel.Part.
+func (r *Rotator) Build(n *kernel.Node) error {
+	n.Balancer = r
+	return nil
+}
+
+// Choose implements quetzalroad.Balancer.
+func (r *Rotator) Choose(_ time.Time, request *quetzalroad.Request, candidates []quetzalroad.Upstream) quetzalroad.Upstream {
+	name := request.Service.Name
+	sh := &r.shards[xxhash.Sum64String(string(name))%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.turns == nil {
+		sh.turns = make(map[quetzalroad.ServiceName]int)
+	}
+	turn := sh.turns[name]
+	sh.turns[name] = turn + 1
+	return candidates[turn%len(candidates)]
+}
--- /dev/null
+++ b/configurer/reader.go
@@ -0,0 +1,315 @@
+package configurer
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/agext/levenshtein"
+	"github.com/tailscale/hujson"
+)
+
+// pluginKey chooses the implementation in a section.
+const pluginKey = "plugin"
+
+// suggestBelow is the edit distance up to which a known word is suggested.
+const suggestBelow = 4
+
+// Finding is one problem of a settings file.
+type Finding struct {
+	// File is the name of the file.
+	File string
+	// Line and Column count from one.
+	Line   int
+	Column int
+	// Path is the key's path, its parts joined by dots.
+	Path string
+	// Problem says what is wrong.
+	Problem string
+}
+
+// String gives the finding as file:line:column: path: problem.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Problem)
+}
+
+// FindingsError reports all findings of a file together.
+type FindingsError struct {
+	Findings []Finding
+}
+
+// Error gives one finding a line.
+func (e *FindingsError) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Chooser gives the section of an implementation by its name, and the names
+// that it knows. A section that has no implementations to choose from knows
+// no names and gives its section for the empty name.
+type Chooser interface {
+	// Choose returns nil for an unknown name.
+	Choose(name string) *Section
+	// Names lists the known names, the default first.
+	Names() []string
+}
+
+// File describes the sections of a settings file. The zero value is empty.
+type File struct {
+	// order keeps the names of the sections as declared.
+	order []string
+	// choosers has an entry for each name in order.
+	choosers map[string]Chooser
+	docs     map[string]string
+}
+
+// Add declares a section.
+func (f *File) Add(name, doc string, c Chooser) {
+	if f.choosers == nil {
+		f.choosers = make(map[string]Chooser)
+		f.docs = make(map[string]string)
+	}
+	f.order = append(f.order, name)
+	f.choosers[name] = c
+	f.docs[name] = doc
+}
+
+// Fixed is the Chooser of a section that has one form only.
+type Fixed struct {
+	Section *Section
+}
+
+// Choose gives the section.
+func (f Fixed) Choose(name string) *Section {
+	if name != "" {
+		return nil
+	}
+	return f.Section
+}
+
+// Names gives none.
+func (f Fixed) Names() []string {
+	return nil
+}
+
+// reader collects the findings of one file.
+type reader struct {
+	name     string
+	data     []byte
+	findings []Finding
+}
+
+func (r *reader) find(offset int, path, problem string) {
+	before := r.data[:min(offset, len(r.data))]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	column := offset - bytes.LastIndexByte(before, '\n')
+	r.findings = append(r.findings, Finding{File: r.name, Line: line, Column: column, Path: path, Problem: problem})
+}
+
+// Read fills the declared variables from a file's data. The error is a
+// *FindingsError with everything that is wrong with the file.
+func (f *File) Read(name string, data []byte) error {
+	r := &reader{name: name, data: data}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		r.syntax(err)
+		return &FindingsError{Findings: r.findings}
+	}
+	f.readRoot(r, root)
+	if len(r.findings) > 0 {
+		sort.SliceStable(r.findings, func(i, j int) bool { return r.findings[i].before(r.findings[j]) })
+		return &FindingsError{Findings: r.findings}
+	}
+	return nil
+}
+
+func (f Finding) before(other Finding) bool {
+	if f.Line != other.Line {
+		return f.Line < other.Line
+	}
+	return f.Column < other.Column
+}
+
+// syntax turns an error of the parser, which begins with "hujson: line L,
+// column C: ", into a finding.
+func (r *reader) syntax(err error) {
+	f := Finding{File: r.name, Line: 1, Column: 1, Path: "(file)", Problem: err.Error()}
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	place, problem, ok := strings.Cut(text, ": ")
+	if ok {
+		if _, scanErr := fmt.Sscanf(place, "line %d, column %d", &f.Line, &f.Column); scanErr == nil {
+			f.Problem = problem
+		}
+	}
+	r.findings = append(r.findings, f)
+}
+
+func (f *File) readRoot(r *reader, root hujson.Value) {
+	object, ok := root.Value.(*hujson.Object)
+	if !ok {
+		r.find(root.StartOffset, "(file)", "must be an object")
+		return
+	}
+	seen := make(map[string]bool)
+	for _, m := range object.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		chooser, known := f.choosers[key]
+		if !known {
+			r.find(m.Name.StartOffset, key, unknownWord(key, f.order))
+			continue
+		}
+		if seen[key] {
+			r.find(m.Name.StartOffset, key, "given twice")
+			continue
+		}
+		seen[key] = true
+		readSection(r, key, chooser, m.Value)
+	}
+	for _, key := range f.order {
+		if !seen[key] {
+			readSection(r, key, f.choosers[key], hujson.Value{Value: &hujson.Object{}})
+		}
+	}
+}
+
+func readSection(r *reader, path string, c Chooser, v hujson.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		r.find(v.StartOffset, path, "must be an object")
+		return
+	}
+	section := chooseSection(r, path, c, object)
+	if section == nil {
+		return
+	}
+	section.read(r, path, c, object, v.StartOffset)
+}
+
+func chooseSection(r *reader, path string, c Chooser, object *hujson.Object) *Section {
+	names := c.Names()
+	if len(names) == 0 {
+		return c.Choose("")
+	}
+	for _, m := range object.Members {
+		if m.Name.Value.(hujson.Literal).String() != pluginKey {
+			continue
+		}
+		text, problem := stringOf(m.Value)
+		if problem != "" {
+			r.find(m.Value.StartOffset, path+"."+pluginKey, problem)
+			return nil
+		}
+		section := c.Choose(text)
+		if section == nil {
+			r.find(m.Value.StartOffset, path+"."+pluginKey, unknownWord(text, names))
+		}
+		return section
+	}
+	return c.Choose(names[0])
+}
+
+func (s *Section) read(r *reader, path string, c Chooser, object *hujson.Object, start int) {
+	seen := make(map[string]bool)
+	for _, m := range object.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		if key == pluginKey && len(c.Names()) > 0 {
+			continue
+		}
+		if seen[key] {
+			r.find(m.Name.StartOffset, path+"."+key, "given twice")
+			continue
+		}
+		seen[key] = true
+		f, ok := s.field(key)
+		if !ok {
+			r.find(m.Name.StartOffset, path+"."+key, unknownWord(key, s.keys()))
+			continue
+		}
+		if problem := f.set(m.Value); problem != "" {
+			r.find(m.Value.StartOffset, path+"."+key, problem)
+		}
+	}
+	for _, f := range s.fields {
+		if f.required && !seen[f.key] {
+			r.find(start, path+"."+f.key, "is required: "+f.doc)
+		}
+	}
+}
+
+func (s *Section) field(key string) (field, bool) {
+	for _, f := range s.fields {
+		if f.key == key {
+			return f, true
+		}
+	}
+	return field{}, false
+}
+
+func (s *Section) keys() []string {
+	keys := make([]string, len(s.fields))
+	for i, f := range s.fields {
+		keys[i] = f.key
+	}
+	return keys
+}
+
+// unknownWord says that a word is unknown, suggests the nearest known one and
+// lists them all.
+func unknownWord(word string, known []string) string {
+	text := strconv.Quote(word) + " is unknown"
+	if nearest := Nearest(word, known); nearest != "" {
+		text += fmt.Sprintf(", did you mean %q?", nearest)
+	}
+	return text + " (known: " + strings.Join(known, ", ") + ")"
+}
+
+// Nearest gives the known word that is most like a word, or nothing where none
+// is near.
+func Nearest(word string, known []string) string {
+	best := ""
+	least := suggestBelow
+	for _, k := range known {
+		d := levenshtein.Distance(word, k, nil)
+		if d < least {
+			best = k
+			least = d
+		}
+	}
+	return best
+}
+
+// WriteDefaults prints a commented file with every key at its default.
+func (f *File) WriteDefaults(w io.Writer) error {
+	var b bytes.Buffer
+	b.WriteString("{\n")
+	for _, name := range f.order {
+		writeSection(&b, name, f.docs[name], f.choosers[name])
+	}
+	b.WriteString("}\n")
+	_, err := w.Write(b.Bytes())
+	return err
+}
+
+func writeSection(b *bytes.Buffer, name, doc string, c Chooser) {
+	fmt.Fprintf(b, "  // %s\n  %q: {\n", doc, name)
+	names := c.Names()
+	chosen := ""
+	if len(names) > 0 {
+		chosen = names[0]
+		fmt.Fprintf(b, "    // The implementation. One of %s.\n    %q: %q,\n", strings.Join(names, ", "), pluginKey, chosen)
+	}
+	for _, f := range c.Choose(chosen).fields {
+		required := ""
+		if f.required {
+			required = " Required."
+		}
+		fmt.Fprintf(b, "    // %s%s\n    %q: %s,\n", f.doc, required, f.key, f.text)
+	}
+	b.WriteString("  },\n")
+}
--- /dev/null
+++ b/configurer/section.go
@@ -0,0 +1,240 @@
+// Package configurer reads settings files in JSON with comments.
+//
+// Settings are declared the way flags are: a Section binds keys to variables
+// with a default, bounds and a line of documentation. Reading a file walks all
+// of it and collects every finding with its line and column. Printing the
+// declarations gives a commented file of defaults.
+package configurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// field binds one key of a section.
+type field struct {
+	key string
+	doc string
+	// text is the default in its JSON form.
+	text string
+	// required tells that there is no default.
+	required bool
+	// set reads the value; the string it returns says what is wrong.
+	set func(v hujson.Value) string
+}
+
+// Section is a group of settings. The zero value is empty and ready for use.
+type Section struct {
+	// fields keep the order of declaration; keys are unique.
+	fields []field
+}
+
+func (s *Section) add(f field) {
+	for _, have := range s.fields {
+		if have.key == f.key {
+			panic("configurer: key declared twice: " + f.key)
+		}
+	}
+	s.fields = append(s.fields, f)
+}
+
+// Duration binds a time span written like "250ms".
+func (s *Section) Duration(key string, target *time.Duration, def, low, high time.Duration, doc string) {
+	*target = def
+	doc = fmt.Sprintf("%s From %s to %s.", doc, low, high)
+	s.add(field{key: key, doc: doc, text: strconv.Quote(def.String()), set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return `must be a duration such as "250ms"`
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return fmt.Sprintf(`%q is not a duration such as "250ms"`, text)
+		}
+		if d < low || d > high {
+			return fmt.Sprintf("%s is not between %s and %s", d, low, high)
+		}
+		*target = d
+		return ""
+	}})
+}
+
+// Int binds a whole number.
+func (s *Section) Int(key string, target *int, def, low, high int, doc string) {
+	*target = def
+	doc = fmt.Sprintf("%s From %d to %d.", doc, low, high)
+	s.add(field{key: key, doc: doc, text: strconv.Itoa(def), set: func(v hujson.Value) string {
+		var n int
+		if json.Unmarshal(standard(v), &n) != nil {
+			return "must be a whole number"
+		}
+		if n < low || n > high {
+			return fmt.Sprintf("%d is not between %d and %d", n, low, high)
+		}
+		*target = n
+		return ""
+	}})
+}
+
+// Float binds a number.
+func (s *Section) Float(key string, target *float64, def, low, high float64, doc string) {
+	*target = def
+	doc = fmt.Sprintf("%s From %g to %g.", doc, low, high)
+	s.add(field{key: key, doc: doc, text: strconv.FormatFloat(def, 'g', -1, 64), set: func(v hujson.Value) string {
+		var x float64
+		if json.Unmarshal(standard(v), &x) != nil {
+			return "must be a number"
+		}
+		if x < low || x > high {
+			return fmt.Sprintf("%g is not between %g and %g", x, low, high)
+		}
+		*target = x
+		return ""
+	}})
+}
+
+// Bool binds true or false.
+func (s *Section) Bool(key string, target *bool, def bool, doc string) {
+	*target = def
+	s.add(field{key: key, doc: doc, text: strconv.FormatBool(def), set: func(v hujson.Value) string {
+		var b bool
+		if json.Unmarshal(standard(v), &b) != nil {
+			return "must be true or false"
+		}
+		*target = b
+		return ""
+	}})
+}
+
+// Address binds an IP address with a port. An empty default makes it required.
+func (s *Section) Address(key string, target *netip.AddrPort, def, doc string) {
+	if def != "" {
+		*target = netip.MustParseAddrPort(def)
+	}
+	s.add(field{key: key, doc: doc, text: strconv.Quote(def), required: def == "", set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return fmt.Sprintf(`%q is not an IP address with a port such as "127.0.0.1:8080"`, text)
+		}
+		*target = a
+		return ""
+	}})
+}
+
+// Addresses binds a list of IP addresses with ports, empty by default.
+func (s *Section) Addresses(key string, target *[]netip.AddrPort, doc string) {
+	*target = nil
+	s.add(field{key: key, doc: doc, text: "[]", set: func(v hujson.Value) string {
+		var texts []string
+		if json.Unmarshal(standard(v), &texts) != nil {
+			return "must be a list of IP addresses with ports"
+		}
+		var list []netip.AddrPort
+		for i, text := range texts {
+			a, err := netip.ParseAddrPort(text)
+			if err != nil {
+				return fmt.Sprintf("entry %d: %q is not an IP address with a port", i, text)
+			}
+			list = append(list, a)
+		}
+		*target = list
+		return ""
+	}})
+}
+
+// namePattern is the form of kebab-case names.
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// ValidName tells whether a text is a kebab-case name.
+func ValidName(text string) bool {
+	return namePattern.MatchString(text)
+}
+
+// Name binds a kebab-case name. An empty default makes it required.
+func (s *Section) Name(key string, target *string, def, doc string) {
+	*target = def
+	s.add(field{key: key, doc: doc, text: strconv.Quote(def), required: def == "", set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		if !ValidName(text) {
+			return fmt.Sprintf("%q is not a kebab-case name", text)
+		}
+		*target = text
+		return ""
+	}})
+}
+
+// Text binds a text. An empty default is a valid value.
+func (s *Section) Text(key string, target *string, def, doc string) {
+	*target = def
+	s.add(field{key: key, doc: doc, text: strconv.Quote(def), set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		*target = text
+		return ""
+	}})
+}
+
+// Secret binds a text that is required and at least low characters long.
+func (s *Section) Secret(key string, target *string, low int, doc string) {
+	*target = ""
+	s.add(field{key: key, doc: doc, text: `""`, required: true, set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		if len(text) < low {
+			return fmt.Sprintf("must have at least %d characters", low)
+		}
+		*target = text
+		return ""
+	}})
+}
+
+// Choice binds one of several words.
+func (s *Section) Choice(key string, target *string, def string, words []string, doc string) {
+	*target = def
+	doc = fmt.Sprintf("%s One of %s.", doc, strings.Join(words, ", "))
+	s.add(field{key: key, doc: doc, text: strconv.Quote(def), set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		for _, w := range words {
+			if w == text {
+				*target = text
+				return ""
+			}
+		}
+		return unknownWord(text, words)
+	}})
+}
+
+func stringOf(v hujson.Value) (text, problem string) {
+	if json.Unmarshal(standard(v), &text) != nil {
+		return "", "must be a text"
+	}
+	return text, ""
+}
+
+// standard gives a value as plain JSON.
+func standard(v hujson.Value) []byte {
+	c := v.Clone()
+	c.Standardize()
+	return c.Pack()
+}
--- /dev/null
+++ b/counter/counter.go
@@ -0,0 +1,186 @@
+// Package counter counts what a node decides, for /debug/vars.
+package counter
+
+import (
+	"encoding/json"
+	"expvar"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotRecorder, Name: "expvar", Default: true,
+		New: func() kernel.Part { return new(Counter) },
+	})
+}
+
+// Counter is the part that counts. The zero value is ready for use and counts
+// into maps of its own.
+type Counter struct {
+	logger *slog.Logger
+
+	refusals  expvar.Map
+	retries   expvar.Map
+	outcomes  expvar.Map
+	breaches  expvar.Map
+	sent      expvar.Map
+	received  expvar.Map
+	attempts  expvar.Int
+	generated expvar.Int
+	wasted    expvar.Int
+	waits     histograms
+	firsts    histograms
+	inTarget  expvar.Map
+}
+
+// Declare implements kernel.Part.
+func (c *Counter) Declare(*configurer.Section) {}
+
+// Build implements kernel.Part.
+func (c *Counter) Build(n *kernel.Node) error {
+	c.logger = n.Logger
+	n.Recorder = c
+	n.Vars.Set("refusals", &c.refusals)
+	n.Vars.Set("retries", &c.retries)
+	n.Vars.Set("outcomes", &c.outcomes)
+	n.Vars.Set("invariant-breaches", &c.breaches)
+	n.Vars.Set("control-bytes-sent", &c.sent)
+	n.Vars.Set("control-bytes-received", &c.received)
+	n.Vars.Set("attempts", &c.attempts)
+	n.Vars.Set("tokens-generated", &c.generated)
+	n.Vars.Set("tokens-wasted", &c.wasted)
+	n.Vars.Set("queue-waits", &c.waits)
+	n.Vars.Set("first-tokens", &c.firsts)
+	n.Vars.Set("first-tokens-in-target", &c.inTarget)
+	return nil
+}
+
+// Refused implements quetzalroad.Recorder.
+func (c *Counter) Refused(r quetzalroad.Reason) {
+	c.refusals.Add(string(r), 1)
+}
+
+// Retried implements quetzalroad.Recorder.
+func (c *Counter) Retried(r quetzalroad.RetryReason) {
+	c.retries.Add(string(r), 1)
+}
+
+// Attempt implements quetzalroad.Recorder.
+func (c *Counter) Attempt() {
+	c.attempts.Add(1)
+}
+
+// Tokens implements quetzalroad.Recorder.
+func (c *Counter) Tokens(generated, wasted int) {
+	c.generated.Add(int64(generated))
+	c.wasted.Add(int64(wasted))
+}
+
+// Waited implements quetzalroad.Recorder.
+func (c *Counter) Waited(class quetzalroad.Class, took time.Duration) {
+	c.waits.record(class, took)
+}
+
+// FirstToken implements quetzalroad.Recorder.
+func (c *Counter) FirstToken(class quetzalroad.Class, took time.Duration, inTarget bool) {
+	c.firsts.record(class, took)
+	if inTarget {
+		c.inTarget.Add(string(class), 1)
+	}
+}
+
+// Ended implements quetzalroad.Recorder.
+func (c *Counter) Ended(class quetzalroad.Class, o quetzalroad.Outcome) {
+	c.outcomes.Add(string(class)+"/"+string(o), 1)
+}
+
+// Sent implements quetzalroad.Recorder.
+func (c *Counter) Sent(kind quetzalroad.ControlKind, bytes int) {
+	c.sent.Add(string(kind), int64(bytes))
+}
+
+// Received implements quetzalroad.Recorder.
+func (c *Counter) Received(kind quetzalroad.ControlKind, bytes int) {
+	c.received.Add(string(kind), int64(bytes))
+}
+
+// Breach implements quetzalroad.Recorder.
+func (c *Counter) Breach(name, seen string) {
+	c.breaches.Add(name, 1)
+	if c.logger != nil {
+		c.logger.Error("invariant broken", "invariant", name, "seen", seen)
+	}
+}
+
+const (
+	// lowest and highest bound what a histogram tells apart.
+	lowest  = time.Microsecond
+	highest = time.Hour
+	// figures is the number of significant digits kept.
+	figures = 2
+)
+
+// histograms keeps one histogram a class, each under its own lock. The zero
+// value is empty.
+type histograms struct {
+	// classes maps a quetzalroad.Class to a *histogram.
+	classes sync.Map
+}
+
+type histogram struct {
+	mu sync.Mutex
+	// h holds microseconds and is guarded by mu.
+	h *hdrhistogram.Histogram
+}
+
+func (s *histograms) record(class quetzalroad.Class, took time.Duration) {
+	v, ok := s.classes.Load(class)
+	if !ok {
+		fresh := &histogram{h: hdrhistogram.New(lowest.Microseconds(), highest.Microseconds(), figures)}
+		v, _ = s.classes.LoadOrStore(class, fresh)
+	}
+	one := v.(*histogram)
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	// A value out of range is counted at the bound, so no error can come.
+	_ = one.h.RecordValue(min(max(took, lowest), highest).Microseconds())
+}
+
+type histogramJSON struct {
+	Count int64  `json:"count"`
+	P50   string `json:"p50"`
+	P95   string `json:"p95"`
+	P99   string `json:"p99"`
+	Max   string `json:"max"`
+}
+
+// String gives the histograms by class as JSON, for expvar.
+func (s *histograms) String() string {
+	all := make(map[string]histogramJSON)
+	s.classes.Range(func(class, v any) bool {
+		all[string(class.(quetzalroad.Class))] = v.(*histogram).summary()
+		return true
+	})
+	data, err := json.Marshal(all)
+	if err != nil {
+		return "{}"
+	}
+	return string(data)
+}
+
+func (one *histogram) summary() histogramJSON {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	at := func(quantile float64) string {
+		return (time.Duration(one.h.ValueAtQuantile(quantile)) * time.Microsecond).String()
+	}
+	return histogramJSON{Count: one.h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: at(100)}
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,510 @@
+// Package follower keeps the published state: it follows the state stream of
+// the platform's log, applies its records in offset order, takes records and
+// snapshots from peers while the log is away, publishes changes and waits
+// until they were read back, and appends snapshots before retention drops what
+// they cover.
+package follower
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/recordmapper"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotState, Name: "follower", Default: true,
+		New: func() kernel.Part { return new(Follower) },
+	})
+}
+
+const (
+	// keptRecords is the number of records held for peers.
+	keptRecords = 2048
+	// snapshotPartBytes bounds the data in one record of a snapshot.
+	snapshotPartBytes = 128 << 10
+)
+
+// Follower is the part that keeps the published state.
+type Follower struct {
+	log      quetzalroad.Log
+	logger   *slog.Logger
+	recorder quetzalroad.Recorder
+	vars     *expvar.Map
+
+	pollWait       time.Duration
+	retryPause     time.Duration
+	appendTimeout  time.Duration
+	publishTimeout time.Duration
+	snapshotEvery  int
+
+	// mu guards the machine and the fields below it. The machine's store has
+	// locks of its own for its readers.
+	mu      sync.Mutex
+	machine machine
+	// kept are the last records applied, without a gap, ending at the
+	// machine's offset.
+	kept []quetzalroad.Record
+	// waiting holds a channel for each change being published here.
+	waiting map[quetzalroad.ChangeID]chan quetzalroad.Verdict
+	// known is the highest offset heard of, from the log or from peers.
+	known quetzalroad.Offset
+	// consulted tells that the log or a peer has said where the end is.
+	consulted bool
+	// gap tells that records after the machine's offset are lost and a
+	// snapshot is needed.
+	gap bool
+	// scan is the offset from which snapshots are looked for in a gap.
+	scan quetzalroad.Offset
+	// parts collects the snapshot being read.
+	parts partial
+	// snapshotAt is the highest offset that a whole snapshot covers.
+	snapshotAt quetzalroad.Offset
+	// tailLost tells that the log's end went back.
+	tailLost bool
+}
+
+// partial is a snapshot of which some parts were read.
+type partial struct {
+	id     string
+	covers quetzalroad.Offset
+	// data has an entry for each part; missing counts the nil ones.
+	data    [][]byte
+	missing int
+}
+
+// Declare implements kernel.Part.
+func (f *Follower) Declare(s *configurer.Section) {
+	s.Duration("poll-wait", &f.pollWait, 10*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
+	s.Duration("retry-pause", &f.retryPause, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a failed read of the log.")
+	s.Duration("append-timeout", &f.appendTimeout, 2*time.Second, 10*time.Millisecond, time.Minute, "How long one append may take.")
+	s.Duration("publish-timeout", &f.publishTimeout, 10*time.Second, 100*time.Millisecond, 5*time.Minute, "How long to wait until a change was read back.")
+	s.Int("snapshot-every", &f.snapshotEvery, 1000, 10, 1000000, "Append a snapshot after this many records.")
+}
+
+// Build implements kernel.Part.
+func (f *Follower) Build(n *kernel.Node) error {
+	f.log = n.Log
+	f.logger = n.Logger
+	f.recorder = n.Recorder
+	f.vars = n.Vars
+	f.mu.Lock()
+	f.known = quetzalroad.NoOffset
+	f.snapshotAt = quetzalroad.NoOffset
+	f.mu.Unlock()
+	n.Directory = &f.machine.store
+	n.Publisher = f
+	n.Snapshotter = f
+	n.Relays = append(n.Relays, f)
+	n.AddReadiness(f)
+	n.Vars.Set("state-offset", expvar.Func(func() any { return int64(f.machine.store.Applied()) }))
+	n.Vars.Set("state-known-offset", expvar.Func(func() any { return int64(f.knownOffset()) }))
+	n.Go("follow state", f.follow)
+	n.Go("write snapshots", f.writeSnapshots)
+	return nil
+}
+
+func (f *Follower) knownOffset() quetzalroad.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+var (
+	errNotConsulted = errors.New("neither the log nor a peer has told where the state ends")
+	errBehind       = errors.New("the state is behind the highest offset heard of")
+	errGap          = errors.New("records were lost to retention and no snapshot was found yet")
+)
+
+// Ready implements quetzalroad.Readiness.
+func (f *Follower) Ready() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.consulted {
+		return errNotConsulted
+	}
+	if f.gap {
+		return errGap
+	}
+	if f.machine.store.Applied() < f.known {
+		return errBehind
+	}
+	return nil
+}
+
+// follow reads the state stream until the node ends.
+func (f *Follower) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.readOnce(ctx)
+		if err == nil {
+			continue
+		}
+		f.vars.Add("log-read-failures", 1)
+		f.pause(ctx, f.retryPause)
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) readOnce(ctx context.Context) error {
+	from, wait := f.nextRead()
+	records, bounds, err := f.log.Read(ctx, quetzalroad.StreamState, from, wait)
+	if err != nil {
+		return err
+	}
+	f.take(records, bounds)
+	return nil
+}
+
+// nextRead tells from where to read and how long the log may wait. The first
+// read doesn't wait, as it is to tell where the log ends.
+func (f *Follower) nextRead() (quetzalroad.Offset, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := f.pollWait
+	if !f.consulted {
+		wait = 0
+	}
+	if f.gap {
+		return f.scan, wait
+	}
+	return f.machine.store.Applied() + 1, wait
+}
+
+// take applies what a read of the log gave.
+func (f *Follower) take(records []quetzalroad.Record, bounds quetzalroad.Bounds) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteBounds(bounds)
+	for _, r := range records {
+		f.takeRecord(r)
+	}
+	if f.gap && len(records) > 0 {
+		f.scanGap(records)
+	}
+}
+
+// noteBounds learns the log's ends. An end below what was applied means that
+// the log lost its tail: it is told and not followed.
+func (f *Follower) noteBounds(b quetzalroad.Bounds) {
+	f.consulted = true
+	applied := f.machine.store.Applied()
+	if b.Next-1 > f.known {
+		f.known = b.Next - 1
+	}
+	if b.Next <= applied && !f.tailLost {
+		f.tailLost = true
+		f.vars.Add("log-tail-lost", 1)
+		f.logger.Error("the log lost its tail", "log-next", int64(b.Next), "applied", int64(applied))
+	}
+	if b.Earliest > applied+1 && !f.gap {
+		f.gap = true
+		f.scan = max(f.scan, b.Earliest)
+		f.vars.Add("log-gaps", 1)
+		f.logger.Warn("records were lost to retention", "earliest", int64(b.Earliest), "applied", int64(applied))
+	}
+}
+
+// takeRecord applies a record that is the next one and drops any other.
+func (f *Follower) takeRecord(r quetzalroad.Record) bool {
+	if r.Offset != f.machine.store.Applied()+1 {
+		return false
+	}
+	entry, verdict, err := f.machine.apply(r)
+	if err != nil {
+		f.vars.Add("records-set-aside", 1)
+		f.logger.Warn("record set aside", "offset", int64(r.Offset), "error", err)
+	}
+	f.keep(r)
+	if r.Offset > f.known {
+		f.known = r.Offset
+	}
+	if entry.Change != nil {
+		f.answer(entry.Change.ID, verdict)
+	}
+	if entry.Snapshot != nil {
+		f.collect(entry.Snapshot)
+	}
+	return true
+}
+
+func (f *Follower) keep(r quetzalroad.Record) {
+	f.kept = append(f.kept, r)
+	if len(f.kept) > 2*keptRecords {
+		f.kept = append([]quetzalroad.Record(nil), f.kept[keptRecords:]...)
+	}
+}
+
+func (f *Follower) answer(id quetzalroad.ChangeID, v quetzalroad.Verdict) {
+	waiter, ok := f.waiting[id]
+	if !ok {
+		return
+	}
+	delete(f.waiting, id)
+	waiter <- v
+}
+
+// collect gathers the parts of a snapshot and gives its data once it is whole.
+func (f *Follower) collect(p *recordmapper.SnapshotPart) ([]byte, bool) {
+	if f.parts.id != p.ID || len(f.parts.data) != p.Parts {
+		f.parts = partial{id: p.ID, covers: p.Covers, data: make([][]byte, p.Parts), missing: p.Parts}
+	}
+	if f.parts.data[p.Part] == nil {
+		f.parts.data[p.Part] = p.Data
+		f.parts.missing--
+	}
+	if f.parts.missing > 0 {
+		return nil, false
+	}
+	var whole []byte
+	for _, d := range f.parts.data {
+		whole = append(whole, d...)
+	}
+	if p.Covers > f.snapshotAt {
+		f.snapshotAt = p.Covers
+	}
+	return whole, true
+}
+
+// scanGap looks for a whole snapshot among records that don't join on, and
+// restores the state from it.
+func (f *Follower) scanGap(records []quetzalroad.Record) {
+	for _, r := range records {
+		f.scan = r.Offset + 1
+		entry, err := recordmapper.Decode(r.Data)
+		if err != nil || entry.Snapshot == nil {
+			continue
+		}
+		whole, ok := f.collect(entry.Snapshot)
+		if !ok {
+			continue
+		}
+		if err := f.restore(whole); err != nil {
+			f.logger.Warn("snapshot not taken", "offset", int64(r.Offset), "error", err)
+		}
+	}
+}
+
+// restore loads a snapshot and closes the gap. Records after it are read
+// again from the log or from peers.
+func (f *Follower) restore(data []byte) error {
+	if err := f.machine.restore(data); err != nil {
+		return err
+	}
+	f.kept = nil
+	f.gap = false
+	f.consulted = true
+	if applied := f.machine.store.Applied(); applied > f.known {
+		f.known = applied
+	}
+	f.vars.Add("snapshots-loaded", 1)
+	for id := range f.waiting {
+		if v, ok := f.machine.byID[id]; ok {
+			f.answer(id, v)
+		}
+	}
+	return nil
+}
+
+// Snapshot implements quetzalroad.Snapshotter.
+func (f *Follower) Snapshot() ([]byte, quetzalroad.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	data, err := f.machine.snapshot()
+	if err != nil {
+		f.logger.Error("snapshot failed", "error", err)
+		return nil, quetzalroad.NoOffset
+	}
+	return data, f.machine.store.Applied()
+}
+
+// Restore implements quetzalroad.Snapshotter.
+func (f *Follower) Restore(data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restore(data)
+}
+
+// Stream implements quetzalroad.Relay.
+func (f *Follower) Stream() quetzalroad.Stream {
+	return quetzalroad.StreamState
+}
+
+// Relayed implements quetzalroad.Relay.
+func (f *Follower) Relayed(from quetzalroad.Offset) []quetzalroad.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.kept {
+		if r.Offset == from {
+			return append([]quetzalroad.Record(nil), f.kept[i:]...)
+		}
+	}
+	return nil
+}
+
+// Offer implements quetzalroad.Relay.
+func (f *Follower) Offer(records []quetzalroad.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.consulted = true
+	for _, r := range records {
+		f.takeRecord(r)
+	}
+}
+
+// Head implements quetzalroad.Relay.
+func (f *Follower) Head() quetzalroad.Offset {
+	return f.machine.store.Applied()
+}
+
+// Behind implements quetzalroad.Relay.
+func (f *Follower) Behind(head quetzalroad.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.consulted = true
+	if head > f.known {
+		f.known = head
+	}
+}
+
+// Publish implements quetzalroad.Publisher. A change whose append was not
+// answered is looked for in the stream and appended again under the same id.
+func (f *Follower) Publish(ctx context.Context, c quetzalroad.Change) (quetzalroad.Verdict, error) {
+	if c.ID == "" {
+		c.ID = quetzalroad.ChangeID(uuid.NewString())
+	}
+	data, err := recordmapper.EncodeChange(c)
+	if err != nil {
+		return quetzalroad.Verdict{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.publishTimeout)
+	defer cancel()
+	verdicts := f.expect(c.ID)
+	defer f.forget(c.ID)
+	v, err := f.appendUntilRead(ctx, data, verdicts)
+	if err != nil {
+		return quetzalroad.Verdict{}, &quetzalroad.UnconfirmedError{ID: c.ID, Cause: err}
+	}
+	if !v.Accepted {
+		return v, &quetzalroad.ConflictError{Kind: c.Kind, Name: c.Name, Base: c.Base, Current: v.Revision}
+	}
+	return v, nil
+}
+
+func (f *Follower) expect(id quetzalroad.ChangeID) <-chan quetzalroad.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	verdicts := make(chan quetzalroad.Verdict, 1)
+	if v, seen := f.machine.byID[id]; seen {
+		verdicts <- v
+		return verdicts
+	}
+	if f.waiting == nil {
+		f.waiting = make(map[quetzalroad.ChangeID]chan quetzalroad.Verdict)
+	}
+	f.waiting[id] = verdicts
+	return verdicts
+}
+
+func (f *Follower) forget(id quetzalroad.ChangeID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.waiting, id)
+}
+
+func (f *Follower) appendUntilRead(ctx context.Context, data []byte, verdicts <-chan quetzalroad.Verdict) (quetzalroad.Verdict, error) {
+	for {
+		appended := f.appendOnce(ctx, data)
+		wait := f.retryPause
+		if appended == nil {
+			wait = f.publishTimeout
+		}
+		t := time.NewTimer(wait)
+		select {
+		case v := <-verdicts:
+			t.Stop()
+			return v, nil
+		case <-ctx.Done():
+			t.Stop()
+			return quetzalroad.Verdict{}, errors.CombineErrors(appended, ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+func (f *Follower) appendOnce(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, f.appendTimeout)
+	defer cancel()
+	_, err := f.log.Append(ctx, quetzalroad.StreamState, data)
+	if err != nil {
+		f.vars.Add("log-append-failures", 1)
+	}
+	return err
+}
+
+// snapshotCheck is how often a node looks whether a snapshot is due.
+const snapshotCheck = 5 * time.Second
+
+// writeSnapshots appends a snapshot when enough records came since the last.
+// Nodes look at random moments, so that mostly one of them writes; a second
+// snapshot does no harm.
+func (f *Follower) writeSnapshots(ctx context.Context) error {
+	for {
+		f.pause(ctx, snapshotCheck+rand.N(snapshotCheck))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if f.snapshotDue() {
+			f.writeSnapshot(ctx)
+		}
+	}
+}
+
+func (f *Follower) snapshotDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	applied := f.machine.store.Applied()
+	return !f.gap && !f.tailLost && applied == f.known && int(applied-f.snapshotAt) > f.snapshotEvery
+}
+
+func (f *Follower) writeSnapshot(ctx context.Context) {
+	data, covers := f.Snapshot()
+	if data == nil {
+		return
+	}
+	id := uuid.NewString()
+	parts := (len(data) + snapshotPartBytes - 1) / snapshotPartBytes
+	for i := range parts {
+		end := min((i+1)*snapshotPartBytes, len(data))
+		record, err := recordmapper.EncodeSnapshot(recordmapper.SnapshotPart{
+			ID: id, Covers: covers, Part: i, Parts: parts, Data: data[i*snapshotPartBytes : end],
+		})
+		if err == nil {
+			err = f.appendOnce(ctx, record)
+		}
+		if err != nil {
+			f.logger.Warn("snapshot not written", "part", i, "parts", parts, "error", err)
+			return
+		}
+	}
+	f.vars.Add("snapshots-written", 1)
+}
--- /dev/null
+++ b/follower/store.go
@@ -0,0 +1,372 @@
+package follower
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// shardCount is the number of shards of the store.
+const shardCount = 16
+
+// shard holds the objects whose key hashes to it.
+type shard struct {
+	mu sync.RWMutex
+	// The maps are guarded by mu and made on first use. An object's Revision
+	// equals the revision of the record that wrote it.
+	profiles  map[quetzalroad.ProfileName]quetzalroad.Profile
+	teams     map[quetzalroad.TeamName]quetzalroad.Team
+	services  map[quetzalroad.ServiceName]quetzalroad.Service
+	upstreams map[quetzalroad.UpstreamName]quetzalroad.Upstream
+	// keys and models lead to the objects that name them.
+	keys   map[quetzalroad.KeyHash]quetzalroad.TeamName
+	models map[quetzalroad.ModelName]quetzalroad.ServiceName
+	// lists hold the upstreams of a service in order of name. A list is never
+	// changed once it is stored.
+	lists map[quetzalroad.ServiceName][]quetzalroad.Upstream
+}
+
+// store is the published state in shards. It has one writer, the machine, and
+// many readers. The zero value is empty.
+type store struct {
+	shards  [shardCount]shard
+	applied atomic.Int64
+}
+
+func (s *store) shard(key string) *shard {
+	return &s.shards[xxhash.Sum64String(key)%shardCount]
+}
+
+func (s *store) keyShard(h quetzalroad.KeyHash) *shard {
+	return &s.shards[h[0]%shardCount]
+}
+
+// Applied implements quetzalroad.Directory.
+func (s *store) Applied() quetzalroad.Offset {
+	return quetzalroad.Offset(s.applied.Load() - 1)
+}
+
+func (s *store) setApplied(o quetzalroad.Offset) {
+	s.applied.Store(int64(o) + 1)
+}
+
+// TeamByKey implements quetzalroad.Directory.
+func (s *store) TeamByKey(hash quetzalroad.KeyHash) (quetzalroad.Team, bool) {
+	sh := s.keyShard(hash)
+	sh.mu.RLock()
+	name, ok := sh.keys[hash]
+	sh.mu.RUnlock()
+	if !ok {
+		return quetzalroad.Team{}, false
+	}
+	return s.Team(name)
+}
+
+// Team implements quetzalroad.Directory.
+func (s *store) Team(name quetzalroad.TeamName) (quetzalroad.Team, bool) {
+	sh := s.shard(string(name))
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	t, ok := sh.teams[name]
+	return t, ok
+}
+
+// Profile implements quetzalroad.Directory.
+func (s *store) Profile(name quetzalroad.ProfileName) (quetzalroad.Profile, bool) {
+	sh := s.shard(string(name))
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	p, ok := sh.profiles[name]
+	return p, ok
+}
+
+// Service implements quetzalroad.Directory.
+func (s *store) Service(name quetzalroad.ServiceName) (quetzalroad.Service, bool) {
+	sh := s.shard(string(name))
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	v, ok := sh.services[name]
+	return v, ok
+}
+
+// ServiceForModel implements quetzalroad.Directory.
+func (s *store) ServiceForModel(name quetzalroad.ModelName) (quetzalroad.Service, bool) {
+	sh := s.shard(string(name))
+	sh.mu.RLock()
+	service, ok := sh.models[name]
+	sh.mu.RUnlock()
+	if !ok {
+		return quetzalroad.Service{}, false
+	}
+	return s.Service(service)
+}
+
+// Upstream implements quetzalroad.Directory.
+func (s *store) Upstream(name quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
+	sh := s.shard(string(name))
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	u, ok := sh.upstreams[name]
+	return u, ok
+}
+
+// UpstreamsOf implements quetzalroad.Directory.
+func (s *store) UpstreamsOf(service quetzalroad.ServiceName) []quetzalroad.Upstream {
+	sh := s.shard(string(service))
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	return sh.lists[service]
+}
+
+// Teams implements quetzalroad.Directory.
+func (s *store) Teams() []quetzalroad.Team {
+	var all []quetzalroad.Team
+	s.each(func(sh *shard) {
+		for _, t := range sh.teams {
+			all = append(all, t)
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Profiles implements quetzalroad.Directory.
+func (s *store) Profiles() []quetzalroad.Profile {
+	var all []quetzalroad.Profile
+	s.each(func(sh *shard) {
+		for _, p := range sh.profiles {
+			all = append(all, p)
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Services implements quetzalroad.Directory.
+func (s *store) Services() []quetzalroad.Service {
+	var all []quetzalroad.Service
+	s.each(func(sh *shard) {
+		for _, v := range sh.services {
+			all = append(all, v)
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Upstreams implements quetzalroad.Directory.
+func (s *store) Upstreams() []quetzalroad.Upstream {
+	var all []quetzalroad.Upstream
+	s.each(func(sh *shard) {
+		for _, u := range sh.upstreams {
+			all = append(all, u)
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+func (s *store) each(f func(sh *shard)) {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.RLock()
+		f(sh)
+		sh.mu.RUnlock()
+	}
+}
+
+// clear empties the store, for a snapshot to fill it.
+func (s *store) clear() {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		sh.profiles, sh.teams, sh.services, sh.upstreams = nil, nil, nil, nil
+		sh.keys, sh.models, sh.lists = nil, nil, nil
+		sh.mu.Unlock()
+	}
+}
+
+// revision gives the revision of an object; zero where there is none.
+func (s *store) revision(kind quetzalroad.ObjectKind, name string) quetzalroad.Revision {
+	switch kind {
+	case quetzalroad.ObjectProfile:
+		p, _ := s.Profile(quetzalroad.ProfileName(name))
+		return p.Revision
+	case quetzalroad.ObjectTeam:
+		t, _ := s.Team(quetzalroad.TeamName(name))
+		return t.Revision
+	case quetzalroad.ObjectService:
+		v, _ := s.Service(quetzalroad.ServiceName(name))
+		return v.Revision
+	case quetzalroad.ObjectUpstream:
+		u, _ := s.Upstream(quetzalroad.UpstreamName(name))
+		return u.Revision
+	}
+	return 0
+}
+
+// put writes an object, or deletes the named one where the object is empty.
+func (s *store) put(kind quetzalroad.ObjectKind, name string, o quetzalroad.Object) {
+	switch kind {
+	case quetzalroad.ObjectProfile:
+		s.putProfile(quetzalroad.ProfileName(name), o.Profile)
+	case quetzalroad.ObjectTeam:
+		s.putTeam(quetzalroad.TeamName(name), o.Team)
+	case quetzalroad.ObjectService:
+		s.putService(quetzalroad.ServiceName(name), o.Service)
+	case quetzalroad.ObjectUpstream:
+		s.putUpstream(quetzalroad.UpstreamName(name), o.Upstream)
+	}
+}
+
+func (s *store) putProfile(name quetzalroad.ProfileName, p *quetzalroad.Profile) {
+	sh := s.shard(string(name))
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if p == nil {
+		delete(sh.profiles, name)
+		return
+	}
+	if sh.profiles == nil {
+		sh.profiles = make(map[quetzalroad.ProfileName]quetzalroad.Profile)
+	}
+	sh.profiles[name] = *p
+}
+
+func (s *store) putTeam(name quetzalroad.TeamName, t *quetzalroad.Team) {
+	old, _ := s.Team(name)
+	sh := s.shard(string(name))
+	sh.mu.Lock()
+	if t == nil {
+		delete(sh.teams, name)
+	} else {
+		if sh.teams == nil {
+			sh.teams = make(map[quetzalroad.TeamName]quetzalroad.Team)
+		}
+		sh.teams[name] = *t
+	}
+	sh.mu.Unlock()
+	for _, h := range old.KeyHashes {
+		if t == nil || !slices.Contains(t.KeyHashes, h) {
+			s.unlinkKey(h, name)
+		}
+	}
+	if t == nil {
+		return
+	}
+	for _, h := range t.KeyHashes {
+		s.linkKey(h, name)
+	}
+}
+
+func (s *store) linkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
+	sh := s.keyShard(h)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.keys == nil {
+		sh.keys = make(map[quetzalroad.KeyHash]quetzalroad.TeamName)
+	}
+	sh.keys[h] = name
+}
+
+func (s *store) unlinkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
+	sh := s.keyShard(h)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.keys[h] == name {
+		delete(sh.keys, h)
+	}
+}
+
+func (s *store) putService(name quetzalroad.ServiceName, v *quetzalroad.Service) {
+	old, _ := s.Service(name)
+	sh := s.shard(string(name))
+	sh.mu.Lock()
+	if v == nil {
+		delete(sh.services, name)
+	} else {
+		if sh.services == nil {
+			sh.services = make(map[quetzalroad.ServiceName]quetzalroad.Service)
+		}
+		sh.services[name] = *v
+	}
+	sh.mu.Unlock()
+	for _, m := range old.Models {
+		if v == nil || !slices.Contains(v.Models, m) {
+			s.unlinkModel(m, name)
+		}
+	}
+	if v == nil {
+		return
+	}
+	for _, m := range v.Models {
+		s.linkModel(m, name)
+	}
+}
+
+func (s *store) linkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
+	sh := s.shard(string(m))
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.models == nil {
+		sh.models = make(map[quetzalroad.ModelName]quetzalroad.ServiceName)
+	}
+	sh.models[m] = name
+}
+
+func (s *store) unlinkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
+	sh := s.shard(string(m))
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.models[m] == name {
+		delete(sh.models, m)
+	}
+}
+
+func (s *store) putUpstream(name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
+	old, existed := s.Upstream(name)
+	sh := s.shard(string(name))
+	sh.mu.Lock()
+	if u == nil {
+		delete(sh.upstreams, name)
+	} else {
+		if sh.upstreams == nil {
+			sh.upstreams = make(map[quetzalroad.UpstreamName]quetzalroad.Upstream)
+		}
+		sh.upstreams[name] = *u
+	}
+	sh.mu.Unlock()
+	if existed && (u == nil || u.Service != old.Service) {
+		s.relist(old.Service, name, nil)
+	}
+	if u != nil {
+		s.relist(u.Service, name, u)
+	}
+}
+
+// relist stores a new list of a service's upstreams in which the named one is
+// replaced, added or, where u is nil, left out.
+func (s *store) relist(service quetzalroad.ServiceName, name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
+	sh := s.shard(string(service))
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var list []quetzalroad.Upstream
+	for _, have := range sh.lists[service] {
+		if have.Name != name {
+			list = append(list, have)
+		}
+	}
+	if u != nil {
+		list = append(list, *u)
+		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	}
+	if sh.lists == nil {
+		sh.lists = make(map[quetzalroad.ServiceName][]quetzalroad.Upstream)
+	}
+	sh.lists[service] = list
+}
--- /dev/null
+++ b/kernel/node.go
@@ -0,0 +1,241 @@
+package kernel
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+)
+
+// Identity is what a node knows of itself from its settings.
+type Identity struct {
+	Name       quetzalroad.NodeName
+	DataCentre quetzalroad.DataCentre
+	Region     quetzalroad.Region
+}
+
+// Node is one process of the router, or one of several in a test. Parts set
+// the fields of their slot while they are built; afterwards they are read
+// only.
+type Node struct {
+	Identity
+	// Logger is never nil once Build was called.
+	Logger *slog.Logger
+
+	Recorder    quetzalroad.Recorder
+	Vars        *expvar.Map
+	Log         quetzalroad.Log
+	VMList      quetzalroad.VMList
+	Directory   quetzalroad.Directory
+	Publisher   quetzalroad.Publisher
+	Snapshotter quetzalroad.Snapshotter
+	Relays      []quetzalroad.Relay
+	Claimer     quetzalroad.Claimer
+	Load        quetzalroad.LoadTracker
+	Capacity    quetzalroad.CapacityEstimator
+	Lengths     quetzalroad.LengthEstimator
+	Balancer    quetzalroad.Balancer
+	Limiter     quetzalroad.Limiter
+	Admitter    quetzalroad.Admitter
+	Retry       quetzalroad.RetryPolicy
+	Engines     quetzalroad.ChatProtocol
+	Services    quetzalroad.ServiceProtocol
+	Dispatcher  quetzalroad.Dispatcher
+	Peers       quetzalroad.Peers
+
+	readiness []quetzalroad.Readiness
+	starts    []start
+	stops     []func(ctx context.Context)
+	open      []func() int
+	// balancerLag is how long the node goes on accepting after it turned
+	// unready.
+	balancerLag time.Duration
+
+	life     tomb.Tomb
+	stopping atomic.Bool
+	stopOnce sync.Once
+}
+
+// start is something a part runs.
+type start struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Go registers a task that runs from start to stop. A task that returns an
+// error before the stop takes the node down.
+func (n *Node) Go(name string, run func(ctx context.Context) error) {
+	n.starts = append(n.starts, start{name: name, run: run})
+}
+
+// OnStop registers what a planned stop has to wait for. The functions run one
+// after another, the last registered first, before the tasks are ended.
+func (n *Node) OnStop(f func(ctx context.Context)) {
+	n.stops = append(n.stops, f)
+}
+
+// OnOpen registers a count of work in flight.
+func (n *Node) OnOpen(f func() int) {
+	n.open = append(n.open, f)
+}
+
+// AddReadiness registers a condition of readiness.
+func (n *Node) AddReadiness(r quetzalroad.Readiness) {
+	n.readiness = append(n.readiness, r)
+}
+
+// errStopping is the reason of a node that is being stopped.
+var errStopping = errors.New("node is stopping")
+
+// Ready tells whether the node should get traffic.
+func (n *Node) Ready() error {
+	if n.stopping.Load() {
+		return errStopping
+	}
+	for _, r := range n.readiness {
+		if err := r.Ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stopping tells whether a planned stop has begun.
+func (n *Node) Stopping() bool {
+	return n.stopping.Load()
+}
+
+// Open counts the work in flight.
+func (n *Node) Open() int {
+	total := 0
+	for _, f := range n.open {
+		total += f()
+	}
+	return total
+}
+
+// Start runs the registered tasks.
+func (n *Node) Start() {
+	ctx := n.life.Context(context.Background())
+	n.life.Go(func() error {
+		for _, s := range n.starts {
+			n.life.Go(func() error { return n.supervise(ctx, s) })
+		}
+		<-n.life.Dying()
+		return nil
+	})
+}
+
+func (n *Node) supervise(ctx context.Context, s start) error {
+	err := s.run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		n.Logger.Error("task failed", "task", s.name, "error", err)
+		return errors.Wrapf(err, "task %s", s.name)
+	}
+	return nil
+}
+
+// Wait returns when the node has ended.
+func (n *Node) Wait() error {
+	return n.life.Wait()
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	n.life.Kill(nil)
+}
+
+// Stop ends the node as planned: it turns unready, goes on accepting while
+// the balancer's list lags, waits for the work in flight, and ends its tasks.
+// The context cuts the waiting short.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopOnce.Do(func() { n.stop(ctx) })
+}
+
+func (n *Node) stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.Logger.Info("stopping", "balancer-lag", n.balancerLag, "open", n.Open())
+	lag := time.NewTimer(n.balancerLag)
+	defer lag.Stop()
+	select {
+	case <-lag.C:
+	case <-ctx.Done():
+	}
+	for i := len(n.stops) - 1; i >= 0; i-- {
+		n.stops[i](ctx)
+	}
+	n.life.Kill(nil)
+}
+
+// Plan is a node's settings: what to build.
+type Plan struct {
+	file     configurer.File
+	choosers map[Slot]*chooser
+	name     string
+	place    string
+	region   string
+	lag      time.Duration
+}
+
+// NewPlan declares the settings of a node.
+func NewPlan() *Plan {
+	p := &Plan{choosers: make(map[Slot]*chooser)}
+	section := new(configurer.Section)
+	section.Name("name", &p.name, "", "Name of this node, unique in the deployment.")
+	section.Name("data-centre", &p.place, "", "Data centre this node runs in.")
+	section.Name("region", &p.region, "", "Region of the data centre.")
+	section.Duration("balancer-lag", &p.lag, 5*time.Second, 0, 10*time.Minute, "How long to go on accepting after turning unready.")
+	p.file.Add("node", "Who this node is.", configurer.Fixed{Section: section})
+	for _, s := range slots {
+		c := &chooser{slot: s.slot}
+		if len(c.Names()) == 0 {
+			continue
+		}
+		p.choosers[s.slot] = c
+		p.file.Add(string(s.slot), s.doc, c)
+	}
+	return p
+}
+
+// Read fills the plan from a settings file. The error is a
+// *configurer.FindingsError.
+func (p *Plan) Read(name string, data []byte) error {
+	return p.file.Read(name, data)
+}
+
+// File gives the description of the settings.
+func (p *Plan) File() *configurer.File {
+	return &p.file
+}
+
+// Build makes the node of a plan that was read.
+func (p *Plan) Build(logger *slog.Logger) (*Node, error) {
+	n := &Node{
+		Identity: Identity{
+			Name:       quetzalroad.NodeName(p.name),
+			DataCentre: quetzalroad.DataCentre(p.place),
+			Region:     quetzalroad.Region(p.region),
+		},
+		Logger:      logger.With("node", p.name),
+		Vars:        new(expvar.Map),
+		balancerLag: p.lag,
+	}
+	for _, s := range slots {
+		c := p.choosers[s.slot]
+		if c == nil || c.part == nil {
+			continue
+		}
+		if err := c.part.Build(n); err != nil {
+			return nil, errors.Wrapf(err, "build %s", s.slot)
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/limiter/sharer/sharer.go
@@ -0,0 +1,280 @@
+// Package sharer keeps the limits of teams over many nodes without agreement.
+//
+// A team's limit is first shared out between data centres and then between
+// the nodes of one. A part of each share is static, the rest follows the
+// demand that the others told of lately. A data centre that was not heard of
+// keeps its static part and no more, and the others leave it that part, so
+// that the parts add up to the limit also while the network is cut.
+package sharer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotLimiter, Name: "sharer", Default: true,
+		New: func() kernel.Part { return new(Sharer) },
+	})
+}
+
+const (
+	// shardCount is the number of shards of the accounts.
+	shardCount = 64
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = 2 * time.Second
+	// burst is how many seconds of a rate an idle team may save up.
+	burst = 1 * time.Second
+	// retryConcurrency is the pause suggested after a refusal for want of a
+	// place.
+	retryConcurrency = time.Second
+)
+
+// told is the demand that another told of.
+type told struct {
+	at     time.Time
+	demand quetzalroad.TeamDemand
+}
+
+// account is what a node knows of one team.
+type account struct {
+	// running counts the places held here and is never negative.
+	running int
+	// wanted is the largest number of places asked for at once lately.
+	wanted   int
+	wantedAt time.Time
+	// level is the number of tokens that may be spent; it goes below zero by
+	// what running requests took beyond their estimate.
+	level   float64
+	settled time.Time
+	// asked is the recent rate of tokens asked for, in tokens a second.
+	asked   float64
+	askedAt time.Time
+	// peers and places hold what others told of; an entry is replaced as a
+	// whole.
+	peers  map[quetzalroad.NodeName]told
+	places map[quetzalroad.DataCentre]told
+}
+
+// shard holds the accounts of the teams that hash to it.
+type shard struct {
+	mu sync.Mutex
+	// accounts is guarded by mu and made on first use.
+	accounts map[quetzalroad.TeamName]*account
+}
+
+// Sharer is the part that limits.
+type Sharer struct {
+	node        *kernel.Node
+	staticShare float64
+	lifetime    time.Duration
+	shards      [shardCount]shard
+	services    serviceBounds
+	places      placeCache
+}
+
+// Declare implements kernel.Part.
+func (s *Sharer) Declare(section *configurer.Section) {
+	section.Float("static-share", &s.staticShare, 0.25, 0.01, 1, "Part of a limit that is shared out evenly, whatever the demand.")
+	section.Duration("lifetime", &s.lifetime, 6*time.Second, 100*time.Millisecond, 10*time.Minute, "How long what others told of their demand counts.")
+}
+
+// Build implements kernel.Part.
+func (s *Sharer) Build(n *kernel.Node) error {
+	s.node = n
+	n.Limiter = s
+	return nil
+}
+
+func (s *Sharer) shard(t quetzalroad.TeamName) *shard {
+	return &s.shards[xxhash.Sum64String(string(t))%shardCount]
+}
+
+func (sh *shard) account(t quetzalroad.TeamName) *account {
+	a := sh.accounts[t]
+	if a == nil {
+		if sh.accounts == nil {
+			sh.accounts = make(map[quetzalroad.TeamName]*account)
+		}
+		a = new(account)
+		sh.accounts[t] = a
+	}
+	return a
+}
+
+// Acquire implements quetzalroad.Limiter. The service's bound is taken first
+// and given back where the team's refuses.
+func (s *Sharer) Acquire(now time.Time, r *quetzalroad.Request) (quetzalroad.Grant, error) {
+	crowd := s.crowd(now)
+	if !s.services.acquire(r.Service, crowd.nodes*crowd.places) {
+		return nil, quetzalroad.Refuse(quetzalroad.ReasonServiceConcurrency, "the service runs as many requests as it may", retryConcurrency)
+	}
+	cost := estimate(r)
+	if err := s.acquireTeam(now, r, cost, crowd); err != nil {
+		s.services.release(r.Service)
+		return nil, err
+	}
+	return &grant{sharer: s, request: r, cost: cost}, nil
+}
+
+// estimate is the number of tokens a request is charged before it ran.
+func estimate(r *quetzalroad.Request) int {
+	return r.PromptTokens + r.MaxTokens
+}
+
+func (s *Sharer) acquireTeam(now time.Time, r *quetzalroad.Request, cost int, crowd crowd) error {
+	sh := s.shard(r.Team.Name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	a := sh.account(r.Team.Name)
+	a.ask(now, cost)
+	if places := s.placesFor(now, a, r.Team, crowd); r.Team.Concurrency > 0 && a.running >= places {
+		return quetzalroad.Refuse(quetzalroad.ReasonTeamConcurrency, "the team runs as many requests as it may", retryConcurrency)
+	}
+	if r.Team.TokensPerSecond > 0 {
+		rate := s.rate(now, a, r.Team, crowd)
+		a.fill(now, rate)
+		if a.level <= 0 {
+			wait := time.Duration((1 - a.level) / rate * float64(time.Second))
+			return quetzalroad.Refuse(quetzalroad.ReasonTeamRate, "the team has spent its rate of tokens", wait)
+		}
+		a.level -= float64(cost)
+	}
+	a.running++
+	return nil
+}
+
+// ask notes a request's demand, whether or not it will be met.
+func (a *account) ask(now time.Time, cost int) {
+	a.asked = a.rateAt(now) + float64(cost)/demandWindow.Seconds()
+	a.askedAt = now
+	if a.running+1 >= a.wanted || now.Sub(a.wantedAt) > demandWindow {
+		a.wanted = a.running + 1
+		a.wantedAt = now
+	}
+}
+
+// rateAt lets the asked rate fade in proportion to the time since it was
+// asked.
+func (a *account) rateAt(now time.Time) float64 {
+	faded := 1 - now.Sub(a.askedAt).Seconds()/demandWindow.Seconds()
+	if faded <= 0 {
+		return 0
+	}
+	return a.asked * faded
+}
+
+func (a *account) wantedNow(now time.Time) int {
+	if now.Sub(a.wantedAt) > demandWindow {
+		return a.running
+	}
+	return max(a.wanted, a.running)
+}
+
+// fill adds what the rate gave since the last time, up to the burst.
+func (a *account) fill(now time.Time, rate float64) {
+	most := rate * burst.Seconds()
+	if a.settled.IsZero() {
+		a.level = most
+	} else {
+		a.level = min(most, a.level+rate*now.Sub(a.settled).Seconds())
+	}
+	a.settled = now
+}
+
+// grant is one place.
+type grant struct {
+	sharer  *Sharer
+	request *quetzalroad.Request
+	cost    int
+	once    sync.Once
+}
+
+// Release implements quetzalroad.Grant.
+func (g *grant) Release(_ time.Time, tokens int) {
+	g.once.Do(func() { g.sharer.release(g.request, g.cost, tokens) })
+}
+
+func (s *Sharer) release(r *quetzalroad.Request, cost, tokens int) {
+	s.services.release(r.Service)
+	sh := s.shard(r.Team.Name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	a := sh.account(r.Team.Name)
+	a.running--
+	if a.running < 0 {
+		s.node.Recorder.Breach("limit-places-never-negative", string(r.Team.Name))
+	}
+	if r.Team.TokensPerSecond > 0 {
+		a.level += float64(cost - r.PromptTokens - tokens)
+	}
+}
+
+// Demand implements quetzalroad.Limiter.
+func (s *Sharer) Demand(now time.Time) []quetzalroad.TeamDemand {
+	var all []quetzalroad.TeamDemand
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		for name, a := range sh.accounts {
+			d := quetzalroad.TeamDemand{Team: name, TokensPerSecond: a.rateAt(now), Running: a.running, Wanted: a.wantedNow(now)}
+			if d.Running > 0 || d.Wanted > 0 || d.TokensPerSecond > 0 {
+				all = append(all, d)
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return all
+}
+
+// Peer implements quetzalroad.Limiter.
+func (s *Sharer) Peer(n quetzalroad.NodeName, received time.Time, demand []quetzalroad.TeamDemand) {
+	for _, d := range demand {
+		s.with(d.Team, func(a *account) {
+			if a.peers == nil {
+				a.peers = make(map[quetzalroad.NodeName]told)
+			}
+			a.peers[n] = told{at: received, demand: d}
+		})
+	}
+}
+
+// Place implements quetzalroad.Limiter.
+func (s *Sharer) Place(d quetzalroad.DataCentre, taken time.Time, demand []quetzalroad.TeamDemand) {
+	for _, one := range demand {
+		s.with(one.Team, func(a *account) {
+			if a.places == nil {
+				a.places = make(map[quetzalroad.DataCentre]told)
+			}
+			if taken.After(a.places[d].at) {
+				a.places[d] = told{at: taken, demand: one}
+			}
+		})
+	}
+}
+
+func (s *Sharer) with(t quetzalroad.TeamName, f func(a *account)) {
+	sh := s.shard(t)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	f(sh.account(t))
+}
+
+// Forget implements quetzalroad.Limiter.
+func (s *Sharer) Forget(n quetzalroad.NodeName) {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		for _, a := range sh.accounts {
+			delete(a.peers, n)
+		}
+		sh.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/objectmapper/objects.go
@@ -0,0 +1,275 @@
+// Package objectmapper maps published objects to and from their JSON form and
+// checks them. Spans of time are texts such as "250ms", keys are hex sums.
+package objectmapper
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+)
+
+type profileJSON struct {
+	Name             string `json:"name"`
+	Class            string `json:"class"`
+	Tier             int    `json:"tier"`
+	FirstTokenTarget string `json:"first-token-target"`
+	Timeout          string `json:"timeout"`
+	Idempotent       bool   `json:"idempotent"`
+	Interactive      bool   `json:"interactive"`
+	Preemptible      bool   `json:"preemptible"`
+	MaxTokens        int    `json:"max-tokens,omitempty"`
+	Revision         int64  `json:"revision,omitempty"`
+}
+
+type teamJSON struct {
+	Name            string   `json:"name"`
+	KeyHashes       []string `json:"key-hashes"`
+	DefaultProfile  string   `json:"default-profile"`
+	Weight          int      `json:"weight,omitempty"`
+	TokensPerSecond int      `json:"tokens-per-second,omitempty"`
+	Concurrency     int      `json:"concurrency,omitempty"`
+	Revision        int64    `json:"revision,omitempty"`
+}
+
+type serviceJSON struct {
+	Name           string   `json:"name"`
+	Kind           string   `json:"kind"`
+	Models         []string `json:"models,omitempty"`
+	DefaultProfile string   `json:"default-profile,omitempty"`
+	Concurrency    int      `json:"concurrency,omitempty"`
+	Revision       int64    `json:"revision,omitempty"`
+}
+
+type upstreamJSON struct {
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	Address       string `json:"address"`
+	DataCentre    string `json:"data-centre"`
+	Region        string `json:"region"`
+	Slots         int    `json:"slots"`
+	ChecksFencing bool   `json:"checks-fencing,omitempty"`
+	Draining      bool   `json:"draining,omitempty"`
+	Revision      int64  `json:"revision,omitempty"`
+}
+
+// Encode gives the JSON form of an object; null for an empty one.
+func Encode(o quetzalroad.Object) ([]byte, error) {
+	switch {
+	case o.Profile != nil:
+		return json.Marshal(encodeProfile(o.Profile))
+	case o.Team != nil:
+		return json.Marshal(encodeTeam(o.Team))
+	case o.Service != nil:
+		return json.Marshal(encodeService(o.Service))
+	case o.Upstream != nil:
+		return json.Marshal(encodeUpstream(o.Upstream))
+	}
+	return []byte("null"), nil
+}
+
+func encodeProfile(p *quetzalroad.Profile) profileJSON {
+	return profileJSON{
+		Name: string(p.Name), Class: string(p.Class), Tier: int(p.Tier),
+		FirstTokenTarget: p.FirstTokenTarget.String(), Timeout: p.Timeout.String(),
+		Idempotent: p.Idempotent, Interactive: p.Interactive, Preemptible: p.Preemptible,
+		MaxTokens: p.MaxTokens, Revision: int64(p.Revision),
+	}
+}
+
+func encodeTeam(t *quetzalroad.Team) teamJSON {
+	hashes := make([]string, len(t.KeyHashes))
+	for i, h := range t.KeyHashes {
+		hashes[i] = hex.EncodeToString(h[:])
+	}
+	return teamJSON{
+		Name: string(t.Name), KeyHashes: hashes, DefaultProfile: string(t.DefaultProfile),
+		Weight: t.Weight, TokensPerSecond: t.TokensPerSecond, Concurrency: t.Concurrency,
+		Revision: int64(t.Revision),
+	}
+}
+
+func encodeService(s *quetzalroad.Service) serviceJSON {
+	var models []string
+	for _, m := range s.Models {
+		models = append(models, string(m))
+	}
+	return serviceJSON{
+		Name: string(s.Name), Kind: string(s.Kind), Models: models,
+		DefaultProfile: string(s.DefaultProfile), Concurrency: s.Concurrency, Revision: int64(s.Revision),
+	}
+}
+
+func encodeUpstream(u *quetzalroad.Upstream) upstreamJSON {
+	return upstreamJSON{
+		Name: string(u.Name), Service: string(u.Service), Address: u.Address.String(),
+		DataCentre: string(u.DataCentre), Region: string(u.Region), Slots: u.Slots,
+		ChecksFencing: u.ChecksFencing, Draining: u.Draining, Revision: int64(u.Revision),
+	}
+}
+
+// Decode reads the JSON form of an object and checks it. The error is a
+// *quetzalroad.InvalidError with all findings where the form is right and the
+// content is not.
+func Decode(kind quetzalroad.ObjectKind, data []byte) (quetzalroad.Object, error) {
+	if bytes.Equal(bytes.TrimSpace(data), []byte("null")) {
+		return quetzalroad.Object{}, nil
+	}
+	c := &checker{}
+	var o quetzalroad.Object
+	var err error
+	switch kind {
+	case quetzalroad.ObjectProfile:
+		o.Profile, err = c.profile(data)
+	case quetzalroad.ObjectTeam:
+		o.Team, err = c.team(data)
+	case quetzalroad.ObjectService:
+		o.Service, err = c.service(data)
+	case quetzalroad.ObjectUpstream:
+		o.Upstream, err = c.upstream(data)
+	default:
+		err = errors.Newf("unknown kind of object %q", kind)
+	}
+	if err != nil {
+		return quetzalroad.Object{}, err
+	}
+	if len(c.problems) > 0 {
+		return quetzalroad.Object{}, &quetzalroad.InvalidError{Problems: c.problems}
+	}
+	return o, nil
+}
+
+// checker collects the findings on one object.
+type checker struct {
+	problems []quetzalroad.Problem
+}
+
+func (c *checker) find(path, format string, args ...any) {
+	c.problems = append(c.problems, quetzalroad.Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func strict(data []byte, target any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return d.Decode(target)
+}
+
+func (c *checker) name(path, text string) string {
+	if !configurer.ValidName(text) {
+		c.find(path, "%q is not a kebab-case name", text)
+	}
+	return text
+}
+
+func (c *checker) span(path, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		c.find(path, "%q is not a positive duration such as \"250ms\"", text)
+	}
+	return d
+}
+
+func (c *checker) count(path string, n, low int) int {
+	if n < low {
+		c.find(path, "%d is less than %d", n, low)
+	}
+	return n
+}
+
+func (c *checker) profile(data []byte) (*quetzalroad.Profile, error) {
+	var j profileJSON
+	if err := strict(data, &j); err != nil {
+		return nil, err
+	}
+	p := &quetzalroad.Profile{
+		Name: quetzalroad.ProfileName(c.name("name", j.Name)), Class: quetzalroad.Class(c.name("class", j.Class)),
+		Tier:             quetzalroad.Tier(j.Tier),
+		FirstTokenTarget: c.span("first-token-target", j.FirstTokenTarget), Timeout: c.span("timeout", j.Timeout),
+		Idempotent: j.Idempotent, Interactive: j.Interactive, Preemptible: j.Preemptible,
+		MaxTokens: c.count("max-tokens", j.MaxTokens, 0), Revision: quetzalroad.Revision(j.Revision),
+	}
+	if j.Tier < 0 || j.Tier >= quetzalroad.MaxTiers {
+		c.find("tier", "%d is not between 0 and %d", j.Tier, quetzalroad.MaxTiers-1)
+	}
+	if p.Timeout < p.FirstTokenTarget {
+		c.find("timeout", "is shorter than first-token-target")
+	}
+	if p.Preemptible && p.Interactive {
+		c.find("preemptible", "interactive work is never paused")
+	}
+	if p.Preemptible && !p.Idempotent {
+		c.find("preemptible", "only idempotent work can be paused")
+	}
+	return p, nil
+}
+
+func (c *checker) team(data []byte) (*quetzalroad.Team, error) {
+	var j teamJSON
+	if err := strict(data, &j); err != nil {
+		return nil, err
+	}
+	t := &quetzalroad.Team{
+		Name: quetzalroad.TeamName(c.name("name", j.Name)), DefaultProfile: quetzalroad.ProfileName(c.name("default-profile", j.DefaultProfile)),
+		Weight: c.count("weight", j.Weight, 0), TokensPerSecond: c.count("tokens-per-second", j.TokensPerSecond, 0),
+		Concurrency: c.count("concurrency", j.Concurrency, 0), Revision: quetzalroad.Revision(j.Revision),
+	}
+	for i, text := range j.KeyHashes {
+		var h quetzalroad.KeyHash
+		b, err := hex.DecodeString(text)
+		if err != nil || len(b) != len(h) {
+			c.find(fmt.Sprintf("key-hashes[%d]", i), "is not the hex form of a SHA-256 sum")
+			continue
+		}
+		copy(h[:], b)
+		t.KeyHashes = append(t.KeyHashes, h)
+	}
+	return t, nil
+}
+
+func (c *checker) service(data []byte) (*quetzalroad.Service, error) {
+	var j serviceJSON
+	if err := strict(data, &j); err != nil {
+		return nil, err
+	}
+	s := &quetzalroad.Service{
+		Name: quetzalroad.ServiceName(c.name("name", j.Name)), Kind: quetzalroad.ServiceKind(j.Kind),
+		Concurrency: c.count("concurrency", j.Concurrency, 0), Revision: quetzalroad.Revision(j.Revision),
+	}
+	if j.DefaultProfile != "" {
+		s.DefaultProfile = quetzalroad.ProfileName(c.name("default-profile", j.DefaultProfile))
+	}
+	for _, m := range j.Models {
+		s.Models = append(s.Models, quetzalroad.ModelName(m))
+	}
+	if s.Kind != quetzalroad.KindEngine && s.Kind != quetzalroad.KindPlain {
+		c.find("kind", "%q is neither %q nor %q", j.Kind, quetzalroad.KindEngine, quetzalroad.KindPlain)
+	}
+	if s.Kind == quetzalroad.KindEngine && len(s.Models) == 0 {
+		c.find("models", "an engine service needs at least one model")
+	}
+	return s, nil
+}
+
+func (c *checker) upstream(data []byte) (*quetzalroad.Upstream, error) {
+	var j upstreamJSON
+	if err := strict(data, &j); err != nil {
+		return nil, err
+	}
+	address, err := netip.ParseAddrPort(j.Address)
+	if err != nil {
+		c.find("address", "%q is not an IP address with a port", j.Address)
+	}
+	return &quetzalroad.Upstream{
+		Name: quetzalroad.UpstreamName(c.name("name", j.Name)), Service: quetzalroad.ServiceName(c.name("service", j.Service)),
+		Address: address, DataCentre: quetzalroad.DataCentre(c.name("data-centre", j.DataCentre)),
+		Region: quetzalroad.Region(c.name("region", j.Region)), Slots: c.count("slots", j.Slots, 1),
+		ChecksFencing: j.ChecksFencing, Draining: j.Draining, Revision: quetzalroad.Revision(j.Revision),
+	}, nil
+}
--- /dev/null
+++ b/recordmapper/records.go
@@ -0,0 +1,138 @@
+// Package recordmapper maps the records of the state stream to and from JSON.
+package recordmapper
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/objectmapper"
+)
+
+// Format is the version of the records this package writes.
+const Format = 1
+
+// MaxRecordBytes bounds a record; larger ones are set aside.
+const MaxRecordBytes = 256 << 10
+
+// The kinds of records.
+const (
+	kindChange   = "change"
+	kindSnapshot = "snapshot"
+)
+
+// ErrSetAside marks a record that this version can't apply.
+var ErrSetAside = errors.New("record set aside")
+
+// SnapshotPart is one record of a snapshot.
+type SnapshotPart struct {
+	// ID is the same in all parts of a snapshot.
+	ID string
+	// Covers is the offset of the last record that the snapshot holds.
+	Covers quetzalroad.Offset
+	// Part counts from 0 and is below Parts.
+	Part  int
+	Parts int
+	Data  []byte
+}
+
+// Entry is a record. Exactly one pointer is set.
+type Entry struct {
+	Change   *quetzalroad.Change
+	Snapshot *SnapshotPart
+}
+
+type entryJSON struct {
+	Format   int           `json:"format"`
+	Kind     string        `json:"kind"`
+	Change   *changeJSON   `json:"change,omitempty"`
+	Snapshot *snapshotJSON `json:"snapshot,omitempty"`
+}
+
+type changeJSON struct {
+	ID     string          `json:"id"`
+	Author string          `json:"author"`
+	Kind   string          `json:"kind"`
+	Name   string          `json:"name"`
+	Base   int64           `json:"base"`
+	Object json.RawMessage `json:"object"`
+}
+
+type snapshotJSON struct {
+	ID     string `json:"id"`
+	Covers int64  `json:"covers"`
+	Part   int    `json:"part"`
+	Parts  int    `json:"parts"`
+	Data   []byte `json:"data"`
+}
+
+// EncodeChange gives the record of a change.
+func EncodeChange(c quetzalroad.Change) ([]byte, error) {
+	object, err := objectmapper.Encode(c.Object)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(entryJSON{Format: Format, Kind: kindChange, Change: &changeJSON{
+		ID: string(c.ID), Author: c.Author, Kind: string(c.Kind), Name: c.Name, Base: int64(c.Base), Object: object,
+	}})
+	if err == nil && len(data) > MaxRecordBytes {
+		return nil, errors.Newf("a change of %d bytes is over the bound of %d", len(data), MaxRecordBytes)
+	}
+	return data, err
+}
+
+// EncodeSnapshot gives the record of a part of a snapshot.
+func EncodeSnapshot(p SnapshotPart) ([]byte, error) {
+	return json.Marshal(entryJSON{Format: Format, Kind: kindSnapshot, Snapshot: &snapshotJSON{
+		ID: p.ID, Covers: int64(p.Covers), Part: p.Part, Parts: p.Parts, Data: p.Data,
+	}})
+}
+
+// Decode reads a record. The error is marked with ErrSetAside where the record
+// is malformed, too large or of a newer format; it depends on the data alone,
+// so that all nodes decide alike.
+func Decode(data []byte) (Entry, error) {
+	if len(data) > MaxRecordBytes {
+		return Entry{}, errors.Mark(errors.Newf("record of %d bytes", len(data)), ErrSetAside)
+	}
+	var j entryJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return Entry{}, errors.Mark(err, ErrSetAside)
+	}
+	if j.Format != Format {
+		return Entry{}, errors.Mark(errors.Newf("format %d", j.Format), ErrSetAside)
+	}
+	switch {
+	case j.Kind == kindChange && j.Change != nil:
+		return decodeChange(j.Change)
+	case j.Kind == kindSnapshot && j.Snapshot != nil:
+		return decodeSnapshot(j.Snapshot)
+	}
+	return Entry{}, errors.Mark(errors.Newf("kind %q", j.Kind), ErrSetAside)
+}
+
+func decodeChange(j *changeJSON) (Entry, error) {
+	kind := quetzalroad.ObjectKind(j.Kind)
+	object, err := objectmapper.Decode(kind, j.Object)
+	if err != nil {
+		return Entry{}, errors.Mark(err, ErrSetAside)
+	}
+	c := &quetzalroad.Change{
+		ID: quetzalroad.ChangeID(j.ID), Author: j.Author, Kind: kind, Name: j.Name,
+		Base: quetzalroad.Revision(j.Base), Object: object,
+	}
+	if c.ID == "" || c.Name == "" {
+		return Entry{}, errors.Mark(errors.New("change without id or name"), ErrSetAside)
+	}
+	return Entry{Change: c}, nil
+}
+
+func decodeSnapshot(j *snapshotJSON) (Entry, error) {
+	if j.Parts <= 0 || j.Part < 0 || j.Part >= j.Parts {
+		return Entry{}, errors.Mark(errors.Newf("snapshot part %d of %d", j.Part, j.Parts), ErrSetAside)
+	}
+	return Entry{Snapshot: &SnapshotPart{
+		ID: j.ID, Covers: quetzalroad.Offset(j.Covers), Part: j.Part, Parts: j.Parts, Data: j.Data,
+	}}, nil
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,149 @@
+package quetzalroad
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is what decisions know about one request of a caller.
+type Request struct {
+	// ID identifies the request.
+	ID RequestID
+	// Team, Profile and Service are copies of the published objects as they
+	// stood on arrival.
+	Team    Team
+	Profile Profile
+	Service Service
+	// Model is the model asked for; empty for plain services.
+	Model ModelName
+	// Arrived is when the node had read the request.
+	Arrived time.Time
+	// PromptTokens is an estimate from the size of the prompt.
+	PromptTokens int
+	// MaxTokens bounds the tokens to generate; zero means no stated bound.
+	MaxTokens int
+	// PrefixHash identifies the beginning of the prompt for cache affinity;
+	// zero means that there is none.
+	PrefixHash uint64
+	// Idempotent tells that running the request twice does no harm.
+	Idempotent bool
+	// IdempotencyKey is the caller's key, empty where none was given.
+	IdempotencyKey string
+}
+
+// Chat is a request for a completion.
+type Chat struct {
+	Request
+	// Body is the call in the form of the chat API.
+	Body []byte
+	// Resumable tells that the answer can be resumed from its text alone.
+	Resumable bool
+}
+
+// Resumption tells an engine where to take up an answer that was begun
+// elsewhere.
+type Resumption struct {
+	// Text is the answer so far.
+	Text string
+	// Tokens is the number of tokens in Text.
+	Tokens int
+}
+
+// ChatEvent is one step of an answer.
+type ChatEvent struct {
+	// Chunk is the step in the form of the chat API.
+	Chunk []byte
+	// Text is what the step adds to the answer.
+	Text string
+	// Tokens is the number of tokens that it carries.
+	Tokens int
+	// Finish is the reason for the end; empty before the last step.
+	Finish string
+	// UsageTokens is the number of generated tokens that the engine states at
+	// the end; zero before.
+	UsageTokens int
+}
+
+// ServiceCall is a call to a plain service.
+type ServiceCall struct {
+	Request
+	// Method, Path, Query and Header are the caller's, without hop-by-hop
+	// fields and without the caller's credentials.
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	// Body is the whole body; its size is bounded by the caller face.
+	Body []byte
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	// Status is the HTTP status.
+	Status int
+	// Header holds the end-to-end fields.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+}
+
+// Outcome tells a caller what became of its request.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeCompleted means that the answer is whole.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeNotRun means that no upstream ran any of it.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that an upstream may have run it.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// LoadReport is what an upstream says about itself.
+type LoadReport struct {
+	// Taken is the upstream's time for the figures.
+	Taken time.Time
+	// Running and Waiting count requests at that time.
+	Running int
+	Waiting int
+	// Leaving tells that the upstream wants no new work.
+	Leaving bool
+}
+
+// UpstreamReport is a load report with the upstream that gave it.
+type UpstreamReport struct {
+	Upstream UpstreamName
+	Report   LoadReport
+}
+
+// UpstreamLoad is one node's own work on an upstream.
+type UpstreamLoad struct {
+	Upstream UpstreamName
+	// Running counts the node's requests there.
+	Running int
+	// FirstToken is the node's recent mean time to a first token; zero when
+	// it has seen none.
+	FirstToken time.Duration
+}
+
+// LoadEstimate is what a node believes about an upstream.
+type LoadEstimate struct {
+	// Running is the estimated number of requests there, over all nodes.
+	Running int
+	// Own is the number of this node's own.
+	Own int
+	// Told is the number that peers told of.
+	Told int
+	// TokenTime is the recent time between two tokens; zero where this node
+	// has not seen any lately.
+	TokenTime time.Duration
+	// FirstToken is the recent time to a first token; zero where this node
+	// has not seen any lately.
+	FirstToken time.Duration
+	// Suspect tells that recent attempts failed and new work should go
+	// elsewhere where it can.
+	Suspect bool
+	// Leaving tells that the upstream gets no new work at all.
+	Leaving bool
+}
--- /dev/null
+++ b/retrier/budgeter/budgeter.go
@@ -0,0 +1,132 @@
+// Package budgeter lets retries and hedges spend a budget that grows with the
+// first attempts of a service, so that they stay a share of the load also when
+// everything fails.
+package budgeter
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotRetry, Name: "budgeter", Default: true,
+		New: func() kernel.Part { return new(Budgeter) },
+	})
+}
+
+const (
+	// shardCount is the number of shards of the budgets.
+	shardCount = 16
+	// maxDoublings bounds the growth of the backoff.
+	maxDoublings = 6
+)
+
+// budget is what a service may spend, in attempts.
+type budget struct {
+	// balance is at most the settings' reserve, and never negative.
+	balance float64
+}
+
+// shard holds the budgets of the services that hash to it.
+type shard struct {
+	mu sync.Mutex
+	// budgets is guarded by mu and made on first use.
+	budgets map[quetzalroad.ServiceName]*budget
+}
+
+// Budgeter is the part that decides on retries.
+type Budgeter struct {
+	share      float64
+	hedgeCost  float64
+	reserve    int
+	initial    int
+	attempts   int
+	backoff    time.Duration
+	hedgeShare float64
+	shards     [shardCount]shard
+}
+
+// Declare implements kernel.Part.
+func (b *Budgeter) Declare(s *configurer.Section) {
+	s.Float("share", &b.share, 0.15, 0, 1, "Retries and hedges allowed for each first attempt.")
+	s.Int("reserve", &b.reserve, 100, 1, 100000, "Most retries that can be saved up for a service.")
+	s.Int("initial", &b.initial, 20, 0, 100000, "Retries that a service has before its first attempt.")
+	s.Int("attempts", &b.attempts, 4, 1, 100, "Attempts at most for a request, the first included.")
+	s.Duration("backoff", &b.backoff, 20*time.Millisecond, 0, time.Minute, "Mean pause before the first retry; doubled with each further one.")
+	s.Float("hedge-after", &b.hedgeShare, 0.5, 0, 1, "Part of its target after which interactive work without a first token is hedged; zero for never.")
+	s.Float("hedge-cost", &b.hedgeCost, 1, 0.1, 10, "What a hedge takes from the budget.")
+}
+
+// Build implements kernel.Part.
+func (b *Budgeter) Build(n *kernel.Node) error {
+	n.Retry = b
+	return nil
+}
+
+func (b *Budgeter) with(s quetzalroad.ServiceName, f func(one *budget)) {
+	sh := &b.shards[xxhash.Sum64String(string(s))%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.budgets == nil {
+		sh.budgets = make(map[quetzalroad.ServiceName]*budget)
+	}
+	one := sh.budgets[s]
+	if one == nil {
+		one = &budget{balance: float64(b.initial)}
+		sh.budgets[s] = one
+	}
+	f(one)
+}
+
+// First implements quetzalroad.RetryPolicy.
+func (b *Budgeter) First(_ time.Time, s quetzalroad.ServiceName) {
+	b.with(s, func(one *budget) {
+		one.balance = min(float64(b.reserve), one.balance+b.share)
+	})
+}
+
+func (b *Budgeter) spend(s quetzalroad.ServiceName, cost float64) bool {
+	spent := false
+	b.with(s, func(one *budget) {
+		if one.balance >= cost {
+			one.balance -= cost
+			spent = true
+		}
+	})
+	return spent
+}
+
+// Retry implements quetzalroad.RetryPolicy. The pause is drawn evenly from
+// zero to twice its mean.
+func (b *Budgeter) Retry(_ time.Time, s quetzalroad.ServiceName, attempt int) (time.Duration, bool) {
+	if attempt >= b.attempts || !b.spend(s, 1) {
+		return 0, false
+	}
+	mean := b.backoff << min(attempt-1, maxDoublings)
+	if mean <= 0 {
+		return 0, true
+	}
+	return rand.N(2 * mean), true
+}
+
+// HedgeAfter implements quetzalroad.RetryPolicy. Only interactive, idempotent
+// work is hedged.
+func (b *Budgeter) HedgeAfter(r *quetzalroad.Request) time.Duration {
+	if !r.Idempotent || !r.Profile.Interactive {
+		return 0
+	}
+	return time.Duration(b.hedgeShare * float64(r.Profile.FirstTokenTarget))
+}
+
+// Hedge implements quetzalroad.RetryPolicy.
+func (b *Budgeter) Hedge(_ time.Time, s quetzalroad.ServiceName) bool {
+	return b.spend(s, b.hedgeCost)
+}
--- /dev/null
+++ b/tracker/poller.go
@@ -0,0 +1,114 @@
+package tracker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+// poller asks the upstreams of the node's data centre for their load. The
+// nodes of a data centre share the upstreams out by a hash, and tell each
+// other what they heard.
+type poller struct {
+	node     *kernel.Node
+	tracker  *Tracker
+	interval time.Duration
+	timeout  time.Duration
+}
+
+// run polls until the node ends.
+func (p *poller) run(ctx context.Context) error {
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	for {
+		p.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *poller) round(ctx context.Context) {
+	names := p.nodes()
+	var group sync.WaitGroup
+	for _, u := range p.node.Directory.Upstreams() {
+		if u.DataCentre != p.node.DataCentre || owner(names, u.Name) != p.node.Name {
+			continue
+		}
+		group.Go(func() { p.poll(ctx, u) })
+	}
+	group.Wait()
+}
+
+// nodes lists the nodes of the data centre that take part.
+func (p *poller) nodes() []quetzalroad.NodeName {
+	names := []quetzalroad.NodeName{p.node.Name}
+	if p.node.Peers == nil {
+		return names
+	}
+	for _, s := range p.node.Peers.Status() {
+		if s.DataCentre == p.node.DataCentre && !s.Stopping {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// owner gives the node that polls an upstream: the one with the highest hash
+// of both names, so that a node's coming or going moves only its own share.
+func owner(names []quetzalroad.NodeName, u quetzalroad.UpstreamName) quetzalroad.NodeName {
+	var best quetzalroad.NodeName
+	var most uint64
+	for _, n := range names {
+		h := xxhash.Sum64String(string(n) + "/" + string(u))
+		if best == "" || h > most {
+			best = n
+			most = h
+		}
+	}
+	return best
+}
+
+func (p *poller) poll(ctx context.Context, u quetzalroad.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	report, err := p.ask(ctx, u)
+	if err != nil {
+		p.node.Vars.Add("load-report-failures", 1)
+		return
+	}
+	now := time.Now()
+	p.tracker.Report(u.Name, now, report)
+	p.tracker.with(u.Name, func(b *belief) { b.polled = now })
+}
+
+func (p *poller) ask(ctx context.Context, u quetzalroad.Upstream) (quetzalroad.LoadReport, error) {
+	service, ok := p.node.Directory.Service(u.Service)
+	if ok && service.Kind == quetzalroad.KindPlain {
+		return p.node.Services.Report(ctx, u)
+	}
+	return p.node.Engines.Report(ctx, u)
+}
+
+// Polled implements quetzalroad.LoadTracker.
+func (t *Tracker) Polled(after time.Time) []quetzalroad.UpstreamReport {
+	var reports []quetzalroad.UpstreamReport
+	for i := range t.shards {
+		sh := &t.shards[i]
+		sh.mu.Lock()
+		for u, b := range sh.beliefs {
+			if b.polled.After(after) {
+				reports = append(reports, quetzalroad.UpstreamReport{Upstream: u, Report: b.report})
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return reports
+}
--- /dev/null
+++ b/vmclient/client.go
@@ -0,0 +1,141 @@
+// Package vmclient speaks the HTTP protocol of the platform's list of VMs.
+//
+//	GET /v1/vms
+//	  → 200 {"vms":[{"name":"graz-1","role":"node","address":"10.0.0.1:7100",
+//	         "data-centre":"at-east-graz","state":"live"}]}
+package vmclient
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotVMList, Name: "http", Default: true,
+		New: func() kernel.Part { return new(Client) },
+	})
+}
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 16 << 20
+
+// Client is the list as seen over HTTP. It polls the list and marks upstreams
+// that the platform says are leaving.
+type Client struct {
+	address  netip.AddrPort
+	timeout  time.Duration
+	interval time.Duration
+	recorder quetzalroad.Recorder
+	node     *kernel.Node
+	http     http.Client
+}
+
+// Declare implements kernel.Part.
+func (c *Client) Declare(s *configurer.Section) {
+	s.Address("address", &c.address, "", "Where the platform's list of VMs listens.")
+	s.Duration("timeout", &c.timeout, 2*time.Second, 10*time.Millisecond, time.Minute, "How long one read of the list may take.")
+	s.Duration("interval", &c.interval, time.Second, 50*time.Millisecond, time.Minute, "How often to look for leaving upstreams.")
+}
+
+// Build implements kernel.Part.
+func (c *Client) Build(n *kernel.Node) error {
+	c.recorder = n.Recorder
+	c.node = n
+	dialer := &net.Dialer{Timeout: c.timeout}
+	c.http.Transport = &http.Transport{DialContext: dialer.DialContext}
+	n.VMList = c
+	n.Go("watch leaving upstreams", c.watch)
+	return nil
+}
+
+type listJSON struct {
+	VMs []vmJSON `json:"vms"`
+}
+
+type vmJSON struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	State      string `json:"state"`
+}
+
+// VMs implements quetzalroad.VMList.
+func (c *Client) VMs(ctx context.Context) ([]quetzalroad.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address.String()+"/v1/vms", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	c.recorder.Received(quetzalroad.ControlVMs, len(data))
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.Newf("VM list answered %s", answer.Status)
+	}
+	return decode(data)
+}
+
+func decode(data []byte) ([]quetzalroad.VM, error) {
+	var list listJSON
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, err
+	}
+	vms := make([]quetzalroad.VM, 0, len(list.VMs))
+	for _, j := range list.VMs {
+		address, err := netip.ParseAddrPort(j.Address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "VM %q", j.Name)
+		}
+		vms = append(vms, quetzalroad.VM{
+			Name: j.Name, Role: j.Role, Address: address,
+			DataCentre: quetzalroad.DataCentre(j.DataCentre), State: quetzalroad.VMState(j.State),
+		})
+	}
+	return vms, nil
+}
+
+// watch marks upstreams as the list has them. While the list is away the last
+// marks stay: its absence removes nobody.
+func (c *Client) watch(ctx context.Context) error {
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+	for {
+		if vms, err := c.VMs(ctx); err == nil {
+			c.mark(vms)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Client) mark(vms []quetzalroad.VM) {
+	for _, v := range vms {
+		if v.Role == quetzalroad.RoleUpstream {
+			c.node.Load.Leaving(quetzalroad.UpstreamName(v.Name), v.State == quetzalroad.VMLeaving)
+		}
+	}
+}
