--- /dev/null
+++ b/adminserver/server.go
@@ -0,0 +1,251 @@
+// Package adminserver is the face for operators: the published objects with
+// their revisions, drains, the state of the node and of its peers, and the
+// counters.
+package adminserver
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotAdmin, Name: "http", Default: true,
+		New: func() kernel.Part { return new(Server) },
+	})
+}
+
+const (
+	// maxBody bounds the body of a change.
+	maxBody = 256 << 10
+	// bodyTimeout bounds the reading of a request.
+	bodyTimeout = 10 * time.Second
+	// hashHexLength is the length of a SHA-256 sum in hex.
+	hashHexLength = 64
+)
+
+// Server is the part that listens to operators.
+type Server struct {
+	address  netip.AddrPort
+	keyHash  string
+	profiles bool
+	node     *kernel.Node
+	logger   *slog.Logger
+	http     http.Server
+	key      quetzalroad.KeyHash
+}
+
+// Declare implements kernel.Part.
+func (s *Server) Declare(section *configurer.Section) {
+	section.Address("address", &s.address, "127.0.0.1:7081", "Where to listen.")
+	section.Secret("key-sha256", &s.keyHash, hashHexLength, "SHA-256 sum, in hex, of the operators' bearer key.")
+	section.Bool("pprof", &s.profiles, false, "Offer the runtime's profiles under /debug/pprof/ to operators.")
+}
+
+// Build implements kernel.Part.
+func (s *Server) Build(n *kernel.Node) error {
+	s.node = n
+	s.logger = n.Logger
+	sum, err := hex.DecodeString(s.keyHash)
+	if err != nil || len(sum) != len(s.key) {
+		return errors.New("admin.key-sha256 is not the hex form of a SHA-256 sum")
+	}
+	copy(s.key[:], sum)
+	s.http = http.Server{Handler: s.routes(), ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)}
+	listener, err := net.Listen("tcp", s.address.String())
+	if err != nil {
+		return err
+	}
+	n.Go("serve operators", func(ctx context.Context) error { return s.serve(ctx, listener) })
+	return nil
+}
+
+// serve listens until the node ends, so that operators see a stop to its end.
+func (s *Server) serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		// Serving ends either way.
+		_ = s.http.Close()
+	})
+	defer stop()
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) routes() http.Handler {
+	router := bunrouter.New()
+	router.GET("/healthz", bunrouter.HTTPHandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	router.GET("/readyz", bunrouter.HTTPHandlerFunc(s.ready))
+	router.GET("/debug/vars", s.handle(s.vars))
+	router.GET("/admin/v1/status", s.handle(s.status))
+	router.GET("/admin/v1/nodes", s.handle(s.nodes))
+	router.GET("/admin/v1/:kind", s.handle(s.list))
+	router.GET("/admin/v1/:kind/:name", s.handle(s.get))
+	router.PUT("/admin/v1/:kind/:name", s.handle(s.put))
+	router.DELETE("/admin/v1/:kind/:name", s.handle(s.remove))
+	router.POST("/admin/v1/upstreams/:name/drain", s.handle(s.drain))
+	router.POST("/admin/v1/upstreams/:name/undrain", s.handle(s.undrain))
+	if s.profiles {
+		router.GET("/debug/pprof/profile", s.handle(plain(pprof.Profile)))
+		router.GET("/debug/pprof/heap", s.handle(plain(pprof.Handler("heap").ServeHTTP)))
+		router.GET("/debug/pprof/goroutine", s.handle(plain(pprof.Handler("goroutine").ServeHTTP)))
+	}
+	return router
+}
+
+func plain(f http.HandlerFunc) func(w http.ResponseWriter, r bunrouter.Request) error {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		f(w, r.Request)
+		return nil
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.node.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// statusError is an error with its HTTP status and its kebab-case code.
+type statusError struct {
+	status int
+	code   string
+	cause  error
+}
+
+// Error implements error.
+func (e *statusError) Error() string { return e.cause.Error() }
+
+// Unwrap gives the failure behind it.
+func (e *statusError) Unwrap() error { return e.cause }
+
+func failure(status int, code, format string, args ...any) error {
+	return &statusError{status: status, code: code, cause: errors.Newf(format, args...)}
+}
+
+type errorJSON struct {
+	Code    string        `json:"code"`
+	Message string        `json:"message"`
+	Details []findingJSON `json:"findings,omitempty"`
+	Current int64         `json:"current-revision,omitempty"`
+	Change  string        `json:"change-id,omitempty"`
+}
+
+type findingJSON struct {
+	Path    string `json:"path"`
+	Problem string `json:"problem"`
+}
+
+// handle checks the operator's key and answers errors.
+func (s *Server) handle(f func(w http.ResponseWriter, r bunrouter.Request) error) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		err := s.authenticate(r.Request)
+		if err == nil {
+			err = f(w, r)
+		}
+		if err != nil {
+			answerError(w, err)
+		}
+		return nil
+	}
+}
+
+func (s *Server) authenticate(r *http.Request) error {
+	kind, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(kind, "Bearer") || quetzalroad.HashKey(strings.TrimSpace(key)) != s.key {
+		return failure(http.StatusUnauthorized, "unauthorized", "the operators' bearer key is required")
+	}
+	return nil
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	j := errorJSON{Code: "internal", Message: err.Error()}
+	var withStatus *statusError
+	var invalid *quetzalroad.InvalidError
+	var conflict *quetzalroad.ConflictError
+	var unconfirmed *quetzalroad.UnconfirmedError
+	switch {
+	case errors.As(err, &invalid):
+		status, j.Code = http.StatusUnprocessableEntity, "invalid"
+		for _, p := range invalid.Problems {
+			j.Details = append(j.Details, findingJSON{Path: p.Path, Problem: p.Message})
+		}
+	case errors.As(err, &conflict):
+		status, j.Code, j.Current = http.StatusConflict, "conflict", int64(conflict.Current)
+	case errors.As(err, &unconfirmed):
+		status, j.Code, j.Change = http.StatusGatewayTimeout, "unconfirmed", string(unconfirmed.ID)
+	case errors.Is(err, quetzalroad.ErrUnknownUpstream):
+		status, j.Code = http.StatusNotFound, "not-found"
+	case errors.As(err, &withStatus):
+		status, j.Code = withStatus.status, withStatus.code
+	}
+	answer(w, status, j)
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An operator who is gone doesn't miss the answer.
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// vars answers with the node's counters and the process's.
+func (s *Server) vars(w http.ResponseWriter, _ bunrouter.Request) error {
+	w.Header().Set("Content-Type", "application/json")
+	_, err := fmt.Fprintf(w, "{\n\"node\": %s", s.node.Vars.String())
+	expvar.Do(func(kv expvar.KeyValue) {
+		if err == nil {
+			_, err = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
+		}
+	})
+	if err == nil {
+		_, err = io.WriteString(w, "\n}\n")
+	}
+	return err
+}
+
+// revision reads the revision that a change was made from. If-None-Match: *
+// stands for an object that must not exist yet.
+func revision(r *http.Request) (quetzalroad.Revision, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	tag := r.Header.Get("If-Match")
+	if tag == "" {
+		return 0, failure(http.StatusPreconditionRequired, "revision-required", "say in If-Match from which revision the change was made, or If-None-Match: * for a new object")
+	}
+	n, err := strconv.ParseInt(strings.Trim(tag, `"`), 10, 64)
+	if err != nil || n < 0 {
+		return 0, failure(http.StatusBadRequest, "malformed", "If-Match %s is not a revision", tag)
+	}
+	return quetzalroad.Revision(n), nil
+}
--- a/admitter/prioritizer/waiter.go
+++ b/admitter/prioritizer/waiter.go
@@ -187,10 +187,19 @@
 		heap.Push(&t.active, l)
 	}
 	heap.Push(&l.heap, w)
+	t.trim()
 	t.arrivals = append(t.arrivals, w)
 	t.waiting++
 }
 
+// trim drops those at the front of the arrivals that wait no more.
+func (t *tier) trim() {
+	for len(t.arrivals) > 0 && t.arrivals[0].state != stateWaiting {
+		t.arrivals[0] = nil
+		t.arrivals = t.arrivals[1:]
+	}
+}
+
 // remove takes a waiter out of its line.
 func (t *tier) remove(w *waiter) {
 	l := t.lines[w.request.Team.Name]
@@ -250,10 +259,7 @@
 
 // oldest gives the longest wait in the tier.
 func (t *tier) oldest(now time.Time) time.Duration {
-	for len(t.arrivals) > 0 && t.arrivals[0].state != stateWaiting {
-		t.arrivals[0] = nil
-		t.arrivals = t.arrivals[1:]
-	}
+	t.trim()
 	if len(t.arrivals) == 0 {
 		return 0
 	}
--- /dev/null
+++ b/callerserver/exchange.go
@@ -0,0 +1,258 @@
+package callerserver
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// The header fields of the router's own.
+const (
+	fieldRequestID = "Quetzalroad-Request-Id"
+	fieldOutcome   = "Quetzalroad-Outcome"
+	fieldProfile   = "Quetzalroad-Profile"
+	fieldKey       = "Idempotency-Key"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// exchange is one request of a caller with its answer.
+type exchange struct {
+	server   *Server
+	id       quetzalroad.RequestID
+	arrived  time.Time
+	request  *http.Request
+	params   bunrouter.Params
+	response http.ResponseWriter
+	control  *http.ResponseController
+	team     quetzalroad.Team
+	// class is the class of the request once its profile is known.
+	class quetzalroad.Class
+	// status overrides the status of a refusal; zero for its own.
+	status int
+	// began tells that a part of the answer was sent.
+	began bool
+}
+
+// handle wraps a handler: it checks the node's and the caller's right, turns
+// an error into a refusal, and counts and logs the end.
+func (s *Server) handle(f func(x *exchange) error) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		x := &exchange{
+			server: s, id: quetzalroad.RequestID(uuid.NewString()), arrived: time.Now(),
+			request: r.Request, params: r.Params(), response: w, control: http.NewResponseController(w),
+		}
+		open := s.open.Add(1)
+		defer s.open.Add(-1)
+		w.Header().Set(fieldRequestID, string(x.id))
+		err := x.admit(int(open))
+		if err == nil {
+			err = f(x)
+		}
+		x.end(err)
+		return nil
+	}
+}
+
+// busyRetry is the pause suggested to a caller of a node that is full.
+const busyRetry = time.Second
+
+func (x *exchange) admit(open int) error {
+	if open > x.server.maxOpen {
+		return quetzalroad.Refuse(quetzalroad.ReasonTooManyOpen, "the node has too many requests open", busyRetry)
+	}
+	if err := x.server.usable(); err != nil {
+		refusal := quetzalroad.Refuse(quetzalroad.ReasonNotReady, "the node doesn't have the published state yet", busyRetry)
+		refusal.Cause = err
+		return refusal
+	}
+	return x.authenticate()
+}
+
+func (x *exchange) authenticate() error {
+	kind, key, _ := strings.Cut(x.request.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(kind, "Bearer") || key == "" {
+		return quetzalroad.Refuse(quetzalroad.ReasonUnauthorized, "a bearer key is required", 0)
+	}
+	team, ok := x.server.node.Directory.TeamByKey(quetzalroad.HashKey(strings.TrimSpace(key)))
+	if !ok {
+		return quetzalroad.Refuse(quetzalroad.ReasonUnauthorized, "the key is not known", 0)
+	}
+	x.team = team
+	return nil
+}
+
+// body reads the whole body within its bounds.
+func (x *exchange) body() ([]byte, error) {
+	// A connection that takes no deadline is bounded by its other timeouts.
+	_ = x.control.SetReadDeadline(time.Now().Add(x.server.bodyTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(x.response, x.request.Body, int64(x.server.maxBody)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, quetzalroad.Refuse(quetzalroad.ReasonTooLarge, "the body is larger than "+strconv.Itoa(x.server.maxBody)+" bytes", 0)
+	}
+	if err != nil {
+		refusal := quetzalroad.Refuse(quetzalroad.ReasonMalformed, "the body did not arrive whole and in time", 0)
+		refusal.Cause = err
+		return nil, refusal
+	}
+	// From here on the connection is read only to notice the caller leaving.
+	_ = x.control.SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+// profile gives the profile that the request runs under: the one it names,
+// else the default given, else the team's.
+func (x *exchange) profile(fallback quetzalroad.ProfileName) (quetzalroad.Profile, error) {
+	name := quetzalroad.ProfileName(x.request.Header.Get(fieldProfile))
+	if name == "" {
+		name = fallback
+	}
+	if name == "" {
+		name = x.team.DefaultProfile
+	}
+	p, ok := x.server.node.Directory.Profile(name)
+	if !ok {
+		return quetzalroad.Profile{}, quetzalroad.Refuse(quetzalroad.ReasonUnknownProfile, "there is no profile "+strconv.Quote(string(name)), 0)
+	}
+	x.class = p.Class
+	return p, nil
+}
+
+// key gives the idempotency key, which has to be of a sane length.
+func (x *exchange) key() (string, error) {
+	key := x.request.Header.Get(fieldKey)
+	if len(key) > maxKeyBytes {
+		return "", quetzalroad.Refuse(quetzalroad.ReasonMalformed, "the idempotency key is longer than "+strconv.Itoa(maxKeyBytes)+" bytes", 0)
+	}
+	return key, nil
+}
+
+// write sends a part of the answer and cuts a caller that doesn't take it.
+func (x *exchange) write(data []byte) error {
+	// A connection that takes no deadline is bounded by its other timeouts.
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.server.writeTimeout))
+	if _, err := x.response.Write(data); err != nil {
+		return err
+	}
+	return nil
+}
+
+// statuses gives the HTTP status of each refusal; 503 is for all others.
+var statuses = map[quetzalroad.Reason]int{
+	quetzalroad.ReasonUnauthorized:       http.StatusUnauthorized,
+	quetzalroad.ReasonMalformed:          http.StatusBadRequest,
+	quetzalroad.ReasonTooLarge:           http.StatusRequestEntityTooLarge,
+	quetzalroad.ReasonUnknownModel:       http.StatusNotFound,
+	quetzalroad.ReasonUnknownProfile:     http.StatusBadRequest,
+	quetzalroad.ReasonUnknownService:     http.StatusNotFound,
+	quetzalroad.ReasonTeamRate:           http.StatusTooManyRequests,
+	quetzalroad.ReasonTeamConcurrency:    http.StatusTooManyRequests,
+	quetzalroad.ReasonServiceConcurrency: http.StatusTooManyRequests,
+	quetzalroad.ReasonTimeout:            http.StatusGatewayTimeout,
+	quetzalroad.ReasonUpstreamFailed:     http.StatusBadGateway,
+	quetzalroad.ReasonAnswerLost:         http.StatusBadGateway,
+	quetzalroad.ReasonStreamCut:          http.StatusBadGateway,
+	quetzalroad.ReasonKeyExpired:         http.StatusConflict,
+	quetzalroad.ReasonKeyReused:          http.StatusUnprocessableEntity,
+	quetzalroad.ReasonDuplicate:          http.StatusConflict,
+}
+
+type refusalJSON struct {
+	Code      string     `json:"code"`
+	Message   string     `json:"message"`
+	RequestID string     `json:"request-id"`
+	Outcome   string     `json:"outcome"`
+	Error     *errorJSON `json:"error"`
+}
+
+// errorJSON is the form of errors in the chat API, for its clients.
+type errorJSON struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func (x *exchange) refusalBody(r *quetzalroad.Refusal) []byte {
+	j := refusalJSON{
+		Code: string(r.Reason), Message: r.Message, RequestID: string(x.id), Outcome: string(r.Outcome),
+		Error: &errorJSON{Message: r.Message, Type: "quetzalroad", Code: string(r.Reason)},
+	}
+	data, err := json.Marshal(j)
+	if err != nil {
+		return []byte("{}")
+	}
+	return data
+}
+
+// end answers a refusal, where no part of an answer was sent, and counts how
+// the request ended.
+func (x *exchange) end(err error) {
+	outcome := quetzalroad.OutcomeCompleted
+	if err != nil {
+		refusal := x.refusal(err)
+		outcome = refusal.Outcome
+		x.server.node.Recorder.Refused(refusal.Reason)
+		x.log(refusal)
+		if !x.began {
+			x.refuse(refusal)
+		}
+	}
+	if x.class != "" {
+		x.server.node.Recorder.Ended(x.class, outcome)
+	}
+}
+
+func (x *exchange) refusal(err error) *quetzalroad.Refusal {
+	var refusal *quetzalroad.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: "the request failed", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
+}
+
+func (x *exchange) log(r *quetzalroad.Refusal) {
+	x.server.logger.Info("request refused", "request-id", string(x.id), "team", string(x.team.Name), "class", string(x.class),
+		"reason", string(r.Reason), "outcome", string(r.Outcome), "error", r.Cause)
+}
+
+func (x *exchange) refuse(r *quetzalroad.Refusal) {
+	var rejected *quetzalroad.RejectedError
+	status, ok := statuses[r.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	if x.status != 0 {
+		status = x.status
+	}
+	body := x.refusalBody(r)
+	if errors.As(r.Cause, &rejected) {
+		status = rejected.Status
+		if json.Valid(rejected.Body) {
+			body = rejected.Body
+		}
+	}
+	h := x.response.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(fieldOutcome, string(r.Outcome))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	if r.Reason == quetzalroad.ReasonUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	x.response.WriteHeader(status)
+	// A caller that is gone doesn't miss its refusal.
+	_ = x.write(body)
+}
--- /dev/null
+++ b/callerserver/server.go
@@ -0,0 +1,148 @@
+// Package callerserver is the face for callers: the chat API, the list of
+// models and the plain services. It turns HTTP into requests of the domain and
+// back, and decides nothing.
+package callerserver
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotCallers, Name: "http", Default: true,
+		New: func() kernel.Part { return new(Server) },
+	})
+}
+
+// Server is the part that listens to callers.
+type Server struct {
+	address       netip.AddrPort
+	maxBody       int
+	maxHeader     int
+	headerTimeout time.Duration
+	bodyTimeout   time.Duration
+	writeTimeout  time.Duration
+	maxOpen       int
+
+	node   *kernel.Node
+	logger *slog.Logger
+	http   http.Server
+	open   atomic.Int64
+	// wasReady tells that the node had the published state once. It goes on
+	// serving what it can from then on.
+	wasReady atomic.Bool
+}
+
+// Declare implements kernel.Part.
+func (s *Server) Declare(section *configurer.Section) {
+	section.Address("address", &s.address, "127.0.0.1:7080", "Where to listen.")
+	section.Int("max-body-bytes", &s.maxBody, 4<<20, 1<<10, 1<<30, "Bound on the body of a request.")
+	section.Int("max-header-bytes", &s.maxHeader, 32<<10, 1<<10, 1<<20, "Bound on the header of a request.")
+	section.Duration("header-timeout", &s.headerTimeout, 5*time.Second, 10*time.Millisecond, 10*time.Minute, "How long a caller may take to send the header.")
+	section.Duration("body-timeout", &s.bodyTimeout, 15*time.Second, 10*time.Millisecond, time.Hour, "How long a caller may take to send the body.")
+	section.Duration("write-timeout", &s.writeTimeout, 15*time.Second, 10*time.Millisecond, time.Hour, "How long a caller may take to accept a part of the answer.")
+	section.Int("max-open", &s.maxOpen, 20000, 1, 10000000, "Bound on the requests open at once.")
+}
+
+// Build implements kernel.Part.
+func (s *Server) Build(n *kernel.Node) error {
+	s.node = n
+	s.logger = n.Logger
+	s.http = http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: s.headerTimeout,
+		MaxHeaderBytes:    s.maxHeader,
+		IdleTimeout:       2 * time.Minute,
+		ErrorLog:          slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug),
+	}
+	listener, err := net.Listen("tcp", s.address.String())
+	if err != nil {
+		return err
+	}
+	n.Go("serve callers", func(context.Context) error { return s.serve(listener) })
+	n.OnStop(s.stop)
+	return nil
+}
+
+func (s *Server) serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// stop refuses new connections and waits for the last answer, however long.
+func (s *Server) stop(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.logger.Warn("requests cut off", "open", s.open.Load(), "error", err)
+		// The listener is closed already; what is open is cut.
+		_ = s.http.Close()
+	}
+}
+
+// serviceMethods are the methods that a plain service may be called with.
+var serviceMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+func (s *Server) routes() http.Handler {
+	router := bunrouter.New(bunrouter.WithNotFoundHandler(s.handle(s.notFound)), bunrouter.WithMethodNotAllowedHandler(s.handle(s.notAllowed)))
+	router.GET("/healthz", bunrouter.HTTPHandlerFunc(s.health))
+	router.GET("/readyz", bunrouter.HTTPHandlerFunc(s.ready))
+	router.GET("/v1/models", s.handle(s.models))
+	router.POST("/v1/chat/completions", s.handle(s.chat))
+	for _, method := range serviceMethods {
+		router.Handle(method, "/services/:service", s.handle(s.service))
+		router.Handle(method, "/services/:service/*path", s.handle(s.service))
+	}
+	return router
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.node.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) notFound(x *exchange) error {
+	x.status = http.StatusNotFound
+	return quetzalroad.Refuse(quetzalroad.ReasonNotFound, "there is nothing at this path", 0)
+}
+
+func (s *Server) notAllowed(x *exchange) error {
+	x.status = http.StatusMethodNotAllowed
+	return quetzalroad.Refuse(quetzalroad.ReasonNotFound, "this path doesn't take that method", 0)
+}
+
+// usable tells whether the node has the published state. Once it had, it
+// serves on whatever becomes of the log.
+func (s *Server) usable() error {
+	if s.wasReady.Load() {
+		return nil
+	}
+	if err := s.node.Ready(); err != nil && !s.node.Stopping() {
+		return err
+	}
+	s.wasReady.Store(true)
+	return nil
+}
--- /dev/null
+++ b/chatmapper/call.go
@@ -0,0 +1,182 @@
+// Package chatmapper maps calls and answers of the chat API to and from the
+// domain types. What the router does not need to know is carried along as it
+// came.
+package chatmapper
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+const (
+	// charactersPerToken is the usual length of a token in a prompt.
+	charactersPerToken = 4
+	// prefixCharacters is how much of a prompt decides on cache affinity.
+	prefixCharacters = 256
+)
+
+// Call is what the router reads of a chat call.
+type Call struct {
+	Model quetzalroad.ModelName
+	// Stream tells that the caller wants the answer in steps.
+	Stream bool
+	// IncludeUsage tells that the caller wants a last step with the usage.
+	IncludeUsage bool
+	// MaxTokens is the caller's bound; zero for none.
+	MaxTokens int
+	// PromptTokens is an estimate.
+	PromptTokens int
+	PrefixHash   uint64
+	// Resumable tells that an answer can be resumed from its text alone.
+	Resumable bool
+}
+
+type callJSON struct {
+	Model               string          `json:"model"`
+	Messages            []messageJSON   `json:"messages"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamJSON     `json:"stream_options"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	N                   int             `json:"n"`
+	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	Logprobs            bool            `json:"logprobs"`
+}
+
+type streamJSON struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type messageJSON struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// DecodeCall reads a chat call.
+func DecodeCall(body []byte) (Call, error) {
+	var j callJSON
+	if err := json.Unmarshal(body, &j); err != nil {
+		return Call{}, errors.Wrap(err, "the body is not a chat call")
+	}
+	if j.Model == "" {
+		return Call{}, errors.New("model is missing")
+	}
+	if len(j.Messages) == 0 {
+		return Call{}, errors.New("messages are missing")
+	}
+	if j.MaxTokens < 0 || j.MaxCompletionTokens < 0 || j.N < 0 {
+		return Call{}, errors.New("max_tokens, max_completion_tokens and n can't be negative")
+	}
+	c := Call{
+		Model: quetzalroad.ModelName(j.Model), Stream: j.Stream,
+		IncludeUsage: j.StreamOptions != nil && j.StreamOptions.IncludeUsage,
+		MaxTokens:    max(j.MaxTokens, j.MaxCompletionTokens),
+		Resumable:    j.N <= 1 && len(j.Tools) == 0 && len(j.Functions) == 0 && !j.Logprobs,
+	}
+	digest := xxhash.New()
+	length := 0
+	for _, m := range j.Messages {
+		if length < prefixCharacters {
+			part := m.Content[:min(len(m.Content), prefixCharacters-length)]
+			// Writing to a digest can't fail.
+			_, _ = digest.WriteString(m.Role)
+			_, _ = digest.Write(part)
+		}
+		length += len(m.Content)
+	}
+	c.PromptTokens = length / charactersPerToken
+	c.PrefixHash = digest.Sum64()
+	return c, nil
+}
+
+// EncodeUpstream gives the call for an engine: streamed, with its usage, and
+// where an answer is resumed with the text so far as the engine's own last
+// message.
+func EncodeUpstream(body []byte, maxTokens int, from *quetzalroad.Resumption) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	if from != nil {
+		maxTokens = max(1, maxTokens-from.Tokens)
+		if err := addContinuation(fields, from.Text); err != nil {
+			return nil, err
+		}
+	}
+	if err := setMaxTokens(fields, maxTokens, from); err != nil {
+		return nil, err
+	}
+	return json.Marshal(fields)
+}
+
+// setMaxTokens states the bound under the name that the caller used.
+func setMaxTokens(fields map[string]json.RawMessage, maxTokens int, from *quetzalroad.Resumption) error {
+	if maxTokens <= 0 {
+		return nil
+	}
+	name := "max_tokens"
+	if _, ok := fields["max_completion_tokens"]; ok {
+		name = "max_completion_tokens"
+	}
+	if _, stated := fields[name]; !stated && from == nil {
+		return nil
+	}
+	data, err := json.Marshal(maxTokens)
+	fields[name] = data
+	return err
+}
+
+func addContinuation(fields map[string]json.RawMessage, text string) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return err
+	}
+	content, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	last, err := json.Marshal(messageJSON{Role: "assistant", Content: content})
+	if err != nil {
+		return err
+	}
+	fields["messages"], err = json.Marshal(append(messages, last))
+	fields["continue_final_message"] = json.RawMessage("true")
+	fields["add_generation_prompt"] = json.RawMessage("false")
+	return err
+}
+
+// Model is one entry of the list of models.
+type Model struct {
+	Name  quetzalroad.ModelName
+	Owner quetzalroad.ServiceName
+	Since time.Time
+}
+
+type modelsJSON struct {
+	Object string      `json:"object"`
+	Data   []modelJSON `json:"data"`
+}
+
+type modelJSON struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// EncodeModels gives the list of models.
+func EncodeModels(models []Model) ([]byte, error) {
+	list := modelsJSON{Object: "list", Data: []modelJSON{}}
+	for _, m := range models {
+		list.Data = append(list.Data, modelJSON{ID: string(m.Name), Object: "model", Created: m.Since.Unix(), OwnedBy: string(m.Owner)})
+	}
+	return json.Marshal(list)
+}
--- /dev/null
+++ b/claimer/table.go
@@ -0,0 +1,159 @@
+package claimer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/claimmapper"
+)
+
+// shardCount is the number of shards of the table.
+const shardCount = 64
+
+// status tells how far the holder of a key has come.
+type status int
+
+const (
+	// statusHeld means that the outcome isn't known yet.
+	statusHeld status = iota
+	// statusDone means that the request was run.
+	statusDone
+	// statusLost means that the outcome will not be known.
+	statusLost
+)
+
+// entry is what the log says about a key.
+type entry struct {
+	holder quetzalroad.RequestID
+	call   quetzalroad.KeyHash
+	at     time.Time
+	status status
+	// answer is set where status is statusDone and the answer was kept.
+	answer *quetzalroad.ServiceAnswer
+	// watchers are told when the status changes or the key is released.
+	watchers []chan struct{}
+}
+
+// shard holds the keys that begin with some bits.
+type shard struct {
+	mu sync.Mutex
+	// entries is guarded by mu and made on first use. It depends on the
+	// records applied alone.
+	entries map[quetzalroad.KeyHash]*entry
+	// waiting holds a channel for each claim of this node that was not read
+	// back yet.
+	waiting map[quetzalroad.RequestID]chan quetzalroad.ClaimState
+	// abandoned holds this node's claims that were given up without being
+	// run, each with the time, as the log may hold them once or more.
+	abandoned map[quetzalroad.RequestID]time.Time
+}
+
+// abandon notes that a claim of this node is not and will not be run.
+func (sh *shard) abandon(try quetzalroad.RequestID, now time.Time) {
+	if sh.abandoned == nil {
+		sh.abandoned = make(map[quetzalroad.RequestID]time.Time)
+	}
+	sh.abandoned[try] = now
+}
+
+// table is the claims of all nodes as the log has them. The zero value is
+// empty.
+type table struct {
+	shards [shardCount]shard
+}
+
+func (t *table) shard(key quetzalroad.KeyHash) *shard {
+	return &t.shards[key[0]%shardCount]
+}
+
+// applyClaim gives a key to the first that asks for it, and tells what the
+// asking request got. A claim seen before changes nothing.
+func (sh *shard) applyClaim(e claimmapper.Entry, window time.Duration) quetzalroad.ClaimState {
+	have := sh.entries[e.Key]
+	if have == nil {
+		if sh.entries == nil {
+			sh.entries = make(map[quetzalroad.KeyHash]*entry)
+		}
+		sh.entries[e.Key] = &entry{holder: e.ID, call: e.Call, at: e.At}
+		return quetzalroad.ClaimWon
+	}
+	if have.holder == e.ID {
+		return quetzalroad.ClaimWon
+	}
+	return have.state(e.Call, e.At, window)
+}
+
+// state tells a later request what it gets.
+func (e *entry) state(call quetzalroad.KeyHash, at time.Time, window time.Duration) quetzalroad.ClaimState {
+	switch {
+	case at.Sub(e.at) > window:
+		return quetzalroad.ClaimExpired
+	case e.call != call:
+		return quetzalroad.ClaimReused
+	case e.status == statusDone:
+		return quetzalroad.ClaimDone
+	}
+	return quetzalroad.ClaimHeld
+}
+
+func (sh *shard) applyDone(e claimmapper.Entry) {
+	have := sh.entries[e.Key]
+	if have == nil || have.holder != e.ID || have.status != statusHeld {
+		return
+	}
+	have.status = statusDone
+	if e.Lost {
+		have.status = statusLost
+	}
+	have.answer = e.Answer
+	have.tell()
+}
+
+func (sh *shard) applyRelease(e claimmapper.Entry) {
+	have := sh.entries[e.Key]
+	if have == nil || have.holder != e.ID || have.status != statusHeld {
+		return
+	}
+	delete(sh.entries, e.Key)
+	have.tell()
+}
+
+func (e *entry) tell() {
+	for _, w := range e.watchers {
+		close(w)
+	}
+	e.watchers = nil
+}
+
+// forget drops the keys claimed before a time.
+func (t *table) forget(before time.Time) {
+	for i := range t.shards {
+		sh := &t.shards[i]
+		sh.mu.Lock()
+		for key, e := range sh.entries {
+			if e.at.Before(before) {
+				e.tell()
+				delete(sh.entries, key)
+			}
+		}
+		for try, at := range sh.abandoned {
+			if at.Before(before) {
+				delete(sh.abandoned, try)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// count gives the number of keys.
+func (t *table) count() int {
+	sum := 0
+	for i := range t.shards {
+		sh := &t.shards[i]
+		sh.mu.Lock()
+		sum += len(sh.entries)
+		sh.mu.Unlock()
+	}
+	return sum
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,178 @@
+// Package dispatcher takes requests from the limits over admission and the
+// choice of an upstream to their answer, with retries, resumptions and hedges.
+package dispatcher
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotDispatcher, Name: "dispatcher", Default: true,
+		New: func() kernel.Part { return new(Dispatcher) },
+	})
+}
+
+// Dispatcher is the part that carries requests.
+type Dispatcher struct {
+	node   *kernel.Node
+	logger *slog.Logger
+	open   atomic.Int64
+}
+
+// Declare implements kernel.Part.
+func (d *Dispatcher) Declare(*configurer.Section) {}
+
+// Build implements kernel.Part.
+func (d *Dispatcher) Build(n *kernel.Node) error {
+	d.node = n
+	d.logger = n.Logger
+	n.Dispatcher = d
+	n.OnOpen(func() int { return int(d.open.Load()) })
+	return nil
+}
+
+// place is what a running request holds.
+type place struct {
+	grant     quetzalroad.Grant
+	admission quetzalroad.Admission
+}
+
+// enter takes a request through the limits and the queue.
+func (d *Dispatcher) enter(ctx context.Context, r *quetzalroad.Request) (place, error) {
+	grant, err := d.node.Limiter.Acquire(time.Now(), r)
+	if err != nil {
+		return place{}, err
+	}
+	admission, err := d.node.Admitter.Admit(ctx, r)
+	if err != nil {
+		grant.Release(time.Now(), 0)
+		return place{}, err
+	}
+	return place{grant: grant, admission: admission}, nil
+}
+
+// leave gives back what a request held.
+func (p place) leave(tokens int) {
+	p.admission.Done(tokens)
+	p.grant.Release(time.Now(), tokens)
+}
+
+// bound gives a context that ends with the request's deadline.
+func bound(ctx context.Context, r *quetzalroad.Request) (context.Context, context.CancelFunc) {
+	if deadline := r.Deadline(); !deadline.IsZero() {
+		return context.WithDeadline(ctx, deadline)
+	}
+	return context.WithCancel(ctx)
+}
+
+// choose picks an upstream that wasn't tried yet, or where all were, any.
+func (d *Dispatcher) choose(r *quetzalroad.Request, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
+	now := time.Now()
+	candidates := d.node.Capacity.Candidates(now, r.Service.Name, tried)
+	if len(candidates) == 0 {
+		candidates = d.node.Capacity.Candidates(now, r.Service.Name, nil)
+	}
+	if len(candidates) == 0 {
+		return quetzalroad.Upstream{}, false
+	}
+	return d.node.Balancer.Choose(now, r, candidates), true
+}
+
+// noUpstreamRetry is the pause suggested when a service has no usable
+// upstream.
+const noUpstreamRetry = 2 * time.Second
+
+func noUpstream() *quetzalroad.Refusal {
+	return quetzalroad.Refuse(quetzalroad.ReasonNoUpstream, "no upstream of the service can take work", noUpstreamRetry)
+}
+
+// ended turns the end of a request's context into a refusal.
+func ended(ctx context.Context, outcome quetzalroad.Outcome) *quetzalroad.Refusal {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonTimeout, Message: "the request ran out of time", Outcome: outcome}
+	}
+	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerLeft, Message: "the caller left", Outcome: outcome}
+}
+
+// tries follows the attempts of one request.
+type tries struct {
+	count int
+	// tried lists the upstreams of failed attempts.
+	tried []quetzalroad.UpstreamName
+	// ran tells that some of it may have been run, by an ended attempt or by
+	// the current one.
+	ran bool
+	// runs counts the ended attempts that may have been run.
+	runs int
+}
+
+// outcome is what a refused request may be told.
+func (t *tries) outcome() quetzalroad.Outcome {
+	if t.ran {
+		return quetzalroad.OutcomeUnknown
+	}
+	return quetzalroad.OutcomeNotRun
+}
+
+// again decides after a failed attempt whether another follows, and waits for
+// the pause before it. The error is a refusal.
+func (d *Dispatcher) again(ctx context.Context, r *quetzalroad.Request, t *tries, failure *quetzalroad.AttemptError) error {
+	var rejected *quetzalroad.RejectedError
+	if errors.As(failure.Cause, &rejected) {
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonRejected, Message: "the upstream rejected the call", Outcome: t.outcome(), Cause: rejected}
+	}
+	if !failure.NotRun {
+		t.runs++
+		if t.runs > 1 && !r.Idempotent {
+			d.node.Recorder.Breach("at-most-once", "request "+string(r.ID)+" may have run twice")
+		}
+		t.ran = true
+	}
+	if ctx.Err() != nil {
+		return ended(ctx, t.outcome())
+	}
+	d.logger.Warn("attempt failed", "request-id", string(r.ID), "upstream", string(failure.Upstream), "reason", string(failure.Kind), "not-run", failure.NotRun, "error", failure.Cause)
+	if t.ran && !r.Idempotent {
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and its answer was lost", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
+	}
+	pause, ok := d.node.Retry.Retry(time.Now(), r.Service.Name, t.count)
+	if !ok {
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: "the attempts on the service's upstreams failed", RetryAfter: time.Second, Outcome: t.outcome(), Cause: failure}
+	}
+	t.tried = append(t.tried, failure.Upstream)
+	d.node.Recorder.Retried(failure.Kind)
+	return d.pause(ctx, pause, t.outcome())
+}
+
+func (d *Dispatcher) pause(ctx context.Context, pause time.Duration, outcome quetzalroad.Outcome) error {
+	if pause <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ended(ctx, outcome)
+	}
+}
+
+// attemptError gives the failure of an attempt in its own type.
+func attemptError(u quetzalroad.UpstreamName, err error) *quetzalroad.AttemptError {
+	var failure *quetzalroad.AttemptError
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &quetzalroad.AttemptError{Upstream: u, Kind: quetzalroad.RetryConnectionLost, Cause: err}
+}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,12 @@
 package quetzalroad
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrUnknownUpstream tells that there is no upstream of a name.
+var ErrUnknownUpstream = errors.New("there is no such upstream")
 
 // ConflictError tells that another change of the same object came first.
 type ConflictError struct {
--- /dev/null
+++ b/gossiper/beater.go
@@ -0,0 +1,221 @@
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/peermapper"
+)
+
+// pace is the time between two rounds of heartbeats: the interval, or longer
+// where the last round was so large that the budget asks for it.
+func (g *Gossiper) pace() time.Duration {
+	needed := time.Duration(float64(g.spent.Load()) / float64(g.budget) * float64(time.Second))
+	return max(g.interval, needed)
+}
+
+// Kick asks for a round of heartbeats at once.
+func (g *Gossiper) Kick() {
+	g.kickMu.Lock()
+	defer g.kickMu.Unlock()
+	if g.kick != nil {
+		close(g.kick)
+		g.kick = nil
+	}
+}
+
+func (g *Gossiper) kicked() <-chan struct{} {
+	g.kickMu.Lock()
+	defer g.kickMu.Unlock()
+	if g.kick == nil {
+		g.kick = make(chan struct{})
+	}
+	return g.kick
+}
+
+// beatNear sends heartbeats to the peers of the data centre. Of each pair the
+// one with the lower name calls, and the other only where it was not called
+// for a while.
+func (g *Gossiper) beatNear(ctx context.Context) error {
+	for {
+		kick := g.kicked()
+		g.roundNear(ctx)
+		g.expire()
+		timer := time.NewTimer(g.pace())
+		select {
+		case <-timer.C:
+		case <-kick:
+			timer.Stop()
+			g.roundAll(ctx)
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+// roundNear calls those peers of the data centre that it is this node's turn
+// to call.
+func (g *Gossiper) roundNear(ctx context.Context) {
+	now := time.Now()
+	var due []member
+	for _, m := range g.members.list() {
+		if m.address.DataCentre != g.node.DataCentre {
+			continue
+		}
+		if g.node.Name < m.address.Name || now.Sub(m.heard) > 2*g.pace() {
+			due = append(due, m)
+		}
+	}
+	g.call(ctx, due)
+}
+
+// roundAll calls all peers of the data centre, for news that can't wait, and
+// one of each other data centre.
+func (g *Gossiper) roundAll(ctx context.Context) {
+	var near []member
+	for _, m := range g.members.list() {
+		if m.address.DataCentre == g.node.DataCentre {
+			near = append(near, m)
+		}
+	}
+	g.call(ctx, append(near, g.pickFar()...))
+}
+
+// call exchanges heartbeats with some peers at the same time.
+func (g *Gossiper) call(ctx context.Context, peers []member) {
+	if len(peers) == 0 {
+		g.callSeeds(ctx)
+		return
+	}
+	var group sync.WaitGroup
+	size := 0
+	for _, m := range peers {
+		h := g.heartbeat(m.address.DataCentre, !m.introduced)
+		size += proto.Size(peermapper.EncodeHeartbeat(h))
+		group.Go(func() { g.beat(ctx, m.address.Address, h) })
+	}
+	g.spent.Store(int64(size))
+	group.Wait()
+}
+
+// callSeeds introduces the node to the peers named in its settings, while it
+// knows no other.
+func (g *Gossiper) callSeeds(ctx context.Context) {
+	if len(g.members.list()) > 0 {
+		return
+	}
+	var group sync.WaitGroup
+	for _, to := range g.seeds {
+		if to == g.transport.Address() {
+			continue
+		}
+		group.Go(func() { g.beat(ctx, to, g.heartbeat(g.node.DataCentre, true)) })
+	}
+	group.Wait()
+}
+
+func (g *Gossiper) beat(ctx context.Context, to netip.AddrPort, h quetzalroad.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
+	defer cancel()
+	answer, err := g.transport.Beat(ctx, to, h)
+	if err != nil {
+		g.node.Vars.Add("heartbeat-failures", 1)
+		return
+	}
+	g.take(answer)
+	if len(h.Nodes) > 0 {
+		g.members.introduce(answer.From.Name)
+	}
+}
+
+// beatFar exchanges sums with one node of each other data centre.
+func (g *Gossiper) beatFar(ctx context.Context) error {
+	for {
+		if far := g.pickFar(); len(far) > 0 {
+			var group sync.WaitGroup
+			for _, m := range far {
+				h := g.heartbeat(m.address.DataCentre, !m.introduced)
+				group.Go(func() { g.beat(ctx, m.address.Address, h) })
+			}
+			group.Wait()
+		}
+		timer := time.NewTimer(g.farInterval/2 + rand.N(g.farInterval))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+// pickFar draws a node of each other data centre, preferring those that were
+// heard of lately.
+func (g *Gossiper) pickFar() []member {
+	now := time.Now()
+	places := make(map[quetzalroad.DataCentre][]member)
+	for _, m := range g.members.list() {
+		if m.address.DataCentre != g.node.DataCentre {
+			places[m.address.DataCentre] = append(places[m.address.DataCentre], m)
+		}
+	}
+	var picked []member
+	for _, all := range places {
+		var live []member
+		for _, m := range all {
+			if now.Sub(m.heard) < 4*g.farInterval {
+				live = append(live, m)
+			}
+		}
+		if len(live) == 0 || rand.IntN(4) == 0 {
+			live = all
+		}
+		picked = append(picked, live[rand.IntN(len(live))])
+	}
+	return picked
+}
+
+// expire drops what silent peers told, and in the end the peers.
+func (g *Gossiper) expire() {
+	now := time.Now()
+	for _, m := range g.members.list() {
+		silent := now.Sub(m.heard)
+		if m.heard.IsZero() {
+			silent = now.Sub(m.added)
+		}
+		if silent > g.forgetAfter && !m.listed {
+			g.members.remove(m.address.Name)
+			g.transport.Drop(m.address.Address)
+			continue
+		}
+		if silent > g.lifetime && m.counted {
+			g.members.uncount(m.address.Name)
+			g.forget(m.address.Name)
+			g.logger.Info("peer is silent", "peer", string(m.address.Name), "for", silent)
+		}
+	}
+}
+
+// listNodes learns of nodes from the platform's list. The list lags and may be
+// away: it adds nodes, and of those it no longer shows only the silent go.
+func (g *Gossiper) listNodes(ctx context.Context) error {
+	for {
+		if vms, err := g.node.VMList.VMs(ctx); err == nil {
+			g.members.listed(time.Now(), g.node.Name, vms)
+		}
+		timer := time.NewTimer(g.listInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,236 @@
+// Package gossiper keeps a node's view of the others by heartbeats.
+//
+// Inside a data centre nodes tell each other their loads and demands in full;
+// between data centres one node is picked at random now and then and told
+// sums. Heartbeats carry how far the log was applied, so that a node which
+// can't reach the log gets its records from a peer. How often a node beats
+// follows from the size of its heartbeats and a bound on the bytes a second.
+package gossiper
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotPeers, Name: "gossiper", Default: true,
+		New: func() kernel.Part { return new(Gossiper) },
+	})
+}
+
+// Gossiper is the part that knows the other nodes.
+type Gossiper struct {
+	node      *kernel.Node
+	transport quetzalroad.PeerTransport
+	logger    *slog.Logger
+
+	seeds        []netip.AddrPort
+	interval     time.Duration
+	farInterval  time.Duration
+	timeout      time.Duration
+	lifetime     time.Duration
+	forgetAfter  time.Duration
+	listInterval time.Duration
+	catchUpAfter time.Duration
+	budget       int
+
+	members members
+	// spent is the size of the last round of heartbeats, in bytes.
+	spent atomic.Int64
+	// fetching tells that records are being fetched from a peer.
+	fetching atomic.Bool
+	kickMu   sync.Mutex
+	// kick is closed and replaced to ask for a round at once; guarded by
+	// kickMu.
+	kick chan struct{}
+}
+
+// Declare implements kernel.Part.
+func (g *Gossiper) Declare(s *configurer.Section) {
+	s.Addresses("seeds", &g.seeds, "Addresses of some peers, for when the VM list is away at the start.")
+	s.Duration("interval", &g.interval, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Least time between two heartbeats to a peer of the data centre.")
+	s.Duration("far-interval", &g.farInterval, 2*time.Second, 10*time.Millisecond, 10*time.Minute, "Time between two heartbeats to each other data centre.")
+	s.Duration("timeout", &g.timeout, time.Second, 10*time.Millisecond, time.Minute, "How long a heartbeat may take before the connection is dropped.")
+	s.Duration("lifetime", &g.lifetime, 5*time.Second, 100*time.Millisecond, 10*time.Minute, "Silence after which a peer's loads and demands count no more.")
+	s.Duration("forget-after", &g.forgetAfter, 2*time.Minute, time.Second, 24*time.Hour, "Silence after which a peer that the VM list doesn't show is forgotten.")
+	s.Duration("list-interval", &g.listInterval, 2*time.Second, 10*time.Millisecond, 10*time.Minute, "How often the VM list is read for nodes.")
+	s.Duration("catch-up-after", &g.catchUpAfter, 300*time.Millisecond, 0, time.Minute, "How long the log may take to give a record that a peer has, before it is fetched from the peer.")
+	s.Int("budget", &g.budget, 5000, 100, 1000000, "Bound on the bytes of heartbeats sent a second; heartbeats become rarer to keep it.")
+}
+
+// Build implements kernel.Part.
+func (g *Gossiper) Build(n *kernel.Node) error {
+	g.node = n
+	g.transport = n.Transport
+	g.logger = n.Logger
+	n.Peers = g
+	n.Vars.Set("peers", expvar.Func(func() any { return len(g.Status()) }))
+	n.Go("answer peers", func(ctx context.Context) error { return g.transport.Serve(ctx, g) })
+	n.Go("beat near", g.beatNear)
+	n.Go("beat far", g.beatFar)
+	n.Go("list nodes", g.listNodes)
+	return nil
+}
+
+// Status implements quetzalroad.Peers.
+func (g *Gossiper) Status() []quetzalroad.PeerStatus {
+	var all []quetzalroad.PeerStatus
+	for _, m := range g.members.list() {
+		if !m.heard.IsZero() {
+			all = append(all, m.status())
+		}
+	}
+	return all
+}
+
+// self is the node's own address.
+func (g *Gossiper) self() quetzalroad.PeerAddress {
+	return quetzalroad.PeerAddress{Name: g.node.Name, DataCentre: g.node.DataCentre, Address: g.transport.Address()}
+}
+
+// Beat implements quetzalroad.PeerHandler.
+func (g *Gossiper) Beat(h quetzalroad.Heartbeat) quetzalroad.Heartbeat {
+	g.take(h)
+	return g.heartbeat(h.From.DataCentre, len(h.Nodes) > 0 || !g.members.introduced(h.From.Name))
+}
+
+// Records implements quetzalroad.PeerHandler.
+func (g *Gossiper) Records(s quetzalroad.Stream, from quetzalroad.Offset) []quetzalroad.Record {
+	for _, r := range g.node.Relays {
+		if r.Stream() == s {
+			return r.Relayed(from)
+		}
+	}
+	return nil
+}
+
+// Snapshot implements quetzalroad.PeerHandler.
+func (g *Gossiper) Snapshot(above quetzalroad.Offset) ([]byte, quetzalroad.Offset) {
+	if g.node.Directory.Applied() <= above {
+		return nil, quetzalroad.NoOffset
+	}
+	return g.node.Snapshotter.Snapshot()
+}
+
+// heartbeat forms what is told to a peer of a data centre.
+func (g *Gossiper) heartbeat(to quetzalroad.DataCentre, introduce bool) quetzalroad.Heartbeat {
+	now := time.Now()
+	h := quetzalroad.Heartbeat{
+		From: g.self(), Region: g.node.Region, Far: to != g.node.DataCentre, Stopping: g.node.Stopping(),
+		Drains: g.node.Drainer.Marks(),
+	}
+	for _, r := range g.node.Relays {
+		h.Heads = append(h.Heads, quetzalroad.StreamHead{Stream: r.Stream(), Offset: r.Head()})
+	}
+	if introduce {
+		h.Nodes = g.members.addresses(g.self())
+	}
+	if h.Far {
+		h.Places = []quetzalroad.PlaceDemand{g.members.sum(now, g.lifetime, g.node.DataCentre, g.node.Limiter.Demand(now))}
+		return h
+	}
+	h.Loads = g.node.Load.Own(now)
+	h.Reports = g.node.Load.Polled(now.Add(-2 * g.pace()))
+	h.Teams = g.node.Limiter.Demand(now)
+	h.Services = g.node.Admitter.Demand()
+	h.Places = g.members.direct(now.Add(-2 * g.pace()))
+	return h
+}
+
+// take learns what a peer tells of itself.
+func (g *Gossiper) take(h quetzalroad.Heartbeat) {
+	now := time.Now()
+	if h.From.Name == g.node.Name {
+		return
+	}
+	g.members.heard(now, h)
+	for _, a := range h.Nodes {
+		if a.Name != g.node.Name {
+			g.members.add(now, a)
+		}
+	}
+	g.node.Drainer.Merge(h.Drains)
+	for _, p := range h.Places {
+		if p.DataCentre != g.node.DataCentre {
+			g.members.place(now, p, h.Far)
+			g.node.Limiter.Place(p.DataCentre, p.Taken, p.Demand)
+		}
+	}
+	if !h.Far {
+		g.takeNear(now, h)
+	}
+	for _, x := range h.Heads {
+		g.compare(x, h.From.Address)
+	}
+}
+
+func (g *Gossiper) takeNear(now time.Time, h quetzalroad.Heartbeat) {
+	name := h.From.Name
+	if h.Stopping {
+		g.forget(name)
+		return
+	}
+	g.node.Load.Peer(name, now, h.Loads)
+	for _, r := range h.Reports {
+		g.node.Load.Report(r.Upstream, now, r.Report)
+	}
+	g.node.Limiter.Peer(name, now, h.Teams)
+	g.node.Admitter.Peer(name, now, h.Services)
+}
+
+// forget drops what a peer told of its loads and demands.
+func (g *Gossiper) forget(name quetzalroad.NodeName) {
+	g.node.Load.Forget(name)
+	g.node.Limiter.Forget(name)
+	g.node.Admitter.Forget(name)
+}
+
+// compare looks whether a peer has records that this node lacks. The log is
+// given a little time to bring them first.
+func (g *Gossiper) compare(head quetzalroad.StreamHead, from netip.AddrPort) {
+	for _, r := range g.node.Relays {
+		if r.Stream() != head.Stream || head.Offset <= r.Head() {
+			continue
+		}
+		r.Behind(head.Offset)
+		if g.fetching.CompareAndSwap(false, true) {
+			time.AfterFunc(g.catchUpAfter, func() { g.fetch(r, head.Offset, from) })
+		}
+	}
+}
+
+// fetch gets records from a peer, or where it holds them no more, the state.
+func (g *Gossiper) fetch(r quetzalroad.Relay, head quetzalroad.Offset, from netip.AddrPort) {
+	defer g.fetching.Store(false)
+	if r.Head() >= head {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), g.timeout)
+	defer cancel()
+	records, err := g.transport.Records(ctx, from, r.Stream(), r.Head()+1)
+	if err != nil {
+		return
+	}
+	if len(records) > 0 {
+		r.Offer(records)
+		g.node.Vars.Add("records-relayed", int64(len(records)))
+		return
+	}
+	data, _, err := g.transport.Snapshot(ctx, from, r.Head())
+	if err != nil || data == nil {
+		return
+	}
+	if err := g.node.Snapshotter.Restore(data); err != nil {
+		g.logger.Warn("snapshot of a peer not taken", "peer", from.String(), "error", err)
+	}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -334,6 +334,8 @@
 // Peers knows the other nodes.
 type Peers interface {
 	Status() []PeerStatus
+	// Kick asks for heartbeats at once, for news that can't wait.
+	Kick()
 }
 
 // Relay hands the records of one stream between nodes.
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -49,6 +49,8 @@
 	Engines     quetzalroad.ChatProtocol
 	Services    quetzalroad.ServiceProtocol
 	Dispatcher  quetzalroad.Dispatcher
+	Drainer     quetzalroad.Drainer
+	Transport   quetzalroad.PeerTransport
 	Peers       quetzalroad.Peers
 
 	readiness []quetzalroad.Readiness
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -22,6 +22,7 @@
 	SlotLog        Slot = "log"
 	SlotVMList     Slot = "vm-list"
 	SlotState      Slot = "state"
+	SlotDrains     Slot = "drains"
 	SlotClaims     Slot = "claims"
 	SlotLoad       Slot = "load"
 	SlotLengths    Slot = "lengths"
@@ -32,6 +33,7 @@
 	SlotEngines    Slot = "engines"
 	SlotServices   Slot = "services"
 	SlotDispatcher Slot = "dispatcher"
+	SlotTransport  Slot = "peer-transport"
 	SlotPeers      Slot = "peers"
 	SlotAdmin      Slot = "admin"
 	SlotCallers    Slot = "callers"
@@ -46,6 +48,7 @@
 	{SlotLog, "The platform's log."},
 	{SlotVMList, "The platform's lagging list of VMs."},
 	{SlotState, "The published state: following the log and publishing to it."},
+	{SlotDrains, "Drains that take hold before the log knows of them."},
 	{SlotClaims, "Claims of idempotency keys."},
 	{SlotLoad, "The belief about the load of upstreams."},
 	{SlotLengths, "What is learnt of the lengths of answers."},
@@ -56,6 +59,7 @@
 	{SlotEngines, "The protocol of model engines."},
 	{SlotServices, "The protocol of plain services."},
 	{SlotDispatcher, "The way of a request from admission to its answer."},
+	{SlotTransport, "The connections between nodes."},
 	{SlotPeers, "The exchange with other nodes."},
 	{SlotAdmin, "The face for operators."},
 	{SlotCallers, "The face for callers."},
--- /dev/null
+++ b/loadmapper/report.go
@@ -0,0 +1,37 @@
+// Package loadmapper maps the load reports of upstreams to and from JSON:
+//
+//	{"taken":"2026-12-04T07:00:00Z","running":3,"waiting":0,"leaving":false}
+package loadmapper
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+type reportJSON struct {
+	Taken   time.Time `json:"taken"`
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
+	Leaving bool      `json:"leaving"`
+}
+
+// Decode reads the JSON form of a report.
+func Decode(data []byte) (quetzalroad.LoadReport, error) {
+	var j reportJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return quetzalroad.LoadReport{}, err
+	}
+	if j.Taken.IsZero() || j.Running < 0 || j.Waiting < 0 {
+		return quetzalroad.LoadReport{}, errors.New("load report without a time or with negative counts")
+	}
+	return quetzalroad.LoadReport{Taken: j.Taken, Running: j.Running, Waiting: j.Waiting, Leaving: j.Leaving}, nil
+}
+
+// Encode gives the JSON form of a report.
+func Encode(r quetzalroad.LoadReport) ([]byte, error) {
+	return json.Marshal(reportJSON{Taken: r.Taken, Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving})
+}
--- a/refusal.go
+++ b/refusal.go
@@ -13,6 +13,8 @@
 const (
 	ReasonUnauthorized       Reason = "unauthorized"
 	ReasonMalformed          Reason = "malformed-request"
+	ReasonNotFound           Reason = "not-found"
+	ReasonTooManyOpen        Reason = "too-many-open"
 	ReasonTooLarge           Reason = "body-too-large"
 	ReasonUnknownModel       Reason = "unknown-model"
 	ReasonUnknownProfile     Reason = "unknown-profile"
@@ -33,6 +35,7 @@
 	ReasonKeyExpired         Reason = "idempotency-key-expired"
 	ReasonKeyReused          Reason = "idempotency-key-reused"
 	ReasonDuplicate          Reason = "duplicate-in-progress"
+	ReasonRejected           Reason = "upstream-rejected"
 	ReasonStreamCut          Reason = "stream-cut"
 )
 
@@ -102,5 +105,20 @@
 	RetryConnectionLost RetryReason = "connection-lost"
 	RetrySilent         RetryReason = "connection-silent"
 	RetryPaused         RetryReason = "paused"
+	RetryHedge          RetryReason = "hedged"
 	RetryBadAnswer      RetryReason = "malformed-answer"
 )
+
+// RejectedError is an upstream's answer that the call itself is wrong. It is
+// the caller's and repeating it does not help.
+type RejectedError struct {
+	// Status is the HTTP status.
+	Status int
+	// Body is the upstream's explanation.
+	Body []byte
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("upstream rejected the call with status %d", e.Status)
+}
--- /dev/null
+++ b/serviceconnector/connector.go
@@ -0,0 +1,152 @@
+// Package serviceconnector calls plain services over HTTP/1.1. Calls that are
+// not idempotent go on a connection made for them.
+package serviceconnector
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/transporter"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotServices, Name: "http", Default: true,
+		New: func() kernel.Part { return new(Connector) },
+	})
+}
+
+// Connector is the part that calls plain services.
+type Connector struct {
+	transport transporter.Transporter
+	// patient waits without a bound of its own, for calls that can't be
+	// repeated.
+	patient  transporter.Transporter
+	maxBytes int
+	recorder quetzalroad.Recorder
+}
+
+// Declare implements kernel.Part.
+func (c *Connector) Declare(s *configurer.Section) {
+	s.Duration("dial-timeout", &c.transport.DialTimeout, time.Second, 10*time.Millisecond, time.Minute, "How long a connection to a service may take.")
+	s.Duration("silence", &c.transport.Silence, 3*time.Second, 100*time.Millisecond, 10*time.Minute, "Time without a byte after which an idempotent call is given up; others wait for their whole timeout.")
+	s.Int("max-answer-bytes", &c.maxBytes, 8<<20, 1<<10, 1<<30, "Bound on the answer of a service.")
+}
+
+// Build implements kernel.Part.
+func (c *Connector) Build(n *kernel.Node) error {
+	c.transport.Open()
+	c.patient.DialTimeout = c.transport.DialTimeout
+	c.patient.Open()
+	c.recorder = n.Recorder
+	n.Services = c
+	n.Go("close service connections", func(ctx context.Context) error {
+		<-ctx.Done()
+		c.transport.Close()
+		return nil
+	})
+	return nil
+}
+
+// hopByHop lists the header fields that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd gives the header fields that are handed on: without those of one
+// connection and without those whose names begin with a prefix of the router.
+func EndToEnd(h http.Header) http.Header {
+	drop := slices.Clone(hopByHop)
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			drop = append(drop, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	kept := make(http.Header, len(h))
+	for name, values := range h {
+		if !slices.Contains(drop, name) && !strings.HasPrefix(name, "Quetzalroad-") {
+			kept[name] = values
+		}
+	}
+	return kept
+}
+
+// Call implements quetzalroad.ServiceProtocol.
+func (c *Connector) Call(ctx context.Context, u quetzalroad.Upstream, call *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
+	request, err := newRequest(u, call)
+	if err != nil {
+		return nil, &quetzalroad.AttemptError{Upstream: u.Name, NotRun: true, Kind: quetzalroad.RetryBadAnswer, Cause: err}
+	}
+	transport := &c.transport
+	if !call.Idempotent {
+		transport = &c.patient
+	}
+	exchange, err := transport.Do(ctx, request, !call.Idempotent)
+	if err != nil {
+		return nil, c.fail(u.Name, exchange, err)
+	}
+	defer exchange.Close()
+	return c.read(u.Name, call, exchange)
+}
+
+func newRequest(u quetzalroad.Upstream, call *quetzalroad.ServiceCall) (*http.Request, error) {
+	target := "http://" + u.Address.String() + call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	request, err := http.NewRequest(call.Method, target, transporter.Once(bytes.NewReader(call.Body)))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	if len(call.Body) == 0 {
+		request.Body = http.NoBody
+	}
+	request.Header = EndToEnd(call.Header)
+	request.Header.Set("X-Request-Id", string(call.ID))
+	if request.Header.Get("User-Agent") == "" {
+		request.Header["User-Agent"] = nil
+	}
+	return request, nil
+}
+
+func (c *Connector) fail(u quetzalroad.UpstreamName, e *transporter.Exchange, err error) *quetzalroad.AttemptError {
+	failure := transporter.Fail(u, e, err)
+	if failure.Kind == quetzalroad.RetrySilent {
+		c.transport.DropIdle()
+	}
+	return failure
+}
+
+func (c *Connector) read(u quetzalroad.UpstreamName, call *quetzalroad.ServiceCall, e *transporter.Exchange) (*quetzalroad.ServiceAnswer, error) {
+	r := e.Response
+	if transporter.SaysNotRun(r) {
+		return nil, &quetzalroad.AttemptError{Upstream: u, NotRun: true, Kind: quetzalroad.RetryNotRun, Cause: errors.Newf("status %s", r.Status)}
+	}
+	if call.Idempotent && (r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusGatewayTimeout) {
+		return nil, &quetzalroad.AttemptError{Upstream: u, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %s", r.Status)}
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(c.maxBytes)+1))
+	if err != nil {
+		return nil, c.fail(u, e, err)
+	}
+	if len(body) > c.maxBytes {
+		return nil, &quetzalroad.AttemptError{Upstream: u, Kind: quetzalroad.RetryBadAnswer, Cause: errors.Newf("answer of more than %d bytes", c.maxBytes)}
+	}
+	return &quetzalroad.ServiceAnswer{Status: r.StatusCode, Header: EndToEnd(r.Header), Body: body}, nil
+}
+
+// Report implements quetzalroad.ServiceProtocol.
+func (c *Connector) Report(ctx context.Context, u quetzalroad.Upstream) (quetzalroad.LoadReport, error) {
+	return c.transport.AskLoad(ctx, c.recorder, u)
+}
--- a/tracker/capacity.go
+++ b/tracker/capacity.go
@@ -113,7 +113,7 @@
 	var here, region, far []quetzalroad.Upstream
 	for _, u := range all {
 		switch {
-		case u.Draining || t.Estimate(u.Name, now).Leaving:
+		case u.Draining || t.drains.Marked(u.Name) || t.Estimate(u.Name, now).Leaving:
 		case u.DataCentre == t.place:
 			here = append(here, u)
 		case u.Region == t.region:
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -108,6 +108,7 @@
 // Tracker is the part that keeps the belief.
 type Tracker struct {
 	directory  quetzalroad.Directory
+	drains     quetzalroad.Drainer
 	place      quetzalroad.DataCentre
 	region     quetzalroad.Region
 	reportTTL  time.Duration
@@ -130,6 +131,7 @@
 // Build implements kernel.Part.
 func (t *Tracker) Build(n *kernel.Node) error {
 	t.directory = n.Directory
+	t.drains = n.Drainer
 	t.place = n.DataCentre
 	t.region = n.Region
 	n.Load = t
--- /dev/null
+++ b/transporter/load.go
@@ -0,0 +1,37 @@
+package transporter
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/loadmapper"
+)
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 4 << 10
+
+// AskLoad reads the load report of an upstream from GET /v1/load.
+func (t *Transporter) AskLoad(ctx context.Context, recorder quetzalroad.Recorder, u quetzalroad.Upstream) (quetzalroad.LoadReport, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+u.Address.String()+"/v1/load", http.NoBody)
+	if err != nil {
+		return quetzalroad.LoadReport{}, err
+	}
+	exchange, err := t.Do(ctx, request, false)
+	if err != nil {
+		return quetzalroad.LoadReport{}, err
+	}
+	defer exchange.Close()
+	if exchange.Response.StatusCode != http.StatusOK {
+		return quetzalroad.LoadReport{}, errors.Newf("load report: status %s", exchange.Response.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxReportBytes))
+	if err != nil {
+		return quetzalroad.LoadReport{}, err
+	}
+	recorder.Received(quetzalroad.ControlReports, len(data))
+	return loadmapper.Decode(data)
+}
