Add stand-ins and the demo: the whole path runs

'demo -once' streams a chat whole, runs a booking once though it is sent at two data centres, and drains an engine; exit 0.

--- /dev/null
+++ b/cmd/quetzalemu/demonstrator/client.go
@@ -0,0 +1,129 @@
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// reply is an answer with what the router says of it.
+type reply struct {
+	status  int
+	outcome string
+	body    string
+}
+
+// send sends one request and reads the whole answer.
+func send(ctx context.Context, method, url, key string, header map[string]string, body []byte) (reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	outcome := answer.Header.Get("Quetzalroad-Outcome")
+	if trailer := answer.Trailer.Get("Quetzalroad-Outcome"); trailer != "" {
+		outcome = trailer
+	}
+	return reply{status: answer.StatusCode, outcome: outcome, body: string(data)}, nil
+}
+
+// admin calls a node's admin API; objects are created.
+func (d *deployment) admin(ctx context.Context, method string, p place, path string, body []byte) ([]byte, error) {
+	url := "http://" + p.admin.String() + "/admin/v1/" + path
+	r, err := send(ctx, method, url, adminKey, map[string]string{"If-None-Match": "*"}, body)
+	if err != nil {
+		return nil, err
+	}
+	if r.status/100 != 2 {
+		return nil, errors.Newf("%s %s: status %d: %s", method, path, r.status, r.body)
+	}
+	return []byte(r.body), nil
+}
+
+type addressesJSON struct {
+	Nodes    []nodeJSON    `json:"nodes"`
+	Engines  []engineJSON  `json:"engines"`
+	Services []serviceJSON `json:"services"`
+	Log      string        `json:"log"`
+	VMList   string        `json:"vm-list"`
+	TeamKey  string        `json:"team-key"`
+	AdminKey string        `json:"admin-key"`
+}
+
+type nodeJSON struct {
+	Name         string `json:"name"`
+	DataCentre   string `json:"data-centre"`
+	Address      string `json:"address"`
+	AdminAddress string `json:"admin-address"`
+}
+
+type engineJSON struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+}
+
+type serviceJSON struct {
+	Name     string `json:"name"`
+	Upstream string `json:"upstream"`
+	Address  string `json:"address"`
+}
+
+// writeAddresses writes the addresses of the deployment. The file appears as a
+// whole.
+func (d *deployment) writeAddresses(file string) error {
+	j := addressesJSON{Log: d.log.String(), VMList: d.list.String(), TeamKey: teamKey, AdminKey: adminKey}
+	for _, p := range d.nodes {
+		j.Nodes = append(j.Nodes, nodeJSON{Name: p.name, DataCentre: p.dataCentre, Address: p.address.String(), AdminAddress: p.admin.String()})
+	}
+	for _, p := range d.engines {
+		j.Engines = append(j.Engines, engineJSON{Name: p.name, DataCentre: p.dataCentre, Address: p.address.String()})
+	}
+	for _, p := range d.services {
+		j.Services = append(j.Services, serviceJSON{Name: serviceName, Upstream: p.name, Address: p.address.String()})
+	}
+	data, err := json.MarshalIndent(j, "", "  ")
+	if err != nil {
+		return err
+	}
+	temporary, err := os.CreateTemp(filepath.Dir(file), filepath.Base(file)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = temporary.Write(append(data, '\n'))
+	if err = errors.CombineErrors(err, temporary.Close()); err != nil {
+		return err
+	}
+	if err := os.Chmod(temporary.Name(), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(temporary.Name(), file)
+}
+
+// stats reads a stand-in's own count.
+func stats(ctx context.Context, address netip.AddrPort, into any) error {
+	r, err := send(ctx, http.MethodGet, "http://"+address.String()+"/stats", "", nil, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal([]byte(r.body), into)
+}
--- /dev/null
+++ b/cmd/quetzalemu/demonstrator/demonstrator.go
@@ -0,0 +1,154 @@
+package demonstrator
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+// stopTimeout bounds the planned stop of the demo.
+const stopTimeout = 30 * time.Second
+
+// options are what the demo depends on and its flags.
+type options struct {
+	streams   commander.Streams
+	once      bool
+	addresses string
+	logLevel  string
+}
+
+// Command is "demo".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Run runs the demo; nil stands for the real one.
+	Run     func(ctx context.Context, o *options) error
+	options options
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "bring up a small deployment on loopback" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `demo [-once] [-addresses FILE] [-log-level LEVEL]:
+  Starts the log, the VM list, engines, a plain service and three nodes in two
+  data centres, prints their addresses and a curl line for each kind of
+  request, and goes on until interrupted.
+
+  quetzalemu demo
+  quetzalemu demo -once
+  quetzalemu demo -addresses /tmp/addresses.json
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.options.once, "once", false, "send the requests, print the answers, and exit 0 only if all is as promised")
+	f.StringVar(&c.options.addresses, "addresses", "", "write the addresses as JSON to this file once all is ready")
+	f.StringVar(&c.options.logLevel, "log-level", "error", "debug, info, warn or error")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.streams = c.Streams
+	run := c.Run
+	if run == nil {
+		run = runDemo
+	}
+	return c.Streams.Exit("demo", run(ctx, &c.options))
+}
+
+func runDemo(ctx context.Context, o *options) error {
+	level, err := commander.ParseLevel(o.logLevel)
+	if err != nil {
+		return err
+	}
+	interrupted, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	standIns, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d, err := plan(o.streams.Logger(level))
+	if err != nil {
+		return err
+	}
+	if err := d.start(standIns); err != nil {
+		return err
+	}
+	if o.addresses != "" {
+		if err := d.writeAddresses(o.addresses); err != nil {
+			return err
+		}
+	}
+	if err := d.print(o.streams); err != nil {
+		return err
+	}
+	if o.once {
+		err = d.once(interrupted, o.streams)
+	} else {
+		err = d.hold(interrupted)
+	}
+	ending, done := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer done()
+	d.logger.Log(ctx, slog.LevelInfo, "stopping the demo")
+	d.stop(ending)
+	return err
+}
+
+// hold waits for the interrupt or the failure of a part.
+func (d *deployment) hold(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-d.failed:
+		return err
+	}
+}
+
+// print writes the addresses and a line to try for each kind of request.
+func (d *deployment) print(s commander.Streams) error {
+	line := func(kind string, p place) string {
+		return fmt.Sprintf("%-8s %-12s %-10s %s\n", kind, p.name, p.dataCentre, p.address)
+	}
+	text := ""
+	for _, p := range d.nodes {
+		text += line("node", p)
+		text += fmt.Sprintf("%-8s %-12s %-10s %s\n", "admin", p.name, p.dataCentre, p.admin)
+	}
+	for _, p := range d.engines {
+		text += line("engine", p)
+	}
+	for _, p := range d.services {
+		text += line("service", p)
+	}
+	text += fmt.Sprintf("%-8s %s\n%-8s %s\n\n", "log", d.log, "vm-list", d.list)
+	text += "# a streamed chat\n" + d.chatLine() + "\n\n# a booking\n" + d.bookingLine() + "\n\n# a drain\n" + d.drainLine() + "\n\n"
+	_, err := fmt.Fprint(s.Out, text)
+	return err
+}
+
+func (d *deployment) chatLine() string {
+	return fmt.Sprintf(`curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"How long until solar panels pay back?"}]}'`,
+		d.nodes[0].address, teamKey, modelName)
+}
+
+func (d *deployment) bookingLine() string {
+	return fmt.Sprintf(`curl -si http://%s/services/%s/bookings -H 'Authorization: Bearer %s' -H 'Quetzalroad-Profile: booking' -H 'Idempotency-Key: visit-1' -d '{"visit":"2026-12-09"}'`,
+		d.nodes[1].address, serviceName, teamKey)
+}
+
+func (d *deployment) drainLine() string {
+	return fmt.Sprintf(`curl -s -X POST http://%s/admin/v1/upstreams/%s/drain -H 'Authorization: Bearer %s'`,
+		d.nodes[0].admin, d.engines[0].name, adminKey)
+}
--- /dev/null
+++ b/cmd/quetzalemu/demonstrator/once.go
@@ -0,0 +1,180 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/generator"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+const (
+	// drainBound is how long a drain may take to hold on every node.
+	drainBound = 3 * time.Second
+	// chatsAfterDrain is the number of chats sent to each node to see that a
+	// drained engine gets none.
+	chatsAfterDrain = 8
+)
+
+// engineStats is an engine's own count.
+type engineStats struct {
+	Runs            int `json:"runs"`
+	Cancelled       int `json:"cancelled"`
+	TokensGenerated int `json:"tokens-generated"`
+	TokensWasted    int `json:"tokens-wasted"`
+	Active          int `json:"active"`
+}
+
+// serviceStats is a service's own count.
+type serviceStats struct {
+	Runs      int            `json:"runs"`
+	RunsByKey map[string]int `json:"runs-by-key"`
+}
+
+// once sends one request of each kind and checks what was promised.
+func (d *deployment) once(ctx context.Context, s commander.Streams) error {
+	steps := []func(context.Context, commander.Streams) error{d.tryChat, d.tryBooking, d.tryDrain, d.showCounters}
+	for _, step := range steps {
+		if err := step(ctx, s); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(s.Out, "all as promised")
+	return err
+}
+
+func chatBody(text string, stream bool) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":12,"messages":[{"role":"user","content":%q}]}`, modelName, stream, text)
+}
+
+func (d *deployment) chat(ctx context.Context, p place, body []byte) (reply, error) {
+	return send(ctx, http.MethodPost, "http://"+p.address.String()+"/v1/chat/completions", teamKey, nil, body)
+}
+
+func (d *deployment) tryChat(ctx context.Context, s commander.Streams) error {
+	body := chatBody("How long until solar panels pay back?", true)
+	r, err := d.chat(ctx, d.nodes[0], body)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.Out, "chat: status %d, outcome %s\n%s\n", r.status, r.outcome, r.body); err != nil {
+		return err
+	}
+	if r.status != http.StatusOK || r.outcome != "completed" || !strings.Contains(r.body, "data: [DONE]") {
+		return errors.New("the streamed chat was not completed")
+	}
+	whole, err := generator.Answer(body)
+	if err != nil {
+		return err
+	}
+	for _, word := range strings.Fields(whole) {
+		if !strings.Contains(r.body, word+" ") {
+			return errors.Newf("the streamed chat lacks %q", word)
+		}
+	}
+	return nil
+}
+
+// tryBooking sends a booking twice under one key, at two nodes, and looks
+// whether it ran once.
+func (d *deployment) tryBooking(ctx context.Context, s commander.Streams) error {
+	const key = "visit-once"
+	header := map[string]string{"Quetzalroad-Profile": "booking", "Idempotency-Key": key}
+	for _, p := range []place{d.nodes[0], d.nodes[2]} {
+		r, err := send(ctx, http.MethodPost, "http://"+p.address.String()+"/services/"+serviceName+"/bookings", teamKey, header, []byte(`{"visit":"2026-12-09"}`))
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(s.Out, "booking at %s: status %d, outcome %s\n%s\n", p.name, r.status, r.outcome, r.body); err != nil {
+			return err
+		}
+		if r.status != http.StatusOK || r.outcome != "completed" {
+			return errors.New("the booking was not completed")
+		}
+	}
+	runs := 0
+	for _, p := range d.services {
+		var count serviceStats
+		if err := stats(ctx, p.address, &count); err != nil {
+			return err
+		}
+		runs += count.RunsByKey[key]
+	}
+	if _, err := fmt.Fprintf(s.Out, "booking ran %d time(s)\n\n", runs); err != nil {
+		return err
+	}
+	if runs != 1 {
+		return errors.Newf("the booking ran %d times", runs)
+	}
+	return nil
+}
+
+// tryDrain drains an engine and looks whether it gets anything after the
+// bound.
+func (d *deployment) tryDrain(ctx context.Context, s commander.Streams) error {
+	drained := d.engines[0]
+	r, err := send(ctx, http.MethodPost, "http://"+d.nodes[0].admin.String()+"/admin/v1/upstreams/"+drained.name+"/drain", adminKey, nil, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.Out, "drain of %s: status %d\n%s", drained.name, r.status, r.body); err != nil {
+		return err
+	}
+	if r.status != http.StatusOK {
+		return errors.New("the drain was not accepted")
+	}
+	timer := time.NewTimer(drainBound)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	var before, after engineStats
+	if err := stats(ctx, drained.address, &before); err != nil {
+		return err
+	}
+	for i := range chatsAfterDrain {
+		for _, p := range d.nodes {
+			r, err := d.chat(ctx, p, chatBody(fmt.Sprintf("Question %d", i), false))
+			if err != nil {
+				return err
+			}
+			if r.status != http.StatusOK || r.outcome != "completed" {
+				return errors.Newf("a chat at %s ended with status %d, outcome %s: %s", p.name, r.status, r.outcome, r.body)
+			}
+		}
+	}
+	if err := stats(ctx, drained.address, &after); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.Out, "%s ran %d before and %d after %d more chats\n\n", drained.name, before.Runs, after.Runs, chatsAfterDrain*len(d.nodes)); err != nil {
+		return err
+	}
+	if after.Runs != before.Runs {
+		return errors.New("the drained engine got new work")
+	}
+	return nil
+}
+
+func (d *deployment) showCounters(ctx context.Context, s commander.Streams) error {
+	for _, p := range d.nodes {
+		r, err := send(ctx, http.MethodGet, "http://"+p.admin.String()+"/debug/vars", adminKey, nil, nil)
+		if err != nil {
+			return err
+		}
+		counters, _, _ := strings.Cut(r.body, ",\n\"cmdline\"")
+		if _, err := fmt.Fprintf(s.Out, "counters of %s\n%s\n\n", p.name, counters); err != nil {
+			return err
+		}
+		if strings.Contains(r.body, `"invariant-breaches": {"`) {
+			return errors.Newf("%s counted a broken invariant", p.name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/quetzalemu/main.go
@@ -0,0 +1,19 @@
+// Command quetzalemu runs stand-ins for what the router meets, and a demo.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/demonstrator"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+func main() {
+	streams := commander.System()
+	commands := commander.New("quetzalemu", streams)
+	commands.Register(&demonstrator.Command{Streams: streams}, "")
+	flag.Parse()
+	os.Exit(int(commands.Execute(context.Background())))
+}
