--- /dev/null
+++ b/cmd/quetzalbench/main.go
@@ -0,0 +1,4 @@
+// Command quetzalbench is a program of the router.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/quetzalctl/main.go
@@ -0,0 +1,4 @@
+// Command quetzalctl is a program of the router.
+package main
+
+func main() {}
--- a/cmd/quetzalemu/demonstrator/deployment.go
+++ b/cmd/quetzalemu/demonstrator/deployment.go
@@ -21,6 +21,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/servicer"
+	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/kernel"
 )
 
@@ -161,10 +162,9 @@
 	}
 	d.run("VM list", func() error { return list.Host.Serve(ctx, d.list, list.Handler()) })
 	for _, p := range d.engines {
-		engine := &generator.Engine{
-			Model: modelName, Batch: engineSlots, TokenTime: 8 * time.Millisecond,
-			PerRequest: 100 * time.Microsecond, PrefillTime: 20 * time.Microsecond,
-		}
+		engine := &generator.Engine{Model: faker.Engine{
+			Batch: engineSlots, TokenTime: 8 * time.Millisecond, PerRequest: 100 * time.Microsecond, PrefillTime: 20 * time.Microsecond,
+		}}
 		d.run(p.name, func() error { return engine.Run(ctx) })
 		d.run(p.name, func() error { return engine.Host.Serve(ctx, p.address, engine.Handler()) })
 	}
--- a/cmd/quetzalemu/demonstrator/plugins.go
+++ b/cmd/quetzalemu/demonstrator/plugins.go
@@ -2,6 +2,7 @@
 
 // The plug-ins of the demo's nodes.
 import (
+	// The demo's nodes are built from these.
 	_ "github.com/quetzalroad/quetzalroad/adminserver"
 	_ "github.com/quetzalroad/quetzalroad/admitter/prioritizer"
 	_ "github.com/quetzalroad/quetzalroad/admitter/queuer"
--- a/cmd/quetzalemu/generator/face.go
+++ b/cmd/quetzalemu/generator/face.go
@@ -1,6 +1,13 @@
+// Package generator stands in for a model engine behind the chat API. It
+// streams, honours priorities, resumes an answer from its text, cancels when
+// the caller closes, and reports its load with a lag.
+//
+// The answer to a prompt follows from the prompt alone, so that a check can
+// tell a whole answer from a part and from the answer to another prompt.
 package generator
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +19,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
+	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/loadmapper"
 )
 
@@ -22,8 +30,41 @@
 	keepAliveEvery = time.Second
 	// lowestPriority is for calls that state none.
 	lowestPriority = 100
+	// usualLag is how late load reports are without a fault.
+	usualLag = 500 * time.Millisecond
+	// restartTime is how long an engine that crashed stays away.
+	restartTime = time.Second
 )
 
+// Engine is the model engine. Its exported fields are set before it runs.
+type Engine struct {
+	// Host brings faults about.
+	Host faulter.Host
+	// Model makes the answers.
+	Model faker.Engine
+}
+
+// Run makes the engine's steps until the context ends.
+func (e *Engine) Run(ctx context.Context) error {
+	e.Model.Slowed = e.Host.Slowed
+	e.Model.Crashes = e.crashes
+	e.Host.OnChange(func(faulter.Faults) { e.Model.ForgetTokens() })
+	return e.Model.Run(ctx)
+}
+
+// crashes tells whether a fault makes the engine crash after a step.
+func (e *Engine) crashes(tokens int) bool {
+	if e.Host.Down() {
+		return true
+	}
+	after := e.Host.Faults().CrashAfterTokens
+	if after == 0 || tokens < after {
+		return false
+	}
+	e.Host.Crash(restartTime)
+	return true
+}
+
 // Handler gives the engine's HTTP face.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -49,9 +90,9 @@
 	if err != nil {
 		priority = lowestPriority
 	}
-	s := &sequence{priority: priority, prompt: c.prompt, next: c.next, total: c.total}
+	s := &faker.Sequence{Priority: priority, Prompt: c.prompt, Next: c.next, Total: c.total}
 	a := &answer{engine: e, call: c, sequence: s, id: "chatcmpl-" + uuid.NewString(), created: time.Now().Unix(), response: w, first: c.next}
-	e.submit(s)
+	e.Model.Submit(s)
 	if c.stream {
 		a.stream(r)
 		return
@@ -72,7 +113,7 @@
 type answer struct {
 	engine   *Engine
 	call     call
-	sequence *sequence
+	sequence *faker.Sequence
 	id       string
 	created  int64
 	response http.ResponseWriter
@@ -107,12 +148,12 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-func finish(w word) *string {
-	if !w.last {
+func finish(w faker.Word) *string {
+	if !w.Last {
 		return nil
 	}
 	reason := "stop"
-	if w.cut {
+	if w.Cut {
 		reason = "length"
 	}
 	return &reason
@@ -129,27 +170,27 @@
 	role := "assistant"
 	for {
 		select {
-		case word := <-a.sequence.words:
+		case word := <-a.sequence.Words():
 			data, err := json.Marshal(chunkJSON{
 				ID: a.id, Object: "chat.completion.chunk", Created: a.created, Model: a.call.model,
-				Choices: []choiceJSON{{Delta: &messageJSON{Role: role, Content: word.text}, FinishReason: finish(word)}},
+				Choices: []choiceJSON{{Delta: &messageJSON{Role: role, Content: word.Text}, FinishReason: finish(word)}},
 			})
 			role = ""
 			if err != nil || !a.send(control, "data: "+string(data)+"\n\n") {
-				a.engine.cancel(a.sequence)
+				a.engine.Model.Cancel(a.sequence)
 				return
 			}
-			if word.last {
+			if word.Last {
 				a.end(control)
 				return
 			}
 		case <-keepAlive.C:
 			if !a.send(control, ": waiting\n\n") {
-				a.engine.cancel(a.sequence)
+				a.engine.Model.Cancel(a.sequence)
 				return
 			}
 		case <-r.Context().Done():
-			a.engine.cancel(a.sequence)
+			a.engine.Model.Cancel(a.sequence)
 			return
 		}
 	}
@@ -164,7 +205,7 @@
 
 func (a *answer) usage() *usageJSON {
 	made := a.call.total - a.first
-	return &usageJSON{PromptTokens: a.call.prompt.tokens + a.first, CompletionTokens: made, TotalTokens: a.call.prompt.tokens + a.first + made}
+	return &usageJSON{PromptTokens: a.call.prompt.Tokens + a.first, CompletionTokens: made, TotalTokens: a.call.prompt.Tokens + a.first + made}
 }
 
 func (a *answer) end(control *http.ResponseController) {
@@ -183,9 +224,9 @@
 	text := ""
 	for {
 		select {
-		case word := <-a.sequence.words:
-			text += word.text
-			if word.last {
+		case word := <-a.sequence.Words():
+			text += word.Text
+			if word.Last {
 				faulter.Answer(a.response, chunkJSON{
 					ID: a.id, Object: "chat.completion", Created: a.created, Model: a.call.model,
 					Choices: []choiceJSON{{Message: &messageJSON{Role: "assistant", Content: text}, FinishReason: finish(word)}}, Usage: a.usage(),
@@ -193,15 +234,19 @@
 				return
 			}
 		case <-r.Context().Done():
-			a.engine.cancel(a.sequence)
+			a.engine.Model.Cancel(a.sequence)
 			return
 		}
 	}
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	late := e.late(time.Now())
-	data, err := loadmapper.Encode(quetzalroad.LoadReport{Taken: late.at, Running: late.running, Waiting: late.waiting})
+	lag := e.Host.Faults().ReportLag
+	if lag == 0 {
+		lag = usualLag
+	}
+	late := e.Model.Late(time.Now(), lag)
+	data, err := loadmapper.Encode(quetzalroad.LoadReport{Taken: late.At, Running: late.Running, Waiting: late.Waiting})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -220,11 +265,8 @@
 }
 
 func (e *Engine) stats(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	j := statsJSON{
-		Runs: e.count.runs, Cancelled: e.count.cancelled, TokensGenerated: e.count.generated,
-		TokensWasted: e.count.wasted, Active: len(e.running) + len(e.waiting),
-	}
-	e.mu.Unlock()
-	faulter.Answer(w, j)
+	c := e.Model.Counts()
+	faulter.Answer(w, statsJSON{
+		Runs: c.Runs, Cancelled: c.Cancelled, TokensGenerated: c.Generated, TokensWasted: c.Wasted, Active: c.Active,
+	})
 }
--- a/cmd/quetzalemu/generator/prompt.go
+++ b/cmd/quetzalemu/generator/prompt.go
@@ -2,48 +2,15 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad/chatmapper"
+	"github.com/quetzalroad/quetzalroad/faker"
 )
 
-const (
-	// shortest and longest bound an answer whose length the prompt decides.
-	shortest = 8
-	longest  = 400
-	// tailEvery is the share of prompts, one in so many, with a long answer.
-	tailEvery = 12
-	// usualSpread is the spread of the usual lengths.
-	usualSpread = 40
-)
-
-// prompt is what an answer follows from.
-type prompt struct {
-	// seed identifies the messages, without a continued answer.
-	seed   uint64
-	prefix uint64
-	tokens int
-}
-
-// word gives one token of the prompt's answer.
-func (p prompt) word(number, total int) word {
-	return word{text: fmt.Sprintf("w%04x-%d ", p.seed&0xffff, number), last: number+1 >= total, cut: total < p.length()}
-}
-
-// length is how long the prompt's answer is unless it is bounded. One prompt
-// in some has a long answer.
-func (p prompt) length() int {
-	h := p.seed * 0x9E3779B97F4A7C15 >> 16
-	if h%tailEvery == 0 {
-		return shortest + int(h>>8%uint64(longest))
-	}
-	return shortest + int(h>>8%usualSpread)
-}
-
 // Answer gives the words of the whole answer to the messages of a call, for
 // checks.
 func Answer(body []byte) (string, error) {
@@ -53,7 +20,7 @@
 	}
 	var text strings.Builder
 	for i := range c.total {
-		text.WriteString(c.prompt.word(i, c.total).text)
+		text.WriteString(c.prompt.Word(i, c.total).Text)
 	}
 	return text.String(), nil
 }
@@ -61,7 +28,7 @@
 // call is a chat call as the engine takes it.
 type call struct {
 	model        string
-	prompt       prompt
+	prompt       faker.Prompt
 	next         int
 	total        int
 	stream       bool
@@ -101,8 +68,8 @@
 		_, _ = sum.WriteString(m.Role)
 		_, _ = sum.Write(m.Content)
 	}
-	c.prompt = prompt{seed: sum.Sum64(), prefix: known.PrefixHash, tokens: known.PromptTokens}
-	c.total = c.prompt.length()
+	c.prompt = faker.Prompt{Seed: sum.Sum64(), Prefix: known.PrefixHash, Tokens: known.PromptTokens}
+	c.total = c.prompt.Length()
 	if known.MaxTokens > 0 {
 		c.total = min(c.total, c.next+known.MaxTokens)
 	}
--- /dev/null
+++ b/cmd/quetzalroad/defaulter/defaulter.go
@@ -0,0 +1,42 @@
+// Package defaulter is the command that prints a commented settings file.
+package defaulter
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+// Command is "defaults".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "defaults" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "print a commented settings file with every default" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `defaults:
+  Prints every setting with its meaning and its default. Required settings are
+  marked and empty.
+
+  quetzalroad defaults > node.hujson
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*Command) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	return c.Streams.Exit("defaults", kernel.NewPlan().File().WriteDefaults(c.Streams.Out))
+}
--- /dev/null
+++ b/cmd/quetzalroad/server/server.go
@@ -0,0 +1,127 @@
+// Package server is the command that runs the node.
+package server
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+// stillOpenEvery is how often a stopping node says what it waits for.
+const stillOpenEvery = 10 * time.Second
+
+// options are what the command depends on and its flags.
+type options struct {
+	streams commander.Streams
+	file    string
+	level   slog.Level
+	// signals asks for a planned stop; each further one says what is open.
+	signals <-chan os.Signal
+}
+
+// Command is "serve".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Run runs the node; nil stands for the real one.
+	Run      func(ctx context.Context, o *options) error
+	logLevel string
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "run the node" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `serve [-log-level LEVEL] FILE:
+  Runs the node with the settings in FILE until SIGTERM or SIGINT. It then
+  turns unready, goes on accepting while the balancer's list lags, waits for
+  the last answer and exits 0. A second signal says what is still open.
+
+  quetzalroad serve node.hujson
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.Streams.Exit("serve", c.execute(ctx, f))
+}
+
+func (c *Command) execute(ctx context.Context, f *flag.FlagSet) error {
+	if f.NArg() != 1 {
+		return &commander.UsageError{Problem: "one settings file is needed"}
+	}
+	level, err := commander.ParseLevel(c.logLevel)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	run := c.Run
+	if run == nil {
+		run = runServe
+	}
+	return run(ctx, &options{streams: c.Streams, file: f.Arg(0), level: level, signals: signals})
+}
+
+func runServe(ctx context.Context, o *options) error {
+	data, err := os.ReadFile(o.file)
+	if err != nil {
+		return err
+	}
+	plan := kernel.NewPlan()
+	if err := plan.Read(o.file, data); err != nil {
+		return err
+	}
+	node, err := plan.Build(o.streams.Logger(o.level))
+	if err != nil {
+		return err
+	}
+	node.Start()
+	node.Logger.Info("started", "data-centre", string(node.DataCentre))
+	ended := make(chan error, 1)
+	go func() { ended <- node.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-o.signals:
+	}
+	go node.Stop(ctx)
+	return awaitEnd(node, ended, o.signals)
+}
+
+// awaitEnd waits for the last answer, and says what is open now and then and
+// at each further signal.
+func awaitEnd(node *kernel.Node, ended <-chan error, signals <-chan os.Signal) error {
+	ticker := time.NewTicker(stillOpenEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-ended:
+			node.Logger.Info("stopped")
+			return err
+		case <-signals:
+			node.Logger.Warn("still stopping", "open", node.Open())
+		case <-ticker.C:
+			node.Logger.Info("still stopping", "open", node.Open())
+		}
+	}
+}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -13,8 +13,7 @@
 
 // Call implements quetzalroad.Dispatcher.
 func (d *Dispatcher) Call(ctx context.Context, c *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
-	d.open.Add(1)
-	defer d.open.Add(-1)
+	defer d.begin()()
 	ctx, cancel := bound(ctx, &c.Request)
 	defer cancel()
 	p, err := d.enter(ctx, &c.Request)
--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -34,8 +34,7 @@
 
 // Chat implements quetzalroad.Dispatcher.
 func (d *Dispatcher) Chat(ctx context.Context, c *quetzalroad.Chat, sink quetzalroad.ChatSink) error {
-	d.open.Add(1)
-	defer d.open.Add(-1)
+	defer d.begin()()
 	ctx, cancel := bound(ctx, &c.Request)
 	defer cancel()
 	p, err := d.enter(ctx, &c.Request)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +26,11 @@
 type Dispatcher struct {
 	node   *kernel.Node
 	logger *slog.Logger
-	open   atomic.Int64
+	mu     sync.Mutex
+	// open counts the requests under way and is guarded by mu, as is idle,
+	// which is closed and forgotten when the last one ends.
+	open int
+	idle chan struct{}
 }
 
 // Declare implements kernel.Part.
@@ -37,10 +41,54 @@
 	d.node = n
 	d.logger = n.Logger
 	n.Dispatcher = d
-	n.OnOpen(func() int { return int(d.open.Load()) })
+	n.OnOpen(d.count)
+	n.OnStop(d.drain)
 	return nil
 }
 
+func (d *Dispatcher) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
+// begin notes that a request is under way; the function it gives notes its
+// end.
+func (d *Dispatcher) begin() func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open++
+	return d.end
+}
+
+func (d *Dispatcher) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	if d.open == 0 && d.idle != nil {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+// drain waits for the last request, however long, for a planned stop.
+func (d *Dispatcher) drain(ctx context.Context) {
+	d.mu.Lock()
+	if d.open == 0 {
+		d.mu.Unlock()
+		return
+	}
+	if d.idle == nil {
+		d.idle = make(chan struct{})
+	}
+	idle := d.idle
+	d.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
 // place is what a running request holds.
 type place struct {
 	grant     quetzalroad.Grant
--- /dev/null
+++ b/faker/deployment.go
@@ -0,0 +1,113 @@
+package faker
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+
+	"github.com/google/uuid"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/recordmapper"
+)
+
+// Deployment is several nodes over the same fakes. The zero value has none.
+// The plug-ins of the nodes are those that the test imports.
+type Deployment struct {
+	Log      Log
+	Network  Network
+	List     VMList
+	Engines  Engines
+	Services Services
+	// Logger is handed to the nodes; nil discards.
+	Logger *slog.Logger
+
+	// Nodes are those added, in order.
+	Nodes []*kernel.Node
+	ports uint16
+}
+
+// firstPort is the port of the first node.
+const firstPort = 7000
+
+// AddNode builds a node and starts it. The settings are the sections beside
+// the node's own, without the outer braces.
+func (d *Deployment) AddNode(name quetzalroad.NodeName, place quetzalroad.DataCentre, region quetzalroad.Region, settings string) (*kernel.Node, error) {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), firstPort+d.ports)
+	d.ports++
+	plan := kernel.NewPlan(
+		kernel.Given{Slot: kernel.SlotLog, Part: d.Log.View(name)},
+		kernel.Given{Slot: kernel.SlotVMList, Part: &d.List},
+		kernel.Given{Slot: kernel.SlotTransport, Part: d.Network.Link(address, name, place)},
+		kernel.Given{Slot: kernel.SlotEngines, Part: &d.Engines},
+		kernel.Given{Slot: kernel.SlotServices, Part: &d.Services},
+	)
+	text := fmt.Sprintf(`{"node": {"name": %q, "data-centre": %q, "region": %q, "balancer-lag": "1s"}, %s}`, name, place, region, settings)
+	if err := plan.Read(string(name), []byte(text)); err != nil {
+		return nil, err
+	}
+	logger := d.Logger
+	if logger == nil {
+		logger = slog.New(slog.DiscardHandler)
+	}
+	node, err := plan.Build(logger)
+	if err != nil {
+		return nil, err
+	}
+	d.List.Put(quetzalroad.VM{Name: string(name), Role: quetzalroad.RoleNode, Address: address, DataCentre: place, State: quetzalroad.VMLive})
+	d.Nodes = append(d.Nodes, node)
+	node.Start()
+	return node, nil
+}
+
+// Publish appends the creation of objects to the log, without a node.
+func (d *Deployment) Publish(objects ...quetzalroad.Object) error {
+	for _, o := range objects {
+		c := quetzalroad.Change{ID: quetzalroad.ChangeID(uuid.NewString()), Author: "test", Object: o}
+		switch {
+		case o.Profile != nil:
+			c.Kind, c.Name = quetzalroad.ObjectProfile, string(o.Profile.Name)
+		case o.Team != nil:
+			c.Kind, c.Name = quetzalroad.ObjectTeam, string(o.Team.Name)
+		case o.Service != nil:
+			c.Kind, c.Name = quetzalroad.ObjectService, string(o.Service.Name)
+		case o.Upstream != nil:
+			c.Kind, c.Name = quetzalroad.ObjectUpstream, string(o.Upstream.Name)
+		}
+		data, err := recordmapper.EncodeChange(c)
+		if err != nil {
+			return err
+		}
+		d.Log.Put(quetzalroad.StreamState, data)
+	}
+	return nil
+}
+
+// Close kills the nodes and waits for their end.
+func (d *Deployment) Close() {
+	for _, n := range d.Nodes {
+		n.Kill()
+	}
+	for _, n := range d.Nodes {
+		// A killed node has nothing to say.
+		_ = n.Wait()
+	}
+}
+
+// Breaches gives the invariants that nodes counted as broken.
+func (d *Deployment) Breaches() []string {
+	var all []string
+	for _, n := range d.Nodes {
+		if text := n.Vars.Get("invariant-breaches").String(); text != "{}" {
+			all = append(all, string(n.Name)+": "+text)
+		}
+	}
+	return all
+}
+
+// Run runs the engines until the context ends.
+func (d *Deployment) Run(ctx context.Context) {
+	d.Engines.Run(ctx)
+}
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -187,8 +187,15 @@
 	lag      time.Duration
 }
 
-// NewPlan declares the settings of a node.
-func NewPlan() *Plan {
+// Given is a part that a program brings itself in place of a registered one.
+type Given struct {
+	Slot Slot
+	Part Part
+}
+
+// NewPlan declares the settings of a node. Given parts fill their slots
+// whatever the settings say; tests bring their fakes so.
+func NewPlan(given ...Given) *Plan {
 	p := &Plan{choosers: make(map[Slot]*chooser)}
 	section := new(configurer.Section)
 	section.Name("name", &p.name, "", "Name of this node, unique in the deployment.")
@@ -198,7 +205,12 @@
 	p.file.Add("node", "Who this node is.", configurer.Fixed{Section: section})
 	for _, s := range slots {
 		c := &chooser{slot: s.slot}
-		if len(c.Names()) == 0 {
+		for _, g := range given {
+			if g.Slot == s.slot {
+				c.given = g.Part
+			}
+		}
+		if c.given == nil && len(c.Names()) == 0 {
 			continue
 		}
 		p.choosers[s.slot] = c
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -108,15 +108,21 @@
 	slot Slot
 	// part is the chosen implementation; nil before a choice.
 	part Part
+	// given is set where the program brings the implementation itself, which
+	// leaves nothing to choose.
+	given Part
 }
 
 // Choose makes the part of the named plug-in and declares its settings.
 func (c *chooser) Choose(name string) *configurer.Section {
-	p, ok := registry[c.slot][name]
-	if !ok {
-		return nil
+	c.part = c.given
+	if c.given == nil {
+		p, ok := registry[c.slot][name]
+		if !ok {
+			return nil
+		}
+		c.part = p.New()
 	}
-	c.part = p.New()
 	section := new(configurer.Section)
 	c.part.Declare(section)
 	return section
@@ -124,6 +130,9 @@
 
 // Names lists the registered names, the default first.
 func (c *chooser) Names() []string {
+	if c.given != nil {
+		return nil
+	}
 	var names []string
 	first := ""
 	for name, p := range registry[c.slot] {
--- /dev/null
+++ b/prover/chat_test.go
@@ -0,0 +1,187 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+var anyAddress = netip.MustParseAddrPort("10.0.0.9:80")
+
+// runChats sends chats to all nodes in turn, evenly over a span, and checks
+// that each caller holds its own whole answer or a marked error.
+func (x *fixture) runChats(count int, over time.Duration, profile string) *results {
+	x.t.Helper()
+	r := &results{}
+	var group sync.WaitGroup
+	for i := range count {
+		n := x.Nodes[i%len(x.Nodes)]
+		group.Go(func() {
+			time.Sleep(over * time.Duration(i) / time.Duration(count))
+			c := chat(n, fmt.Sprintf("%s-%d", profile, i), profile)
+			got := &collector{}
+			err := n.Dispatcher.Chat(context.Background(), c, got)
+			r.add(err)
+			if err != nil {
+				return
+			}
+			if diff := cmp.Diff(x.Engines.Answer(c), got.text.String()); diff != "" {
+				x.t.Errorf("%s did not get its own whole answer (-want +got):\n%s", c.ID, diff)
+			}
+		})
+	}
+	group.Wait()
+	return r
+}
+
+func TestChatsCompleteWithoutFaults(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, x *fixture) {
+		r := x.runChats(60, 6*time.Second, "chat")
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 60}
+		if diff := cmp.Diff(want, r.outcomes); diff != "" {
+			t.Errorf("outcomes (-want +got):\n%s\nreasons: %v", diff, r.reasons)
+		}
+	})
+}
+
+func TestEngineCrashMidStreamIsResumedElsewhere(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, x *fixture) {
+		go func() {
+			time.Sleep(2 * time.Second)
+			x.Engines.Machines["east-engine-0"].SetDown(true)
+		}()
+		r := x.runChats(60, 6*time.Second, "chat")
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 60}
+		if diff := cmp.Diff(want, r.outcomes); diff != "" {
+			t.Errorf("outcomes (-want +got):\n%s\nreasons: %v", diff, r.reasons)
+		}
+		if x.Engines.Machines["east-engine-0"].Counts().Wasted == 0 {
+			t.Error("the crash hit no running answer: the test shows nothing")
+		}
+	})
+}
+
+func TestSilentConnectionsAreRedoneElsewhere(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, x *fixture) {
+		go func() {
+			time.Sleep(2 * time.Second)
+			for _, m := range x.Engines.Machines {
+				m.Silence()
+			}
+		}()
+		r := x.runChats(60, 6*time.Second, "chat")
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 60}
+		if diff := cmp.Diff(want, r.outcomes); diff != "" {
+			t.Errorf("outcomes (-want +got):\n%s\nreasons: %v", diff, r.reasons)
+		}
+	})
+}
+
+func TestCallerLeavingCancelsOnTheEngine(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		n := x.Nodes[0]
+		x.Engines.Length = func(*quetzalroad.Chat) int { return 500 }
+		ctx, leave := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer leave()
+		err := n.Dispatcher.Chat(ctx, chat(n, "leaver", "chat"), &collector{})
+		if got := outcome(err); got != quetzalroad.OutcomeUnknown {
+			t.Errorf("outcome = %q, want unknown", got)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for name, m := range x.Engines.Machines {
+			if c := m.Counts(); c.Active != 0 {
+				t.Errorf("%s still runs %d", name, c.Active)
+			}
+		}
+		if n.Vars.Get("tokens-wasted").String() == "0" {
+			t.Error("no wasted tokens were counted")
+		}
+	})
+}
+
+func TestDraftsArePausedForChatsAndResumed(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		x.Engines.Length = func(c *quetzalroad.Chat) int {
+			if c.Profile.Name == "draft" {
+				return 400
+			}
+			return 30
+		}
+		drafts := make(chan *results)
+		go func() { drafts <- x.runChats(60, time.Second, "draft") }()
+		time.Sleep(3 * time.Second)
+		chats := x.runChats(100, 4*time.Second, "chat")
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 100}
+		if diff := cmp.Diff(want, chats.outcomes); diff != "" {
+			t.Errorf("chats (-want +got):\n%s\nreasons: %v", diff, chats.reasons)
+		}
+		want = map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 60}
+		if diff := cmp.Diff(want, (<-drafts).outcomes); diff != "" {
+			t.Errorf("drafts (-want +got):\n%s", diff)
+		}
+		if got := x.Nodes[0].Vars.Get("retries").String(); got == "{}" {
+			t.Error("no draft was paused: the test shows nothing")
+		}
+	})
+}
+
+func TestEveryClassProgressesUnderEndlessChats(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		x.Engines.Length = func(*quetzalroad.Chat) int { return 50 }
+		stop := time.Now().Add(40 * time.Second)
+		var group sync.WaitGroup
+		for i := range 30 {
+			group.Go(func() {
+				for k := 0; time.Now().Before(stop); k++ {
+					n := x.Nodes[0]
+					// A refused chat is followed by another: the load never ends.
+					_ = n.Dispatcher.Chat(context.Background(), chat(n, fmt.Sprintf("endless-%d-%d", i, k), "chat"), &collector{})
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		r := x.runChats(5, 0, "draft")
+		took := time.Since(began)
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 5}
+		if diff := cmp.Diff(want, r.outcomes); diff != "" {
+			t.Errorf("drafts (-want +got):\n%s", diff)
+		}
+		if took > 30*time.Second {
+			t.Errorf("five drafts took %s under endless chats", took)
+		}
+		group.Wait()
+	})
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, x *fixture) {
+		x.Engines.Length = func(*quetzalroad.Chat) int { return 300 }
+		stopped := x.Nodes[0]
+		ended := make(chan int)
+		go func() {
+			time.Sleep(time.Second)
+			go stopped.Stop(context.Background())
+			if err := stopped.Wait(); err != nil {
+				t.Errorf("the stopped node ended with %v", err)
+			}
+			ended <- stopped.Open()
+		}()
+		r := x.runChats(30, 1500*time.Millisecond, "chat")
+		want := map[quetzalroad.Outcome]int{quetzalroad.OutcomeCompleted: 30}
+		if diff := cmp.Diff(want, r.outcomes); diff != "" {
+			t.Errorf("outcomes (-want +got):\n%s\nreasons: %v", diff, r.reasons)
+		}
+		if open := <-ended; open != 0 {
+			t.Errorf("the node ended with %d requests open", open)
+		}
+	})
+}
--- /dev/null
+++ b/prover/claims_test.go
@@ -0,0 +1,240 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// told is what the callers of one key were told.
+type told struct {
+	completed int
+	notRun    int
+	unknown   int
+}
+
+// bookAtEveryNode sends a booking under each key to every node at once, with
+// the keys spread over a span, and gives what was told.
+func (x *fixture) bookAtEveryNode(keys int, over time.Duration) map[string]*told {
+	var mu sync.Mutex
+	all := make(map[string]*told)
+	var group sync.WaitGroup
+	for k := range keys {
+		key := fmt.Sprintf("key-%d", k)
+		got := &told{}
+		all[key] = got
+		for i, n := range x.Nodes {
+			group.Go(func() {
+				time.Sleep(over * time.Duration(k) / time.Duration(keys))
+				_, err := n.Dispatcher.Call(context.Background(), booking(n, fmt.Sprintf("%s-%d", key, i), key))
+				mu.Lock()
+				defer mu.Unlock()
+				switch outcome(err) {
+				case quetzalroad.OutcomeCompleted:
+					got.completed++
+				case quetzalroad.OutcomeNotRun:
+					got.notRun++
+				case quetzalroad.OutcomeUnknown:
+					got.unknown++
+				}
+			})
+		}
+	}
+	group.Wait()
+	return all
+}
+
+// check compares what was told with what the service truly ran.
+func (x *fixture) check(all map[string]*told) {
+	x.t.Helper()
+	for key, got := range all {
+		runs := x.Services.Runs(key)
+		if runs > 1 {
+			x.t.Errorf("%s ran %d times", key, runs)
+		}
+		if runs == 0 && got.completed > 0 {
+			x.t.Errorf("%s did not run and %d callers were told that it did", key, got.completed)
+		}
+		if runs == 1 && got.completed == 0 && got.unknown == 0 {
+			x.t.Errorf("%s ran and all %d callers were told that it did not", key, got.notRun)
+		}
+	}
+}
+
+// tenThousand is the number of keys in the stated check.
+const tenThousand = 10000
+
+func TestSameKeyAtEveryNodeRunsOnceWhileAnswersAreLost(t *testing.T) {
+	keys := tenThousand
+	if testing.Short() {
+		keys = tenThousand / 10
+	}
+	inBubble(t, 4, func(t *testing.T, x *fixture) {
+		x.Log.LoseAnswers(0.3, 11)
+		x.Services.SetFaults(0.05, 0.05, 0.05, 12)
+		all := x.bookAtEveryNode(keys, time.Duration(keys)*5*time.Millisecond)
+		x.check(all)
+		completed := 0
+		for _, got := range all {
+			if got.completed > 0 {
+				completed++
+			}
+		}
+		if completed < keys*8/10 {
+			t.Errorf("only %d of %d keys were completed", completed, keys)
+		}
+	})
+}
+
+func TestKeyedBookingIsNotRunWhileTheLogIsAway(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, x *fixture) {
+		x.Log.SetDown(true)
+		n := x.Nodes[0]
+		_, err := n.Dispatcher.Call(context.Background(), booking(n, "b1", "key"))
+		if diff := cmp.Diff(quetzalroad.ReasonClaimUnavailable, reason(err)); diff != "" {
+			t.Errorf("reason (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(quetzalroad.OutcomeNotRun, outcome(err)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		x.Log.SetDown(false)
+		time.Sleep(3 * time.Second)
+		if runs := x.Services.Runs("key"); runs != 0 {
+			t.Errorf("the booking ran %d times after it was told not run", runs)
+		}
+		answer, err := n.Dispatcher.Call(context.Background(), booking(n, "b2", "key"))
+		if err != nil {
+			t.Fatalf("a new try after the log came back: %v", err)
+		}
+		if diff := cmp.Diff("key", string(answer.Body)); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestLogAwayAndBackWithBookingsUnderWay(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, x *fixture) {
+		go func() {
+			for range 5 {
+				time.Sleep(700 * time.Millisecond)
+				x.Log.SetDown(true)
+				time.Sleep(1500 * time.Millisecond)
+				x.Log.SetDown(false)
+			}
+		}()
+		x.check(x.bookAtEveryNode(1000, 12*time.Second))
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func TestRepeatedKeyGetsTheFirstAnswer(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, x *fixture) {
+		for i, n := range x.Nodes {
+			answer, err := n.Dispatcher.Call(context.Background(), booking(n, fmt.Sprintf("b%d", i), "key"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff("key", string(answer.Body)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			time.Sleep(time.Second)
+		}
+		if runs := x.Services.Runs("key"); runs != 1 {
+			t.Errorf("the booking ran %d times", runs)
+		}
+	})
+}
+
+func TestKeyUsedForAnotherCallIsRefused(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		n := x.Nodes[0]
+		if _, err := n.Dispatcher.Call(context.Background(), booking(n, "b1", "key")); err != nil {
+			t.Fatal(err)
+		}
+		other := booking(n, "b2", "key")
+		other.Body = []byte("something else")
+		_, err := n.Dispatcher.Call(context.Background(), other)
+		if diff := cmp.Diff(quetzalroad.ReasonKeyReused, reason(err)); diff != "" {
+			t.Errorf("reason (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestExpiredKeyIsRefused(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		n := x.Nodes[0]
+		if _, err := n.Dispatcher.Call(context.Background(), booking(n, "b1", "key")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(61 * time.Minute)
+		_, err := n.Dispatcher.Call(context.Background(), booking(n, "b2", "key"))
+		if diff := cmp.Diff(quetzalroad.ReasonKeyExpired, reason(err)); diff != "" {
+			t.Errorf("reason (-want +got):\n%s", diff)
+		}
+		if runs := x.Services.Runs("key"); runs != 1 {
+			t.Errorf("the booking ran %d times", runs)
+		}
+	})
+}
+
+func TestNodeDyingAfterItsClaimLeavesUnknown(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, x *fixture) {
+		x.Services.RunTime = 5 * time.Second
+		first, second := x.Nodes[0], x.Nodes[1]
+		go func() {
+			// The caller of a node that dies gets no answer.
+			_, _ = first.Dispatcher.Call(context.Background(), booking(first, "b1", "key"))
+		}()
+		time.Sleep(time.Second)
+		first.Kill()
+		_, err := second.Dispatcher.Call(context.Background(), booking(second, "b2", "key"))
+		if diff := cmp.Diff(quetzalroad.OutcomeUnknown, outcome(err)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		if runs := x.Services.Runs("key"); runs != 1 {
+			t.Errorf("the booking ran %d times", runs)
+		}
+		time.Sleep(x.Services.RunTime)
+	})
+}
+
+func TestBookingWithoutKeyIsNotRepeatedAfterALostAnswer(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		x.Services.SetFaults(1, 0, 0, 1)
+		n := x.Nodes[0]
+		_, err := n.Dispatcher.Call(context.Background(), booking(n, "b1", ""))
+		if diff := cmp.Diff(quetzalroad.ReasonAnswerLost, reason(err)); diff != "" {
+			t.Errorf("reason (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(quetzalroad.OutcomeUnknown, outcome(err)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		if runs := x.Services.Total(); runs != 1 {
+			t.Errorf("the booking ran %d times", runs)
+		}
+	})
+}
+
+func TestBookingThatSurelyDidNotRunIsTriedAgain(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		x.Services.SetFaults(0, 0.3, 0.3, 3)
+		r := &results{}
+		n := x.Nodes[0]
+		for i := range 50 {
+			_, err := n.Dispatcher.Call(context.Background(), booking(n, fmt.Sprintf("b%d", i), ""))
+			r.add(err)
+		}
+		if got := r.outcomes[quetzalroad.OutcomeCompleted]; got != x.Services.Total() {
+			t.Errorf("%d completed and %d ran", got, x.Services.Total())
+		}
+		if r.outcomes[quetzalroad.OutcomeCompleted] < 40 || r.outcomes[quetzalroad.OutcomeUnknown] != 0 {
+			t.Errorf("outcomes: %v %v", r.outcomes, r.reasons)
+		}
+	})
+}
