--- a/prover/claims_test.go
+++ b/prover/claims_test.go
@@ -119,7 +119,7 @@
 }
 
 func TestLogAwayAndBackWithBookingsUnderWay(t *testing.T) {
-	inBubble(t, 4, func(t *testing.T, x *fixture) {
+	inBubble(t, 4, func(_ *testing.T, x *fixture) {
 		go func() {
 			for range 5 {
 				time.Sleep(700 * time.Millisecond)
--- a/prover/fixture_test.go
+++ b/prover/fixture_test.go
@@ -74,7 +74,9 @@
 
 func (x *fixture) objects() []quetzalroad.Object {
 	objects := []quetzalroad.Object{
-		{Profile: chatProfile()}, {Profile: draftProfile()}, {Profile: bookingProfile()},
+		{Profile: chatProfile()},
+		{Profile: draftProfile()},
+		{Profile: bookingProfile()},
 		{Team: &quetzalroad.Team{Name: "team", DefaultProfile: "chat"}},
 		{Service: &quetzalroad.Service{Name: "llm", Kind: quetzalroad.KindEngine, Models: []quetzalroad.ModelName{"llm"}}},
 		{Service: &quetzalroad.Service{Name: "portal", Kind: quetzalroad.KindPlain, DefaultProfile: "booking"}},
