--- /dev/null
+++ b/cmd/quetzalctl/applier/applier.go
@@ -0,0 +1,105 @@
+// Package applier is the command that puts all objects of a file.
+package applier
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/putter"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/watcher"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type applyOptions struct {
+	grouper.Options
+	wait time.Duration
+}
+
+// Command is "apply".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Run applies; nil stands for the real one.
+	Run     func(ctx context.Context, o *applyOptions) error
+	options applyOptions
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "apply" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "create or replace all objects of a file" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `apply FILE:
+  FILE holds {"profiles":[…],"services":[…],"upstreams":[…],"teams":[…]}, with
+  comments if you like. They are put in that order; the first that is refused
+  ends it.
+
+  quetzalctl apply examples/telhado-claro/objects.hujson
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.DurationVar(&c.options.wait, "wait", 15*time.Second, "how long to wait for the nodes")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams = c.Streams
+	run := c.Run
+	if run == nil {
+		run = runApply
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("apply", err)
+}
+
+// kinds are the kinds in the order in which they are put.
+var kinds = []string{"profiles", "services", "upstreams", "teams"}
+
+func runApply(ctx context.Context, o *applyOptions) error {
+	file, err := o.One("file")
+	if err != nil {
+		return err
+	}
+	data, err := putter.Read(o.Streams, file)
+	if err != nil {
+		return err
+	}
+	objects := make(map[string][]json.RawMessage)
+	if err := json.Unmarshal(data, &objects); err != nil {
+		return errors.Wrap(err, file)
+	}
+	last := int64(-1)
+	count := 0
+	for _, kind := range kinds {
+		for _, object := range objects[kind] {
+			accepted, err := putter.Put(ctx, o.Caller, kind, "", bytes.TrimSpace(object))
+			if err != nil {
+				return errors.Wrapf(err, "%s number %d", kind, count+1)
+			}
+			last = max(last, accepted.Offset)
+			count++
+		}
+	}
+	if err := watcher.Await(ctx, o.Streams, o.Caller, last, o.wait); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(o.Streams.Out, "%d objects applied\n", count)
+	return err
+}
--- /dev/null
+++ b/cmd/quetzalctl/deleter/deleter.go
@@ -0,0 +1,83 @@
+// Package deleter is the command that deletes an object.
+package deleter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/putter"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type deleteOptions struct {
+	grouper.Options
+	kind     string
+	revision string
+}
+
+// Command is "KIND delete".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Kind is the plural in the path.
+	Kind string
+	// Run deletes; nil stands for the real one.
+	Run     func(ctx context.Context, o *deleteOptions) error
+	options deleteOptions
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "delete" }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string { return "delete one of the " + c.Kind }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string { return "delete [-revision N] NAME:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.StringVar(&c.options.revision, "revision", "", "the revision that the change was made from")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams, c.options.kind = c.Streams, c.Kind
+	run := c.Run
+	if run == nil {
+		run = runDelete
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("delete", err)
+}
+
+func runDelete(ctx context.Context, o *deleteOptions) error {
+	name, err := o.One("name")
+	if err != nil {
+		return err
+	}
+	path := o.kind + "/" + url.PathEscape(name)
+	if o.revision == "" {
+		if o.revision, err = putter.Revision(ctx, o.Caller, path); err != nil {
+			return err
+		}
+	}
+	if o.revision == "new" {
+		return fmt.Errorf("there is no %q among the %s", name, o.kind)
+	}
+	if _, err := o.Caller.Do(ctx, http.MethodDelete, path, o.revision, nil); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(o.Streams.Out, "deleted")
+	return err
+}
--- /dev/null
+++ b/cmd/quetzalctl/drainer/drainer.go
@@ -0,0 +1,93 @@
+// Package drainer is the command that drains an upstream, or ends its drain.
+package drainer
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type drainOptions struct {
+	grouper.Options
+	verb string
+}
+
+// Command is "upstream drain" or "upstream undrain".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Verb is "drain" or "undrain".
+	Verb string
+	// Run drains; nil stands for the real one.
+	Run     func(ctx context.Context, o *drainOptions) error
+	options drainOptions
+}
+
+// Name implements subcommands.Command.
+func (c *Command) Name() string { return c.Verb }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string {
+	if c.Verb == "undrain" {
+		return "give an upstream new work again"
+	}
+	return "give an upstream no more new work"
+}
+
+// Usage implements subcommands.Command.
+func (c *Command) Usage() string {
+	return c.Verb + " NAME:\n  A drain holds within seconds, also while the log is away.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) { c.options.SetFlags(f) }
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams, c.options.verb = c.Streams, c.Verb
+	run := c.Run
+	if run == nil {
+		run = runDrain
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit(c.Verb, err)
+}
+
+func runDrain(ctx context.Context, o *drainOptions) error {
+	name, err := o.One("upstream")
+	if err != nil {
+		return err
+	}
+	a, err := o.Caller.Do(ctx, http.MethodPost, "upstreams/"+url.PathEscape(name)+"/"+o.verb, "", nil)
+	if err != nil {
+		return err
+	}
+	var answer struct {
+		Revision  int64 `json:"revision"`
+		Published bool  `json:"published"`
+	}
+	if err := json.Unmarshal(a.Body, &answer); err != nil {
+		return err
+	}
+	if o.JSON {
+		return printer.JSON(o.Streams.Out, json.RawMessage(a.Body))
+	}
+	text := fmt.Sprintf("published at revision %d", answer.Revision)
+	if !answer.Published {
+		text = "in force on the nodes that can be reached; published once the log is back"
+	}
+	_, err = fmt.Fprintln(o.Streams.Out, text)
+	return err
+}
--- /dev/null
+++ b/cmd/quetzalctl/editor/editor.go
@@ -0,0 +1,116 @@
+// Package editor is the command that changes single fields of an object.
+package editor
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/putter"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/watcher"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type editOptions struct {
+	grouper.Options
+	kind string
+	wait time.Duration
+}
+
+// Command is "KIND edit".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Kind is the plural in the path.
+	Kind string
+	// Run edits; nil stands for the real one.
+	Run     func(ctx context.Context, o *editOptions) error
+	options editOptions
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "edit" }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string { return "change fields of one of the " + c.Kind }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `edit NAME FIELD=VALUE...:
+  VALUE is JSON, or else a text. The change is refused if somebody else's came
+  in between.
+
+  quetzalctl profile edit chat first-token-target=250ms tier=1
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.DurationVar(&c.options.wait, "wait", 15*time.Second, "how long to wait for the nodes")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams, c.options.kind = c.Streams, c.Kind
+	run := c.Run
+	if run == nil {
+		run = runEdit
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("edit", err)
+}
+
+func runEdit(ctx context.Context, o *editOptions) error {
+	if len(o.Args) < 2 {
+		return &commander.UsageError{Problem: "a name and at least one FIELD=VALUE are needed"}
+	}
+	a, err := o.Caller.Do(ctx, http.MethodGet, o.kind+"/"+url.PathEscape(o.Args[0]), "", nil)
+	if err != nil {
+		return err
+	}
+	var object map[string]any
+	if err := json.Unmarshal(a.Body, &object); err != nil {
+		return err
+	}
+	for _, text := range o.Args[1:] {
+		name, value, ok := strings.Cut(text, "=")
+		if !ok {
+			return &commander.UsageError{Problem: fmt.Sprintf("%q is not FIELD=VALUE", text)}
+		}
+		object[name] = parse(value)
+	}
+	data, err := json.Marshal(object)
+	if err != nil {
+		return err
+	}
+	accepted, err := putter.Put(ctx, o.Caller, o.kind, a.Revision, data)
+	if err != nil {
+		return err
+	}
+	if err := watcher.Await(ctx, o.Streams, o.Caller, accepted.Offset, o.wait); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(o.Streams.Out, "revision %d\n", accepted.Revision)
+	return err
+}
+
+// parse reads a value as JSON, or else takes it as a text.
+func parse(text string) any {
+	var v any
+	if json.Unmarshal([]byte(text), &v) == nil {
+		return v
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/quetzalctl/lister/lister.go
@@ -0,0 +1,77 @@
+// Package lister is the command that lists the objects of a kind.
+package lister
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type listOptions struct {
+	grouper.Options
+	kind    string
+	columns []string
+}
+
+// Command is "KIND list".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Kind is the plural in the path.
+	Kind string
+	// Columns are the fields shown in a table.
+	Columns []string
+	// Run lists; nil stands for the real one.
+	Run     func(ctx context.Context, o *listOptions) error
+	options listOptions
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "list" }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string { return "list all " + c.Kind }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string { return "list [-json]:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) { c.options.SetFlags(f) }
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams, c.options.kind, c.options.columns = c.Streams, c.Kind, c.Columns
+	run := c.Run
+	if run == nil {
+		run = runList
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("list", err)
+}
+
+func runList(ctx context.Context, o *listOptions) error {
+	items, err := o.Caller.List(ctx, o.kind)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return printer.JSON(o.Streams.Out, items)
+	}
+	var rows [][]string
+	for _, item := range items {
+		row, err := printer.Fields(item, o.columns)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row)
+	}
+	return printer.Table(o.Streams, o.columns, rows)
+}
--- /dev/null
+++ b/cmd/quetzalctl/noder/noder.go
@@ -0,0 +1,70 @@
+// Package noder is the command that lists the nodes.
+package noder
+
+import (
+	"context"
+	"flag"
+	"strconv"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+// Command is "node list".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Run lists; nil stands for the real one.
+	Run     func(ctx context.Context, o *grouper.Options) error
+	options grouper.Options
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "list" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "list the nodes with their offset and lag" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string { return "list [-json]:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) { c.options.SetFlags(f) }
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams = c.Streams
+	run := c.Run
+	if run == nil {
+		run = runList
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("list", err)
+}
+
+func runList(ctx context.Context, o *grouper.Options) error {
+	nodes, err := o.Caller.ListNodes(ctx)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return printer.JSON(o.Streams.Out, nodes)
+	}
+	var highest int64
+	for _, n := range nodes {
+		highest = max(highest, n.Offset)
+	}
+	var rows [][]string
+	for _, n := range nodes {
+		rows = append(rows, []string{
+			n.Name, n.DataCentre, strconv.FormatInt(n.Offset, 10), strconv.FormatInt(highest-n.Offset, 10), n.HeardAgo, strconv.FormatBool(n.Stopping),
+		})
+	}
+	return printer.Table(o.Streams, []string{"name", "data-centre", "offset", "behind", "heard-ago", "stopping"}, rows)
+}
--- /dev/null
+++ b/cmd/quetzalctl/printer/printer.go
@@ -0,0 +1,61 @@
+// Package printer prints tables: aligned on a terminal, separated by tabs in a
+// pipe.
+package printer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+// padding is the space between two columns on a terminal.
+const padding = 2
+
+// Table prints rows under a head, which a pipe does not get.
+func Table(s commander.Streams, head []string, rows [][]string) error {
+	if !s.Terminal {
+		for _, row := range rows {
+			if _, err := fmt.Fprintln(s.Out, strings.Join(row, "\t")); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(s.Out, 0, 0, padding, ' ', 0)
+	for _, row := range append([][]string{head}, rows...) {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// JSON prints a value for programs.
+func JSON(w io.Writer, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return err
+}
+
+// Fields gives the named fields of an object as texts, empty where it lacks
+// them.
+func Fields(object json.RawMessage, names []string) ([]string, error) {
+	var o map[string]any
+	if err := json.Unmarshal(object, &o); err != nil {
+		return nil, err
+	}
+	row := make([]string, len(names))
+	for i, name := range names {
+		if v, ok := o[name]; ok {
+			row[i] = fmt.Sprint(v)
+		}
+	}
+	return row, nil
+}
--- /dev/null
+++ b/cmd/quetzalctl/shower/shower.go
@@ -0,0 +1,69 @@
+// Package shower is the command that shows one object.
+package shower
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"net/url"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+type showOptions struct {
+	grouper.Options
+	kind string
+}
+
+// Command is "KIND show".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Kind is the plural in the path.
+	Kind string
+	// Run shows; nil stands for the real one.
+	Run     func(ctx context.Context, o *showOptions) error
+	options showOptions
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "show" }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string { return "show one of the " + c.Kind + " as JSON" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string { return "show NAME:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) { c.options.SetFlags(f) }
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams, c.options.kind = c.Streams, c.Kind
+	run := c.Run
+	if run == nil {
+		run = runShow
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit("show", err)
+}
+
+func runShow(ctx context.Context, o *showOptions) error {
+	name, err := o.One("name")
+	if err != nil {
+		return err
+	}
+	a, err := o.Caller.Do(ctx, http.MethodGet, o.kind+"/"+url.PathEscape(name), "", nil)
+	if err != nil {
+		return err
+	}
+	_, err = o.Streams.Out.Write(a.Body)
+	return err
+}
--- /dev/null
+++ b/cmd/quetzalctl/statuser/statuser.go
@@ -0,0 +1,223 @@
+// Package statuser is the command that shows the state of a node, once or again
+// and again.
+package statuser
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os/signal"
+	"sort"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+// clearScreen goes to the top of an empty terminal.
+const clearScreen = "\x1b[H\x1b[2J"
+
+type statusOptions struct {
+	grouper.Options
+	// every is the time between two looks; zero for one look.
+	every time.Duration
+}
+
+// Command is "status" or, where Top is set, "top".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Top makes it look again and again.
+	Top bool
+	// Run shows; nil stands for the real one.
+	Run     func(ctx context.Context, o *statusOptions) error
+	options statusOptions
+}
+
+// Name implements subcommands.Command.
+func (c *Command) Name() string {
+	if c.Top {
+		return "top"
+	}
+	return "status"
+}
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string {
+	if c.Top {
+		return "show a node's state again and again"
+	}
+	return "show a node's state: classes, queues, refusals, upstreams"
+}
+
+// Usage implements subcommands.Command.
+func (c *Command) Usage() string { return c.Name() + " [-json]:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	if c.Top {
+		f.DurationVar(&c.options.every, "every", 2*time.Second, "time between two looks")
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.options.Streams = c.Streams
+	run := c.Run
+	if run == nil {
+		run = runStatus
+	}
+	err := c.options.Complete(f)
+	if err == nil {
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		err = run(ctx, &c.options)
+	}
+	return c.Streams.Exit(c.Name(), err)
+}
+
+func runStatus(ctx context.Context, o *statusOptions) error {
+	for {
+		if err := show(ctx, o); err != nil {
+			return err
+		}
+		if o.every <= 0 {
+			return nil
+		}
+		timer := time.NewTimer(o.every)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+		if o.Streams.Terminal {
+			if _, err := fmt.Fprint(o.Streams.Out, clearScreen); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// state is what a node says of itself.
+type state struct {
+	Node       string     `json:"node"`
+	DataCentre string     `json:"data-centre"`
+	Ready      bool       `json:"ready"`
+	NotReady   string     `json:"not-ready-because"`
+	Open       int        `json:"open"`
+	Offset     int64      `json:"offset"`
+	Queued     []int      `json:"queued-by-tier"`
+	Upstreams  []upstream `json:"upstreams"`
+	Counters   counters   `json:"counters"`
+}
+
+type upstream struct {
+	Name     string `json:"name"`
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	Running  int    `json:"running"`
+	Draining bool   `json:"draining"`
+	Leaving  bool   `json:"leaving"`
+	Suspect  bool   `json:"suspect"`
+}
+
+type counters struct {
+	FirstTokens map[string]histogram `json:"first-tokens"`
+	InTarget    map[string]int64     `json:"first-tokens-in-target"`
+	Refusals    map[string]int64     `json:"refusals"`
+	Retries     map[string]int64     `json:"retries"`
+}
+
+type histogram struct {
+	Count int64  `json:"count"`
+	P50   string `json:"p50"`
+	P95   string `json:"p95"`
+	P99   string `json:"p99"`
+}
+
+func show(ctx context.Context, o *statusOptions) error {
+	a, err := o.Caller.Do(ctx, http.MethodGet, "status", "", nil)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		_, err := o.Streams.Out.Write(a.Body)
+		return err
+	}
+	var s state
+	if err := json.Unmarshal(a.Body, &s); err != nil {
+		return errors.Wrap(err, "status")
+	}
+	return s.print(o.Streams)
+}
+
+func (s state) print(streams commander.Streams) error {
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready: " + s.NotReady
+	}
+	if _, err := fmt.Fprintf(streams.Out, "%s in %s, %s, offset %d, %d open, queued by tier %v\n\n", s.Node, s.DataCentre, ready, s.Offset, s.Open, s.Queued); err != nil {
+		return err
+	}
+	if err := printer.Table(streams, []string{"class", "first-tokens", "in-target", "p50", "p95", "p99"}, s.classes()); err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, u := range s.Upstreams {
+		rows = append(rows, []string{u.Name, u.Service, strconv.Itoa(u.Running), strconv.Itoa(u.Slots), u.flags()})
+	}
+	if _, err := fmt.Fprintln(streams.Out); err != nil {
+		return err
+	}
+	if err := printer.Table(streams, []string{"upstream", "service", "running", "slots", "state"}, rows); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(streams.Out); err != nil {
+		return err
+	}
+	return printer.Table(streams, []string{"counter", "reason", "count"}, append(counts("refused", s.Counters.Refusals), counts("retried", s.Counters.Retries)...))
+}
+
+func (s state) classes() [][]string {
+	var rows [][]string
+	for class, h := range s.Counters.FirstTokens {
+		share := "-"
+		if h.Count > 0 {
+			share = fmt.Sprintf("%.2f%%", 100*float64(s.Counters.InTarget[class])/float64(h.Count))
+		}
+		rows = append(rows, []string{class, strconv.FormatInt(h.Count, 10), share, h.P50, h.P95, h.P99})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i][0] < rows[j][0] })
+	return rows
+}
+
+func (u upstream) flags() string {
+	switch {
+	case u.Draining:
+		return "draining"
+	case u.Leaving:
+		return "leaving"
+	case u.Suspect:
+		return "suspect"
+	}
+	return "in use"
+}
+
+func counts(kind string, all map[string]int64) [][]string {
+	var rows [][]string
+	for reason, n := range all {
+		rows = append(rows, []string{kind, reason, strconv.FormatInt(n, 10)})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i][1] < rows[j][1] })
+	return rows
+}
