--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -154,7 +154,7 @@
 func (p *Prioritizer) Demand() []quetzalroad.ServiceDemand {
 	var demand []quetzalroad.ServiceDemand
 	for _, q := range p.queues() {
-		if wanted := q.wanted(); wanted > 0 {
+		if wanted := q.wanted(); wanted != (tierCounts{}) {
 			demand = append(demand, quetzalroad.ServiceDemand{Service: q.service, Wanted: wanted})
 		}
 	}
@@ -164,7 +164,7 @@
 // Peer implements quetzalroad.Admitter. A service that the peer does not name
 // is not wanted there.
 func (p *Prioritizer) Peer(n quetzalroad.NodeName, received time.Time, demand []quetzalroad.ServiceDemand) {
-	wanted := make(map[quetzalroad.ServiceName]int, len(demand))
+	wanted := make(map[quetzalroad.ServiceName]tierCounts, len(demand))
 	for _, d := range demand {
 		wanted[d.Service] = d.Wanted
 		p.queue(d.Service)
--- a/admitter/prioritizer/queue.go
+++ b/admitter/prioritizer/queue.go
@@ -19,10 +19,13 @@
 // holdGain is the weight of a new observation of how long a place is held.
 const holdGain = 0.1
 
+// tierCounts counts requests by tier.
+type tierCounts = [quetzalroad.MaxTiers]int
+
 // told is the demand on a peer.
 type told struct {
 	at     time.Time
-	wanted int
+	wanted tierCounts
 }
 
 // queue is the queue of one service.
@@ -50,19 +53,19 @@
 	floor int
 }
 
-func (q *queue) wanted() int {
+func (q *queue) wanted() tierCounts {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.wantedLocked()
 }
 
-func (q *queue) wantedLocked() int {
-	sum := 0
+func (q *queue) wantedLocked() tierCounts {
+	var counts tierCounts
 	for i := range q.tiers {
 		t := &q.tiers[i]
-		sum += t.running + t.floor + t.waiting
+		counts[i] = t.running + t.floor + t.waiting
 	}
-	return sum
+	return counts
 }
 
 func (q *queue) setPeer(n quetzalroad.NodeName, t told) {
@@ -75,14 +78,17 @@
 }
 
 // roomLocked shares the slots out between the nodes of the data centre: a
-// static part evenly, the rest by demand.
+// static part evenly, the rest by demand, that of the higher tiers first.
 func (q *queue) roomLocked(now time.Time, c quetzalroad.Capacity) room {
 	nodes := 1
-	others := 0
+	var others tierCounts
 	for _, p := range q.peers {
-		if now.Sub(p.at) < q.owner.policy.peerLifetime {
-			nodes++
-			others += p.wanted
+		if now.Sub(p.at) >= q.owner.policy.peerLifetime {
+			continue
+		}
+		nodes++
+		for i, n := range p.wanted {
+			others[i] += n
 		}
 	}
 	total := float64(max(0, c.Slots-c.Unexplained))
@@ -90,13 +96,26 @@
 	if nodes == 1 {
 		return room{slots: int(total), floor: int(floor)}
 	}
-	own := q.wantedLocked()
-	static := q.owner.policy.staticShare
-	part := total / float64(nodes)
-	if own+others > 0 {
-		part = static*part + (1-static)*total*float64(own)/float64(own+others)
+	static := q.owner.policy.staticShare * total
+	part := static/float64(nodes) + byDemand(total-static, q.wantedLocked(), others, nodes)
+	return room{slots: max(1, int(part)), floor: q.floorPart(now, int(floor), nodes)}
+}
+
+// byDemand gives a node's part of a pool: each tier in order takes what it
+// wants, shared in proportion to the demand, and what is left is shared
+// evenly.
+func byDemand(pool float64, own, others tierCounts, nodes int) float64 {
+	part := 0.0
+	for i := range own {
+		wanted := float64(own[i] + others[i])
+		if wanted == 0 {
+			continue
+		}
+		taken := min(pool, wanted)
+		part += taken * float64(own[i]) / wanted
+		pool -= taken
 	}
-	return room{slots: int(math.Ceil(part)), floor: q.floorPart(now, int(floor), nodes)}
+	return part + pool/float64(nodes)
 }
 
 // floorTurn is how long a node keeps its turn at the floor.
@@ -395,11 +414,13 @@
 
 func (q *queue) startLocked(now time.Time, w *waiter) {
 	w.started = now
+	q.tiers[w.tier()].grantedAt = now
 	close(w.granted)
 }
 
 // grantFloorLocked gives a place of the floor to the tier below the first
-// that has waited longest since it last got one.
+// that has gone longest without any place. A tier that gets places anyway
+// needs no floor.
 func (q *queue) grantFloorLocked(now time.Time, r room) bool {
 	used := 0
 	for i := range q.tiers {
@@ -414,7 +435,6 @@
 	}
 	w := t.pop()
 	t.floor++
-	t.floorAt = now
 	w.state = stateFloor
 	q.startLocked(now, w)
 	return true
@@ -424,10 +444,11 @@
 	var best *tier
 	for i := 1; i < len(q.tiers); i++ {
 		t := &q.tiers[i]
-		if t.waiting == 0 || t.oldest(now) < q.owner.policy.floorAfter {
+		after := q.owner.policy.floorAfter
+		if t.waiting == 0 || t.oldest(now) < after || now.Sub(t.grantedAt) < after {
 			continue
 		}
-		if best == nil || t.floorAt.Before(best.floorAt) {
+		if best == nil || t.grantedAt.Before(best.grantedAt) {
 			best = t
 		}
 	}
--- a/admitter/prioritizer/waiter.go
+++ b/admitter/prioritizer/waiter.go
@@ -167,8 +167,8 @@
 	// pausable are the running requests that may be paused, the last started
 	// at the end.
 	pausable []*waiter
-	// floorAt is when the tier last got a place of the floor.
-	floorAt time.Time
+	// grantedAt is when the tier last got a place, on the floor or not.
+	grantedAt time.Time
 }
 
 // push adds a waiter to its team's line.
--- a/balancer/estimator/estimator.go
+++ b/balancer/estimator/estimator.go
@@ -7,7 +7,6 @@
 package estimator
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,20 +28,26 @@
 	load       quetzalroad.LoadTracker
 	choices    int
 	affinity   float64
+	alike      float64
 	shortShare float64
+	seed       int
 	times      timeCache
+	draws      draws
 }
 
 // Declare implements kernel.Part.
 func (e *Estimator) Declare(s *configurer.Section) {
 	s.Int("choices", &e.choices, 3, 1, 64, "How many upstreams are drawn at random and compared.")
 	s.Float("affinity", &e.affinity, 0.75, 0, 1, "Load, as a share of an upstream's slots, up to which a request follows its prompt prefix.")
+	s.Float("alike", &e.alike, 0.6, 0, 1, "Weight of the assumption that peers' work is spread like this node's, against what they told.")
+	s.Int("seed", &e.seed, 0, 0, 1<<30, "Seed of the random choices, for measurements; zero for none.")
 	s.Float("short-share", &e.shortShare, 0.34, 0, 0.9, "Share of the upstreams that preemptible work leaves to interactive work.")
 }
 
 // Build implements kernel.Part.
 func (e *Estimator) Build(n *kernel.Node) error {
 	e.load = n.Load
+	e.draws.fix(e.seed)
 	n.Balancer = e
 	return nil
 }
@@ -57,10 +62,10 @@
 	if near, ok := e.near(now, r, candidates[low:high], usual); ok {
 		return near
 	}
-	best := candidates[low+rand.IntN(high-low)]
+	best := candidates[low+e.draws.below(high-low)]
 	least := e.cost(now, r, best, usual)
 	for range e.choices - 1 {
-		u := candidates[low+rand.IntN(high-low)]
+		u := candidates[low+e.draws.below(high-low)]
 		c := e.cost(now, r, u, usual)
 		if c < least {
 			best = u
@@ -103,7 +108,7 @@
 		}
 	}
 	estimate := e.load.Estimate(best.Name, now)
-	if estimate.Suspect || float64(estimate.Running) >= e.affinity*float64(best.Slots) || slow(estimate, usual) {
+	if estimate.Suspect || e.expected(estimate) >= e.affinity*float64(best.Slots) || slow(estimate, usual) {
 		return quetzalroad.Upstream{}, false
 	}
 	return best, true
@@ -124,14 +129,24 @@
 	return usual > 0 && estimate.TokenTime > slowFactor*usual
 }
 
+// expected gives the number of requests on an upstream. What peers told is
+// late, and nodes that all follow it run to the same upstream together; what
+// they have there is likely much like this node's own. The truth is taken to
+// lie between.
+func (e *Estimator) expected(estimate quetzalroad.LoadEstimate) float64 {
+	alike := float64(estimate.Own * estimate.Peers)
+	told := float64(estimate.Told)
+	return float64(estimate.Running) - told + e.alike*alike + (1-e.alike)*told
+}
+
 // cost is the estimated load of an upstream relative to its slots, times its
 // slowness relative to the service's usual token time.
 func (e *Estimator) cost(now time.Time, r *quetzalroad.Request, u quetzalroad.Upstream, usual time.Duration) float64 {
 	estimate := e.load.Estimate(u.Name, now)
 	e.times.learn(r.Service.Name, estimate.TokenTime)
-	running := float64(estimate.Running + 1)
-	if over := estimate.Running + 1 - u.Slots; over > 0 {
-		running += overfullPenalty * float64(over)
+	running := e.expected(estimate) + 1
+	if over := running - float64(u.Slots); over > 0 {
+		running += overfullPenalty * over
 	}
 	cost := running / float64(max(1, u.Slots))
 	if usual > 0 && estimate.TokenTime > 0 {
--- a/interfaces.go
+++ b/interfaces.go
@@ -168,8 +168,8 @@
 // ServiceDemand is the demand for a service on one node.
 type ServiceDemand struct {
 	Service ServiceName
-	// Wanted counts the requests that run or wait.
-	Wanted int
+	// Wanted counts the requests that run or wait, by tier.
+	Wanted [MaxTiers]int
 }
 
 // LengthEstimator learns how many tokens requests generate.
--- a/peermapper/heartbeat.go
+++ b/peermapper/heartbeat.go
@@ -32,7 +32,7 @@
 		})
 	}
 	for _, x := range h.Services {
-		w.Services = append(w.Services, &peerwire.ServiceDemand{Service: string(x.Service), Wanted: uint32(x.Wanted)})
+		w.Services = append(w.Services, &peerwire.ServiceDemand{Service: string(x.Service), Wanted: encodeTiers(x.Wanted)})
 	}
 	for _, x := range h.Places {
 		w.Places = append(w.Places, &peerwire.Place{DataCentre: string(x.DataCentre), TakenUs: x.Taken.UnixMicro(), Teams: encodeTeams(x.Demand)})
@@ -46,6 +46,31 @@
 	return w
 }
 
+// encodeTiers leaves out the zeros at the end.
+func encodeTiers(wanted [quetzalroad.MaxTiers]int) []uint32 {
+	var w []uint32
+	for i, n := range wanted {
+		if n == 0 {
+			continue
+		}
+		for len(w) < i {
+			w = append(w, 0)
+		}
+		w = append(w, uint32(n))
+	}
+	return w
+}
+
+func decodeTiers(w []uint32) [quetzalroad.MaxTiers]int {
+	var wanted [quetzalroad.MaxTiers]int
+	for i, n := range w {
+		if i < len(wanted) {
+			wanted[i] = int(n)
+		}
+	}
+	return wanted
+}
+
 func encodeTeams(demand []quetzalroad.TeamDemand) []*peerwire.TeamDemand {
 	var w []*peerwire.TeamDemand
 	for _, x := range demand {
@@ -111,7 +136,7 @@
 		})
 	}
 	for _, x := range w.GetServices() {
-		h.Services = append(h.Services, quetzalroad.ServiceDemand{Service: quetzalroad.ServiceName(x.GetService()), Wanted: int(x.GetWanted())})
+		h.Services = append(h.Services, quetzalroad.ServiceDemand{Service: quetzalroad.ServiceName(x.GetService()), Wanted: decodeTiers(x.GetWanted())})
 	}
 }
 
--- a/request.go
+++ b/request.go
@@ -133,8 +133,10 @@
 	Running int
 	// Own is the number of this node's own.
 	Own int
-	// Told is the number that peers told of.
-	Told int
+	// Told is the number that peers told of, and Peers how many of them told
+	// anything lately.
+	Told  int
+	Peers int
 	// TokenTime is the recent time between two tokens; zero where this node
 	// has not seen any lately.
 	TokenTime time.Duration
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,9 @@
 	movesKept = 128
 	// gain is the weight of a new observation in a moving mean.
 	gain = 0.2
+	// reportGain is the weight of a new report against the ones before. Single
+	// reports are noisy, as they and the peers' telling lag differently.
+	reportGain = 0.3
 	// staleAfter is the age at which observed times say nothing any more.
 	staleAfter = 10 * time.Second
 	// stallFactor is how many token times without progress count as a stall.
@@ -78,6 +82,9 @@
 	// report is the last one received; zero before the first.
 	report   quetzalroad.LoadReport
 	reported time.Time
+	// unexplained is a moving mean of what the reports counted beyond the work
+	// of this node and its peers.
+	unexplained float64
 	// polled is when this node itself last got a report; zero for never.
 	polled time.Time
 	// peers holds the last count of each peer; its sum is foreign.
@@ -116,7 +123,11 @@
 	suspectMax float64
 	shards     [shardCount]shard
 	views      viewCache
-	poller     poller
+	// tellers holds a time for each peer that told of its load.
+	tellers sync.Map
+	// telling counts the tellers.
+	telling atomic.Int64
+	poller  poller
 }
 
 // Declare implements kernel.Part.
@@ -229,6 +240,8 @@
 		if r.Taken.Before(b.report.Taken) {
 			return
 		}
+		beyond := r.Running + r.Waiting + b.moves.since(r.Taken) - b.own - b.foreign
+		b.unexplained += reportGain * (float64(beyond) - b.unexplained)
 		b.report = r
 		b.reported = received
 	})
@@ -237,6 +250,9 @@
 // Peer implements quetzalroad.LoadTracker. An upstream that the peer names no
 // more has none of its work.
 func (t *Tracker) Peer(n quetzalroad.NodeName, received time.Time, loads []quetzalroad.UpstreamLoad) {
+	if _, known := t.tellers.Swap(n, received); !known {
+		t.telling.Add(1)
+	}
 	told := make(map[quetzalroad.UpstreamName]bool, len(loads))
 	for _, l := range loads {
 		told[l.Upstream] = true
@@ -247,6 +263,9 @@
 
 // Forget implements quetzalroad.LoadTracker.
 func (t *Tracker) Forget(n quetzalroad.NodeName) {
+	if _, known := t.tellers.LoadAndDelete(n); known {
+		t.telling.Add(-1)
+	}
 	t.clearPeer(n, time.Now(), nil)
 }
 
@@ -294,7 +313,9 @@
 	if b == nil {
 		return quetzalroad.LoadEstimate{}
 	}
-	return b.estimate(now, t.reportTTL)
+	e := b.estimate(now, t.reportTTL)
+	e.Peers = int(t.telling.Load())
+	return e
 }
 
 func (b *belief) estimate(now time.Time, reportTTL time.Duration) quetzalroad.LoadEstimate {
@@ -306,8 +327,7 @@
 		Leaving: b.leaving || b.report.Leaving,
 	}
 	if !b.reported.IsZero() && now.Sub(b.report.Taken) < reportTTL {
-		corrected := b.report.Running + b.report.Waiting + b.moves.since(b.report.Taken)
-		e.Running = max(e.Running, corrected)
+		e.Running += int(max(0, b.unexplained))
 	}
 	if now.Sub(b.tokenAt) < staleAfter {
 		e.TokenTime = b.tokenTime
