Spill to other data centres and compare more candidates

Cause: in the burst one data centre's Poisson swing left chats without room while another had some. Heartbeats between data centres tell the room left; a node uses its part of it where the round trip takes at most a quarter of the target.

--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// Rooms implements quetzalroad.Admitter. What preemptible work holds or waits
+// for counts as room, as it can be paused.
+func (p *Prioritizer) Rooms(now time.Time) []quetzalroad.ServiceRoom {
+	var rooms []quetzalroad.ServiceRoom
+	for _, q := range p.queues() {
+		c := p.capacity.Capacity(now, q.service)
+		rooms = append(rooms, quetzalroad.ServiceRoom{Service: q.service, Free: q.free(now, c)})
+	}
+	return rooms
+}
+
 // admission is the place of one request.
 type admission struct {
 	queue  *queue
--- a/admitter/prioritizer/queue.go
+++ b/admitter/prioritizer/queue.go
@@ -101,6 +101,27 @@
 	return room{slots: max(1, int(part)), floor: q.floorPart(now, int(floor), nodes)}
 }
 
+// free gives the slots of the data centre that are left by the tiers whose work
+// can't be paused, as far as the node knows.
+func (q *queue) free(now time.Time, c quetzalroad.Capacity) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	left := c.Slots - c.Unexplained
+	for i := range q.tiers {
+		t := &q.tiers[i]
+		if t.preemptible {
+			continue
+		}
+		left -= t.running + t.waiting
+		for _, p := range q.peers {
+			if now.Sub(p.at) < q.owner.policy.peerLifetime {
+				left -= p.wanted[i]
+			}
+		}
+	}
+	return max(0, left)
+}
+
 // byDemand gives a node's part of a pool: each tier in order takes what it
 // wants, shared in proportion to the demand, and what is left is shared
 // evenly.
@@ -179,7 +200,9 @@
 	w.paused = make(chan struct{})
 	w.state = stateWaiting
 	w.grantsBelow = q.grantsBelowLocked(w.tier())
-	q.tiers[w.tier()].push(w)
+	t := &q.tiers[w.tier()]
+	t.preemptible = w.request.Profile.Preemptible
+	t.push(w)
 }
 
 func (q *queue) grantsBelowLocked(t quetzalroad.Tier) uint64 {
--- a/admitter/prioritizer/waiter.go
+++ b/admitter/prioritizer/waiter.go
@@ -167,6 +167,8 @@
 	// pausable are the running requests that may be paused, the last started
 	// at the end.
 	pausable []*waiter
+	// preemptible tells that the tier's last request could be paused.
+	preemptible bool
 	// grantedAt is when the tier last got a place, on the floor or not.
 	grantedAt time.Time
 }
--- a/admitter/queuer/queuer.go
+++ b/admitter/queuer/queuer.go
@@ -166,6 +166,9 @@
 // Forget implements quetzalroad.Admitter.
 func (*Queuer) Forget(quetzalroad.NodeName) {}
 
+// Rooms implements quetzalroad.Admitter; the baseline tells nothing.
+func (*Queuer) Rooms(time.Time) []quetzalroad.ServiceRoom { return nil }
+
 type admission struct {
 	queuer *Queuer
 	queue  *queue
--- a/balancer/estimator/estimator.go
+++ b/balancer/estimator/estimator.go
@@ -37,7 +37,7 @@
 
 // Declare implements kernel.Part.
 func (e *Estimator) Declare(s *configurer.Section) {
-	s.Int("choices", &e.choices, 3, 1, 64, "How many upstreams are drawn at random and compared.")
+	s.Int("choices", &e.choices, 8, 1, 64, "How many upstreams are drawn at random and compared.")
 	s.Float("affinity", &e.affinity, 0.75, 0, 1, "Load, as a share of an upstream's slots, up to which a request follows its prompt prefix.")
 	s.Float("alike", &e.alike, 0.6, 0, 1, "Weight of the assumption that peers' work is spread like this node's, against what they told.")
 	s.Int("seed", &e.seed, 0, 0, 1<<30, "Seed of the random choices, for measurements; zero for none.")
--- a/cmd/quetzalemu/demonstrator/plugins.go
+++ b/cmd/quetzalemu/demonstrator/plugins.go
@@ -24,6 +24,8 @@
 	_ "github.com/quetzalroad/quetzalroad/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/retrier/repeater"
 	_ "github.com/quetzalroad/quetzalroad/serviceconnector"
+	_ "github.com/quetzalroad/quetzalroad/spiller/sender"
+	_ "github.com/quetzalroad/quetzalroad/spiller/stayer"
 	_ "github.com/quetzalroad/quetzalroad/tracker"
 	_ "github.com/quetzalroad/quetzalroad/vmclient"
 )
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -33,6 +33,7 @@
 	breaches  expvar.Map
 	sent      expvar.Map
 	received  expvar.Map
+	far       expvar.Map
 	attempts  expvar.Int
 	generated expvar.Int
 	wasted    expvar.Int
@@ -54,6 +55,7 @@
 	n.Vars.Set("invariant-breaches", &c.breaches)
 	n.Vars.Set("control-bytes-sent", &c.sent)
 	n.Vars.Set("control-bytes-received", &c.received)
+	n.Vars.Set("far-bytes", &c.far)
 	n.Vars.Set("attempts", &c.attempts)
 	n.Vars.Set("tokens-generated", &c.generated)
 	n.Vars.Set("tokens-wasted", &c.wasted)
@@ -112,6 +114,11 @@
 	c.received.Add(string(kind), int64(bytes))
 }
 
+// Far implements quetzalroad.Recorder.
+func (c *Counter) Far(purpose quetzalroad.FarPurpose, bytes int) {
+	c.far.Add(string(purpose), int64(bytes))
+}
+
 // Breach implements quetzalroad.Recorder.
 func (c *Counter) Breach(name, seen string) {
 	c.breaches.Add(name, 1)
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -22,20 +22,20 @@
 	}
 	defer p.leave(0)
 	if c.Idempotent {
-		return d.attemptCall(ctx, c)
+		return d.attemptCall(ctx, p, c)
 	}
 	// Work that can't be repeated is not cut off when its caller leaves: the
 	// outcome is wanted by whoever asks again.
 	run, stop := bound(context.WithoutCancel(ctx), &c.Request)
 	defer stop()
 	if c.IdempotencyKey == "" {
-		return d.attemptCall(run, c)
+		return d.attemptCall(run, p, c)
 	}
-	return d.claimedCall(run, c)
+	return d.claimedCall(run, p, c)
 }
 
 // claimedCall runs a call only if the log gives its key to it.
-func (d *Dispatcher) claimedCall(ctx context.Context, c *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
+func (d *Dispatcher) claimedCall(ctx context.Context, p place, c *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
 	key := hash(string(c.Team.Name), string(c.Service.Name), c.IdempotencyKey)
 	claim, err := d.node.Claimer.Claim(ctx, key, hash(c.Method, c.Path, c.Query, string(c.Body)), c.ID)
 	if err != nil {
@@ -46,7 +46,7 @@
 	if claim.State != quetzalroad.ClaimWon {
 		return earlier(claim)
 	}
-	answer, err := d.attemptCall(ctx, c)
+	answer, err := d.attemptCall(ctx, p, c)
 	if err == nil {
 		d.node.Claimer.Finish(key, c.ID, answer)
 		return answer, nil
@@ -88,11 +88,11 @@
 	return quetzalroad.KeyHash(sum.Sum(nil))
 }
 
-func (d *Dispatcher) attemptCall(ctx context.Context, c *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
+func (d *Dispatcher) attemptCall(ctx context.Context, p place, c *quetzalroad.ServiceCall) (*quetzalroad.ServiceAnswer, error) {
 	d.node.Retry.First(time.Now(), c.Service.Name)
 	t := &tries{}
 	for {
-		u, ok := d.choose(&c.Request, t.tried)
+		u, ok := d.choose(&c.Request, p, t.tried)
 		if !ok {
 			refusal := noUpstream()
 			refusal.Outcome = t.outcome()
--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -58,7 +58,7 @@
 	d := r.dispatcher
 	d.node.Retry.First(time.Now(), r.chat.Service.Name)
 	for {
-		u, ok := d.choose(&r.chat.Request, r.tries.tried)
+		u, ok := d.choose(&r.chat.Request, r.place, r.tries.tried)
 		if !ok {
 			refusal := noUpstream()
 			refusal.Outcome = r.tries.outcome()
@@ -185,6 +185,9 @@
 	if err := r.sink.Write(e); err != nil {
 		return false, &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerLeft, Message: "the caller left", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
 	}
+	if len(r.place.far) > 0 {
+		r.dispatcher.node.Recorder.Far(quetzalroad.FarSpill, len(e.Chunk))
+	}
 	r.text.WriteString(e.Text)
 	r.tokens += e.Tokens
 	r.finished = r.finished || e.Finish != ""
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -93,6 +93,9 @@
 type place struct {
 	grant     quetzalroad.Grant
 	admission quetzalroad.Admission
+	// far lists the upstreams of another data centre that the request was
+	// admitted to; empty for the usual ones.
+	far []quetzalroad.Upstream
 }
 
 // enter takes a request through the limits and the queue.
@@ -102,11 +105,29 @@
 		return place{}, err
 	}
 	admission, err := d.node.Admitter.Admit(ctx, r)
-	if err != nil {
-		grant.Release(time.Now(), 0)
-		return place{}, err
+	if err == nil {
+		return place{grant: grant, admission: admission}, nil
+	}
+	if p, ok := d.spill(r, err); ok {
+		p.grant = grant
+		return p, nil
+	}
+	grant.Release(time.Now(), 0)
+	return place{}, err
+}
+
+// spill looks for room in another data centre where a request's own has none
+// within its target.
+func (d *Dispatcher) spill(r *quetzalroad.Request, refused error) (place, bool) {
+	var refusal *quetzalroad.Refusal
+	if !errors.As(refused, &refusal) || refusal.Reason != quetzalroad.ReasonTargetUnreachable {
+		return place{}, false
 	}
-	return place{grant: grant, admission: admission}, nil
+	far, admission := d.node.Spiller.Spill(time.Now(), r)
+	if admission == nil {
+		return place{}, false
+	}
+	return place{admission: admission, far: far}, true
 }
 
 // leave gives back what a request held.
@@ -124,9 +145,12 @@
 }
 
 // choose picks an upstream that wasn't tried yet, or where all were, any.
-func (d *Dispatcher) choose(r *quetzalroad.Request, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
+func (d *Dispatcher) choose(r *quetzalroad.Request, p place, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
 	now := time.Now()
-	candidates := d.node.Capacity.Candidates(now, r.Service.Name, tried)
+	candidates := p.far
+	if len(tried) > 0 || len(candidates) == 0 {
+		candidates = d.node.Capacity.Candidates(now, r.Service.Name, tried)
+	}
 	if len(candidates) == 0 {
 		candidates = d.node.Capacity.Candidates(now, r.Service.Name, nil)
 	}
--- a/gossiper/beater.go
+++ b/gossiper/beater.go
@@ -124,11 +124,16 @@
 func (g *Gossiper) beat(ctx context.Context, to netip.AddrPort, h quetzalroad.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, g.timeout)
 	defer cancel()
+	began := time.Now()
 	answer, err := g.transport.Beat(ctx, to, h)
 	if err != nil {
 		g.node.Vars.Add("heartbeat-failures", 1)
 		return
 	}
+	if h.Far {
+		g.members.timed(answer.From.DataCentre, time.Since(began))
+		g.node.Recorder.Far(quetzalroad.FarHeartbeat, proto.Size(peermapper.EncodeHeartbeat(h)))
+	}
 	g.take(answer)
 	if len(h.Nodes) > 0 {
 		g.members.introduce(answer.From.Name)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -136,7 +136,9 @@
 		h.Nodes = g.members.addresses(g.self())
 	}
 	if h.Far {
-		h.Places = []quetzalroad.PlaceDemand{g.members.sum(now, g.lifetime, g.node.DataCentre, g.node.Limiter.Demand(now))}
+		sum := g.members.sum(now, g.lifetime, g.node.DataCentre, g.node.Limiter.Demand(now))
+		sum.Rooms = g.node.Admitter.Rooms(now)
+		h.Places = []quetzalroad.PlaceDemand{sum}
 		return h
 	}
 	h.Loads = g.node.Load.Own(now)
@@ -164,6 +166,7 @@
 		if p.DataCentre != g.node.DataCentre {
 			g.members.place(now, p, h.Far)
 			g.node.Limiter.Place(p.DataCentre, p.Taken, p.Demand)
+			g.node.Spiller.Place(p.DataCentre, p.Taken, g.members.trip(p.DataCentre), p.Rooms)
 		}
 	}
 	if !h.Far {
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -59,9 +59,33 @@
 type members struct {
 	shards [memberShards]memberShard
 	mu     sync.Mutex
-	// places holds the last sum of each other data centre and is guarded by
-	// mu.
+	// places holds the last sum of each other data centre, and trips the last
+	// round trip to it. Both are guarded by mu.
 	places map[quetzalroad.DataCentre]told
+	trips  map[quetzalroad.DataCentre]time.Duration
+}
+
+// timed notes a round trip to another data centre.
+func (s *members) timed(d quetzalroad.DataCentre, trip time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trips == nil {
+		s.trips = make(map[quetzalroad.DataCentre]time.Duration)
+	}
+	s.trips[d] = trip
+}
+
+// unknownTrip stands for a round trip that was not timed yet.
+const unknownTrip = 200 * time.Millisecond
+
+// trip gives the last round trip to a data centre.
+func (s *members) trip(d quetzalroad.DataCentre) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if trip, ok := s.trips[d]; ok {
+		return trip
+	}
+	return unknownTrip
 }
 
 func (s *members) shard(n quetzalroad.NodeName) *memberShard {
--- a/interfaces.go
+++ b/interfaces.go
@@ -163,6 +163,18 @@
 	Peer(n NodeName, received time.Time, demand []ServiceDemand)
 	// Forget drops what a peer told.
 	Forget(n NodeName)
+	// Rooms tells the room left in the node's data centre, for others.
+	Rooms(now time.Time) []ServiceRoom
+}
+
+// Spiller sends work that its own data centre has no room for to another one.
+type Spiller interface {
+	// Place takes the room left in another data centre and the round trip to
+	// it.
+	Place(d DataCentre, received time.Time, trip time.Duration, rooms []ServiceRoom)
+	// Spill gives upstreams of another data centre that can take a request
+	// within its target, and an admission to them; nil where there are none.
+	Spill(now time.Time, r *Request) ([]Upstream, Admission)
 }
 
 // ServiceDemand is the demand for a service on one node.
@@ -377,6 +389,8 @@
 	Ended(c Class, o Outcome)
 	Sent(kind ControlKind, bytes int)
 	Received(kind ControlKind, bytes int)
+	// Far counts bytes between regions by their purpose.
+	Far(purpose FarPurpose, bytes int)
 	// Breach counts and logs a broken invariant.
 	Breach(name string, seen string)
 }
@@ -393,3 +407,13 @@
 	ControlReports   ControlKind = "reports"
 	ControlVMs       ControlKind = "vms"
 )
+
+// FarPurpose tells apart why bytes cross between regions.
+type FarPurpose string
+
+// The purposes of bytes between regions.
+const (
+	FarHeartbeat FarPurpose = "heartbeat"
+	FarRecords   FarPurpose = "records"
+	FarSpill     FarPurpose = "spill"
+)
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -45,6 +45,7 @@
 	Balancer    quetzalroad.Balancer
 	Limiter     quetzalroad.Limiter
 	Admitter    quetzalroad.Admitter
+	Spiller     quetzalroad.Spiller
 	Retry       quetzalroad.RetryPolicy
 	Engines     quetzalroad.ChatProtocol
 	Services    quetzalroad.ServiceProtocol
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -29,6 +29,7 @@
 	SlotBalancer   Slot = "balancer"
 	SlotLimiter    Slot = "limiter"
 	SlotAdmitter   Slot = "admitter"
+	SlotSpill      Slot = "spill"
 	SlotRetry      Slot = "retry"
 	SlotEngines    Slot = "engines"
 	SlotServices   Slot = "services"
@@ -55,6 +56,7 @@
 	{SlotBalancer, "The choice of an upstream."},
 	{SlotLimiter, "The limits of teams and services."},
 	{SlotAdmitter, "The queue in front of the upstreams."},
+	{SlotSpill, "Work that goes to another data centre for want of room."},
 	{SlotRetry, "Whether an attempt may be repeated."},
 	{SlotEngines, "The protocol of model engines."},
 	{SlotServices, "The protocol of plain services."},
--- a/measurer/measure_test.go
+++ b/measurer/measure_test.go
@@ -40,8 +40,10 @@
 
 // slowed has a fifth of the engines slowed fivefold, unseen by their reports.
 func (u user) slowed(factor float64) scenario {
-	return scenario{user: u, seed: 45, deadline: 20 * time.Minute, phases: []phase{{until: 30 * time.Second, chat: 0.35}},
-		slowing: slowing{engines: u.engines / 5, factor: factor, from: 5 * time.Second, until: 30 * time.Second}}
+	return scenario{
+		user: u, seed: 45, deadline: 20 * time.Minute, phases: []phase{{until: 30 * time.Second, chat: 0.35}},
+		slowing: slowing{engines: u.engines / 5, factor: factor, from: 5 * time.Second, until: 30 * time.Second},
+	}
 }
 
 // measures is what one policy gave for one user.
--- a/measurer/plugins_test.go
+++ b/measurer/plugins_test.go
@@ -16,5 +16,7 @@
 	_ "github.com/quetzalroad/quetzalroad/limiter/sharer"
 	_ "github.com/quetzalroad/quetzalroad/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/retrier/repeater"
+	_ "github.com/quetzalroad/quetzalroad/spiller/sender"
+	_ "github.com/quetzalroad/quetzalroad/spiller/stayer"
 	_ "github.com/quetzalroad/quetzalroad/tracker"
 )
--- a/peer.go
+++ b/peer.go
@@ -25,6 +25,15 @@
 	// Taken is the time of the sum on the node that formed it.
 	Taken  time.Time
 	Demand []TeamDemand
+	// Rooms tells how much room each service has left there.
+	Rooms []ServiceRoom
+}
+
+// ServiceRoom is the room that a service has left in a data centre.
+type ServiceRoom struct {
+	Service ServiceName
+	// Free counts the slots that work which can't be paused leaves.
+	Free int
 }
 
 // Drain is an operator's wish that an upstream gets no new work, which may
--- a/peermapper/heartbeat.go
+++ b/peermapper/heartbeat.go
@@ -35,7 +35,11 @@
 		w.Services = append(w.Services, &peerwire.ServiceDemand{Service: string(x.Service), Wanted: encodeTiers(x.Wanted)})
 	}
 	for _, x := range h.Places {
-		w.Places = append(w.Places, &peerwire.Place{DataCentre: string(x.DataCentre), TakenUs: x.Taken.UnixMicro(), Teams: encodeTeams(x.Demand)})
+		place := &peerwire.Place{DataCentre: string(x.DataCentre), TakenUs: x.Taken.UnixMicro(), Teams: encodeTeams(x.Demand)}
+		for _, r := range x.Rooms {
+			place.Rooms = append(place.Rooms, &peerwire.ServiceRoom{Service: string(r.Service), Free: uint32(max(0, r.Free))})
+		}
+		w.Places = append(w.Places, place)
 	}
 	for _, x := range h.Drains {
 		w.Drains = append(w.Drains, &peerwire.Drain{Upstream: string(x.Upstream), Id: string(x.ID), Author: x.Author, Base: int64(x.Base), AskedUs: x.Asked.UnixMicro()})
@@ -100,9 +104,13 @@
 		h.Heads = append(h.Heads, quetzalroad.StreamHead{Stream: quetzalroad.Stream(x.GetStream()), Offset: quetzalroad.Offset(x.GetOffset())})
 	}
 	for _, x := range w.GetPlaces() {
-		h.Places = append(h.Places, quetzalroad.PlaceDemand{
+		place := quetzalroad.PlaceDemand{
 			DataCentre: quetzalroad.DataCentre(x.GetDataCentre()), Taken: time.UnixMicro(x.GetTakenUs()), Demand: decodeTeams(x.GetTeams()),
-		})
+		}
+		for _, r := range x.GetRooms() {
+			place.Rooms = append(place.Rooms, quetzalroad.ServiceRoom{Service: quetzalroad.ServiceName(r.GetService()), Free: int(r.GetFree())})
+		}
+		h.Places = append(h.Places, place)
 	}
 	for _, x := range w.GetDrains() {
 		h.Drains = append(h.Drains, quetzalroad.Drain{
