--- a/chatmapper/answer.go
+++ b/chatmapper/answer.go
@@ -6,19 +6,20 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
 
 	"github.com/quetzalroad/quetzalroad"
 )
 
 type chunkJSON struct {
-	ID                string          `json:"id"`
-	Object            string          `json:"object"`
-	Created           int64           `json:"created"`
-	Model             string          `json:"model"`
-	SystemFingerprint string          `json:"system_fingerprint,omitempty"`
-	Choices           []choiceJSON    `json:"choices"`
-	Usage             *usageJSON      `json:"usage,omitempty"`
-	Error             json.RawMessage `json:"error,omitempty"`
+	ID                string       `json:"id"`
+	Object            string       `json:"object"`
+	Created           int64        `json:"created"`
+	Model             string       `json:"model"`
+	SystemFingerprint string       `json:"system_fingerprint,omitempty"`
+	Choices           []choiceJSON `json:"choices"`
+	Usage             *usageJSON   `json:"usage,omitempty"`
 }
 
 type choiceJSON struct {
@@ -61,29 +62,26 @@
 	u.TotalTokens = u.PromptTokens + u.CompletionTokens
 }
 
-// DecodeChunk reads one step of an engine's streamed answer.
+// DecodeChunk reads one step of an engine's streamed answer. It looks only at
+// the few fields that matter, as it runs for every token.
 func DecodeChunk(data []byte) (quetzalroad.ChatEvent, error) {
-	var j chunkJSON
-	if err := json.Unmarshal(data, &j); err != nil {
-		return quetzalroad.ChatEvent{}, errors.Wrap(err, "malformed chunk")
+	if !gjson.ValidBytes(data) {
+		return quetzalroad.ChatEvent{}, errors.New("malformed chunk")
 	}
-	if len(j.Error) > 0 {
-		return quetzalroad.ChatEvent{}, errors.Newf("the engine reports an error: %s", j.Error)
+	root := gjson.ParseBytes(data)
+	if !root.IsObject() {
+		return quetzalroad.ChatEvent{}, errors.New("malformed chunk")
 	}
-	e := quetzalroad.ChatEvent{Chunk: data}
-	if j.Usage != nil {
-		e.UsageTokens = j.Usage.CompletionTokens
+	if problem := root.Get("error"); problem.Exists() && problem.Type != gjson.Null {
+		return quetzalroad.ChatEvent{}, errors.Newf("the engine reports an error: %s", problem.Raw)
 	}
-	for _, c := range j.Choices {
-		if c.FinishReason != nil {
-			e.Finish = *c.FinishReason
-		}
-		var d deltaJSON
-		if len(c.Delta) > 0 && json.Unmarshal(c.Delta, &d) != nil {
-			return quetzalroad.ChatEvent{}, errors.New("malformed delta")
-		}
-		e.Text += d.Content
-		if d.Content != "" || d.Refusal != "" || len(d.ToolCalls) > 0 {
+	e := quetzalroad.ChatEvent{Chunk: data, UsageTokens: int(root.Get("usage.completion_tokens").Int())}
+	for _, choice := range root.Get("choices").Array() {
+		delta := choice.Get("delta")
+		text := delta.Get("content").String()
+		e.Text += text
+		e.Finish += choice.Get("finish_reason").String()
+		if text != "" || delta.Get("refusal").String() != "" || len(delta.Get("tool_calls").Array()) > 0 {
 			e.Tokens++
 		}
 	}
@@ -107,46 +105,57 @@
 // Rewrite gives the step for the caller; nil where there is nothing to hand
 // on. The event's UsageTokens hold the tokens of the whole answer.
 func (r *Rewriter) Rewrite(e quetzalroad.ChatEvent) ([]byte, error) {
-	var j chunkJSON
-	if err := json.Unmarshal(e.Chunk, &j); err != nil {
-		return nil, err
-	}
+	root := gjson.ParseBytes(e.Chunk)
 	if r.created == 0 {
-		r.created = j.Created
+		r.created = root.Get("created").Int()
 	}
-	j.ID = r.ID
-	j.Created = r.created
-	if j.Usage != nil {
-		if !r.IncludeUsage {
-			j.Usage = nil
-			if len(j.Choices) == 0 {
-				return nil, nil
-			}
-		} else {
-			j.Usage.whole(e.UsageTokens)
+	data, err := sjson.SetBytes(e.Chunk, "id", r.ID)
+	if err != nil {
+		return nil, err
+	}
+	if root.Get("created").Int() != r.created {
+		if data, err = sjson.SetBytes(data, "created", r.created); err != nil {
+			return nil, err
 		}
 	}
-	if j.Choices == nil {
-		j.Choices = []choiceJSON{}
+	choices := root.Get("choices").Array()
+	if usage := root.Get("usage"); usage.Exists() {
+		if !r.IncludeUsage && len(choices) == 0 {
+			return nil, nil
+		}
+		if data, err = r.rewriteUsage(data, usage.Raw, e.UsageTokens); err != nil {
+			return nil, err
+		}
 	}
-	if r.started && onlyRole(j) {
+	if r.started && onlyRole(choices) {
 		return nil, nil
 	}
 	r.started = true
-	return json.Marshal(j)
+	return data, nil
+}
+
+// rewriteUsage leaves the usage out, or makes it that of the whole answer.
+func (r *Rewriter) rewriteUsage(data []byte, raw string, tokens int) ([]byte, error) {
+	if !r.IncludeUsage {
+		return sjson.DeleteBytes(data, "usage")
+	}
+	var u *usageJSON
+	if err := json.Unmarshal([]byte(raw), &u); err != nil || u == nil {
+		return data, err
+	}
+	u.whole(tokens)
+	return sjson.SetBytes(data, "usage", u)
 }
 
 // onlyRole tells a step that says no more than whose words follow, as each
 // engine begins with.
-func onlyRole(j chunkJSON) bool {
-	if len(j.Choices) != 1 || j.Choices[0].FinishReason != nil || j.Usage != nil {
-		return false
-	}
-	var d deltaJSON
-	if json.Unmarshal(j.Choices[0].Delta, &d) != nil {
+func onlyRole(choices []gjson.Result) bool {
+	if len(choices) != 1 || choices[0].Get("finish_reason").String() != "" {
 		return false
 	}
-	return d.Role != "" && d.Content == "" && d.Refusal == "" && len(d.ToolCalls) == 0
+	delta := choices[0].Get("delta")
+	says := delta.Get("content").String() + delta.Get("refusal").String()
+	return delta.Get("role").Exists() && says == "" && !delta.Get("tool_calls").Exists()
 }
 
 type completionJSON struct {
--- a/chatmapper/chatmapper_test.go
+++ b/chatmapper/chatmapper_test.go
@@ -114,3 +114,18 @@
 		}
 	})
 }
+
+func BenchmarkStep(b *testing.B) {
+	chunk := []byte(`{"id":"chatcmpl-8a1b","object":"chat.completion.chunk","created":1796368849,"model":"llm-orcamentos","choices":[{"index":0,"delta":{"content":"panels "},"finish_reason":null}]}`)
+	r := Rewriter{ID: "chatcmpl-1d98a205-5fdd-4aa8-87d2-dae736115eef"}
+	b.ReportAllocs()
+	for b.Loop() {
+		e, err := DecodeChunk(chunk)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := r.Rewrite(e); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/cmd/quetzalbench/main.go
+++ b/cmd/quetzalbench/main.go
@@ -1,4 +1,19 @@
-// Command quetzalbench is a program of the router.
+// Command quetzalbench drives load against nodes and measures them.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/overheader"
+	"github.com/quetzalroad/quetzalroad/commander"
+)
+
+func main() {
+	streams := commander.System()
+	commands := commander.New("quetzalbench", streams)
+	commands.Register(&overheader.Command{Streams: streams}, "")
+	flag.Parse()
+	os.Exit(int(commands.Execute(context.Background())))
+}
--- a/cmd/quetzalemu/main.go
+++ b/cmd/quetzalemu/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/demonstrator"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/standin"
 	"github.com/quetzalroad/quetzalroad/commander"
 )
 
@@ -14,6 +15,9 @@
 	streams := commander.System()
 	commands := commander.New("quetzalemu", streams)
 	commands.Register(&demonstrator.Command{Streams: streams}, "")
+	for _, c := range standin.All(streams) {
+		commands.Register(c, "stand-ins")
+	}
 	flag.Parse()
 	os.Exit(int(commands.Execute(context.Background())))
 }
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -62,9 +63,20 @@
 	n.Vars.Set("queue-waits", &c.waits)
 	n.Vars.Set("first-tokens", &c.firsts)
 	n.Vars.Set("first-tokens-in-target", &c.inTarget)
+	n.Vars.Set("process-cpu-seconds", expvar.Func(processorTime))
 	return nil
 }
 
+// processorTime gives the processor time of the process, in seconds.
+func processorTime() any {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0.0
+	}
+	total := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return total.Seconds()
+}
+
 // Refused implements quetzalroad.Recorder.
 func (c *Counter) Refused(r quetzalroad.Reason) {
 	c.refusals.Add(string(r), 1)
