--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -66,7 +66,7 @@
 	s.Float("reserve-share", &p.policy.reserveShare, 0.3, 0, 0.9, "Largest part of the slots held free for a higher tier.")
 	s.Int("max-queued", &p.policy.maxQueued, 10000, 1, 1000000, "Bound on the waiting requests of a service.")
 	s.Float("static-share", &p.policy.staticShare, 0.25, 0.01, 1, "Part of the slots that the nodes of a data centre share evenly, whatever the demand.")
-	s.Duration("peer-lifetime", &p.policy.peerLifetime, 3*time.Second, 100*time.Millisecond, time.Minute, "How long a peer's demand counts.")
+	s.Duration("peer-lifetime", &p.policy.peerLifetime, 30*time.Second, 100*time.Millisecond, time.Minute, "How long a peer's demand counts that was not forgotten before.")
 }
 
 // Build implements kernel.Part.
--- a/cmd/quetzalbench/main.go
+++ b/cmd/quetzalbench/main.go
@@ -7,12 +7,14 @@
 	"os"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/overheader"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/sloper"
 	"github.com/quetzalroad/quetzalroad/commander"
 )
 
 func main() {
 	streams := commander.System()
 	commands := commander.New("quetzalbench", streams)
+	commands.Register(&sloper.Command{Streams: streams}, "")
 	commands.Register(&overheader.Command{Streams: streams}, "")
 	flag.Parse()
 	os.Exit(int(commands.Execute(context.Background())))
--- a/cmd/quetzalemu/logkeeper/logkeeper.go
+++ b/cmd/quetzalemu/logkeeper/logkeeper.go
@@ -121,6 +121,11 @@
 	faulter.Answer(w, appendJSON{Offset: offset})
 }
 
+// Put appends a record without any fault.
+func (k *Keeper) Put(name string, data []byte) int64 {
+	return k.stream(name).append(time.Now(), data)
+}
+
 func (s *stream) append(now time.Time, data []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -38,6 +38,7 @@
 
 // Follower is the part that keeps the published state.
 type Follower struct {
+	node     *kernel.Node
 	log      quetzalroad.Log
 	logger   *slog.Logger
 	recorder quetzalroad.Recorder
@@ -95,6 +96,7 @@
 
 // Build implements kernel.Part.
 func (f *Follower) Build(n *kernel.Node) error {
+	f.node = n
 	f.log = n.Log
 	f.logger = n.Logger
 	f.recorder = n.Recorder
@@ -465,20 +467,37 @@
 const snapshotCheck = 5 * time.Second
 
 // writeSnapshots appends a snapshot when enough records came since the last.
-// Nodes look at random moments, so that mostly one of them writes; a second
-// snapshot does no harm.
+// Nodes look at random moments. Of n nodes each writes with a chance of one in
+// n, which doubles with each look that finds the snapshot still due, so that
+// mostly one node writes and some node does for sure. A second snapshot does no
+// harm.
 func (f *Follower) writeSnapshots(ctx context.Context) error {
+	chances := 1
 	for {
 		f.pause(ctx, snapshotCheck+rand.N(snapshotCheck))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if f.snapshotDue() {
+		switch {
+		case !f.snapshotDue():
+			chances = 1
+		case rand.IntN(f.nodes()) < chances:
 			f.writeSnapshot(ctx)
+			chances = 1
+		default:
+			chances *= 2
 		}
 	}
 }
 
+// nodes counts the nodes that may write a snapshot.
+func (f *Follower) nodes() int {
+	if f.node.Peers == nil {
+		return 1
+	}
+	return 1 + len(f.node.Peers.Status())
+}
+
 func (f *Follower) snapshotDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follower/store.go
+++ b/follower/store.go
@@ -26,6 +26,10 @@
 	// keys and models lead to the objects that name them.
 	keys   map[quetzalroad.KeyHash]quetzalroad.TeamName
 	models map[quetzalroad.ModelName]quetzalroad.ServiceName
+	// upstreamsAt and teamsAt lead from a revision to the object that stands at
+	// it.
+	upstreamsAt map[quetzalroad.Revision]quetzalroad.UpstreamName
+	teamsAt     map[quetzalroad.Revision]quetzalroad.TeamName
 	// lists hold the upstreams of a service in order of name. A list is never
 	// changed once it is stored.
 	lists map[quetzalroad.ServiceName][]quetzalroad.Upstream
@@ -115,6 +119,66 @@
 	return u, ok
 }
 
+func (s *store) revisionShard(r quetzalroad.Revision) *shard {
+	return &s.shards[uint64(r)%shardCount]
+}
+
+// UpstreamAt implements quetzalroad.Directory.
+func (s *store) UpstreamAt(r quetzalroad.Revision) (quetzalroad.UpstreamName, bool) {
+	sh := s.revisionShard(r)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	name, ok := sh.upstreamsAt[r]
+	return name, ok
+}
+
+// TeamAt implements quetzalroad.Directory.
+func (s *store) TeamAt(r quetzalroad.Revision) (quetzalroad.TeamName, bool) {
+	sh := s.revisionShard(r)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	name, ok := sh.teamsAt[r]
+	return name, ok
+}
+
+// moveUpstream lets a revision lead to an upstream instead of an older one; a
+// zero revision leads nowhere.
+func (s *store) moveUpstream(name quetzalroad.UpstreamName, from, to quetzalroad.Revision) {
+	old := s.revisionShard(from)
+	old.mu.Lock()
+	delete(old.upstreamsAt, from)
+	old.mu.Unlock()
+	if to == 0 {
+		return
+	}
+	sh := s.revisionShard(to)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.upstreamsAt == nil {
+		sh.upstreamsAt = make(map[quetzalroad.Revision]quetzalroad.UpstreamName)
+	}
+	sh.upstreamsAt[to] = name
+}
+
+// moveTeam lets a revision lead to a team instead of an older one; a zero
+// revision leads nowhere.
+func (s *store) moveTeam(name quetzalroad.TeamName, from, to quetzalroad.Revision) {
+	old := s.revisionShard(from)
+	old.mu.Lock()
+	delete(old.teamsAt, from)
+	old.mu.Unlock()
+	if to == 0 {
+		return
+	}
+	sh := s.revisionShard(to)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.teamsAt == nil {
+		sh.teamsAt = make(map[quetzalroad.Revision]quetzalroad.TeamName)
+	}
+	sh.teamsAt[to] = name
+}
+
 // UpstreamsOf implements quetzalroad.Directory.
 func (s *store) UpstreamsOf(service quetzalroad.ServiceName) []quetzalroad.Upstream {
 	sh := s.shard(string(service))
@@ -187,6 +251,7 @@
 		sh.mu.Lock()
 		sh.profiles, sh.teams, sh.services, sh.upstreams = nil, nil, nil, nil
 		sh.keys, sh.models, sh.lists = nil, nil, nil
+		sh.upstreamsAt, sh.teamsAt = nil, nil
 		sh.mu.Unlock()
 	}
 }
@@ -251,6 +316,11 @@
 		sh.teams[name] = *t
 	}
 	sh.mu.Unlock()
+	if t == nil {
+		s.moveTeam(name, old.Revision, 0)
+	} else {
+		s.moveTeam(name, old.Revision, t.Revision)
+	}
 	for _, h := range old.KeyHashes {
 		if t == nil || !slices.Contains(t.KeyHashes, h) {
 			s.unlinkKey(h, name)
@@ -341,6 +411,11 @@
 		sh.upstreams[name] = *u
 	}
 	sh.mu.Unlock()
+	if u == nil {
+		s.moveUpstream(name, old.Revision, 0)
+	} else {
+		s.moveUpstream(name, old.Revision, u.Revision)
+	}
 	if existed && (u == nil || u.Service != old.Service) {
 		s.relist(old.Service, name, nil)
 	}
--- a/gossiper/beater.go
+++ b/gossiper/beater.go
@@ -14,12 +14,21 @@
 )
 
 // pace is the time between two rounds of heartbeats: the interval, or longer
-// where the last round was so large that the budget asks for it.
+// where a round is so large that the budget asks for it. In a round each peer
+// of the data centre gets one heartbeat, in a call or in the answer to one.
 func (g *Gossiper) pace() time.Duration {
 	needed := time.Duration(float64(g.spent.Load()) / float64(g.budget) * float64(time.Second))
 	return max(g.interval, needed)
 }
 
+// lifespan is the silence after which what a peer told counts no more.
+func (g *Gossiper) lifespan() time.Duration {
+	return max(g.lifetime, pacesMissed*g.pace())
+}
+
+// pacesMissed is how many heartbeats may be missed.
+const pacesMissed = 4
+
 // Kick asks for a round of heartbeats at once.
 func (g *Gossiper) Kick() {
 	g.kickMu.Lock()
@@ -98,13 +107,24 @@
 	size := 0
 	for _, m := range peers {
 		h := g.heartbeat(m.address.DataCentre, !m.introduced)
-		size += proto.Size(peermapper.EncodeHeartbeat(h))
+		size += g.size(h)
 		group.Go(func() { g.beat(ctx, m.address.Address, h) })
 	}
-	g.spent.Store(int64(size))
+	near := 0
+	for _, m := range g.members.list() {
+		if m.address.DataCentre == g.node.DataCentre {
+			near++
+		}
+	}
+	g.spent.Store(int64(size / len(peers) * near))
 	group.Wait()
 }
 
+// size gives the bytes that a heartbeat takes.
+func (g *Gossiper) size(h quetzalroad.Heartbeat) int {
+	return proto.Size(peermapper.Mapper{Directory: g.node.Directory}.EncodeHeartbeat(h))
+}
+
 // callSeeds introduces the node to the peers named in its settings, while it
 // knows no other.
 func (g *Gossiper) callSeeds(ctx context.Context) {
@@ -132,7 +152,7 @@
 	}
 	if h.Far {
 		g.members.timed(answer.From.DataCentre, time.Since(began))
-		g.node.Recorder.Far(quetzalroad.FarHeartbeat, proto.Size(peermapper.EncodeHeartbeat(h)))
+		g.node.Recorder.Far(quetzalroad.FarHeartbeat, g.size(h))
 	}
 	g.take(answer)
 	if len(h.Nodes) > 0 {
@@ -200,7 +220,7 @@
 			g.transport.Drop(m.address.Address)
 			continue
 		}
-		if silent > g.lifetime && m.counted {
+		if silent > g.lifespan() && m.counted {
 			g.members.uncount(m.address.Name)
 			g.forget(m.address.Name)
 			g.logger.Info("peer is silent", "peer", string(m.address.Name), "for", silent)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -75,6 +75,7 @@
 	g.logger = n.Logger
 	n.Peers = g
 	n.Vars.Set("peers", expvar.Func(func() any { return len(g.Status()) }))
+	n.Vars.Set("heartbeat-pace-seconds", expvar.Func(func() any { return g.pace().Seconds() }))
 	n.Go("answer peers", func(ctx context.Context) error { return g.transport.Serve(ctx, g) })
 	n.Go("beat near", g.beatNear)
 	n.Go("beat far", g.beatFar)
@@ -136,7 +137,7 @@
 		h.Nodes = g.members.addresses(g.self())
 	}
 	if h.Far {
-		sum := g.members.sum(now, g.lifetime, g.node.DataCentre, g.node.Limiter.Demand(now))
+		sum := g.members.sum(now, g.lifespan(), g.node.DataCentre, g.node.Limiter.Demand(now))
 		sum.Rooms = g.node.Admitter.Rooms(now)
 		h.Places = []quetzalroad.PlaceDemand{sum}
 		return h
--- a/interfaces.go
+++ b/interfaces.go
@@ -15,6 +15,10 @@
 	Service(name ServiceName) (Service, bool)
 	ServiceForModel(name ModelName) (Service, bool)
 	Upstream(name UpstreamName) (Upstream, bool)
+	// UpstreamAt and TeamAt give the names of the objects that stand at a
+	// revision, which is shorter to tell than a name.
+	UpstreamAt(r Revision) (UpstreamName, bool)
+	TeamAt(r Revision) (TeamName, bool)
 	// UpstreamsOf lists the upstreams of a service in order of name.
 	UpstreamsOf(service ServiceName) []Upstream
 	Teams() []Team
--- a/limiter/sharer/share.go
+++ b/limiter/sharer/share.go
@@ -146,6 +146,15 @@
 	return divide(here, here/float64(c.nodes), s.staticShare, d.own, d.peers, c.nodes)
 }
 
+// floor gives the node's sure part of a team's limits.
+func (s *Sharer) floor(t quetzalroad.Team, c crowd) floor {
+	share := s.staticShare / float64(max(1, c.nodes))
+	if c.places > 1 {
+		share *= s.staticShare / float64(c.places)
+	}
+	return floor{tokensPerSecond: share * float64(t.TokensPerSecond), concurrency: share * float64(t.Concurrency)}
+}
+
 // divide gives one's part of an amount: the static share of the even part,
 // and the rest in proportion to the demand.
 func divide(amount, even, static, own, others float64, parties int) float64 {
--- a/limiter/sharer/sharer.go
+++ b/limiter/sharer/sharer.go
@@ -57,6 +57,8 @@
 	// asked is the recent rate of tokens asked for, in tokens a second.
 	asked   float64
 	askedAt time.Time
+	// static is the node's sure part of the team's limits.
+	static floor
 	// peers and places hold what others told of; an entry is replaced as a
 	// whole.
 	peers  map[quetzalroad.NodeName]told
@@ -83,7 +85,7 @@
 // Declare implements kernel.Part.
 func (s *Sharer) Declare(section *configurer.Section) {
 	section.Float("static-share", &s.staticShare, 0.25, 0.01, 1, "Part of a limit that is shared out evenly, whatever the demand.")
-	section.Duration("lifetime", &s.lifetime, 6*time.Second, 100*time.Millisecond, 10*time.Minute, "How long what others told of their demand counts.")
+	section.Duration("lifetime", &s.lifetime, 15*time.Second, 100*time.Millisecond, 10*time.Minute, "How long what others told of their demand counts.")
 }
 
 // Build implements kernel.Part.
@@ -135,6 +137,7 @@
 	defer sh.mu.Unlock()
 	a := sh.account(r.Team.Name)
 	a.ask(now, cost)
+	a.static = s.floor(r.Team, crowd)
 	if places := s.placesFor(now, a, r.Team, crowd); r.Team.Concurrency > 0 && a.running >= places {
 		return quetzalroad.Refuse(quetzalroad.ReasonTeamConcurrency, "the team runs as many requests as it may", retryConcurrency)
 	}
@@ -217,7 +220,21 @@
 	}
 }
 
-// Demand implements quetzalroad.Limiter.
+// floor is what a node may use of a team's limits for sure, whatever the others
+// want. A limit of zero is none.
+type floor struct {
+	tokensPerSecond float64
+	concurrency     float64
+}
+
+// exceeded tells that a demand is above the floor, so that others have to know
+// of it. Below it the node needs nothing of what is shared by demand.
+func (f floor) exceeded(d quetzalroad.TeamDemand) bool {
+	return f.tokensPerSecond > 0 && d.TokensPerSecond > f.tokensPerSecond || f.concurrency > 0 && float64(d.Wanted) > f.concurrency
+}
+
+// Demand implements quetzalroad.Limiter. Only demands that others have to know
+// of are told.
 func (s *Sharer) Demand(now time.Time) []quetzalroad.TeamDemand {
 	var all []quetzalroad.TeamDemand
 	for i := range s.shards {
@@ -225,7 +242,7 @@
 		sh.mu.Lock()
 		for name, a := range sh.accounts {
 			d := quetzalroad.TeamDemand{Team: name, TokensPerSecond: a.rateAt(now), Running: a.running, Wanted: a.wantedNow(now)}
-			if d.Running > 0 || d.Wanted > 0 || d.TokensPerSecond > 0 {
+			if a.static.exceeded(d) {
 				all = append(all, d)
 			}
 		}
--- a/peerconnector/connector.go
+++ b/peerconnector/connector.go
@@ -48,6 +48,7 @@
 	dialTimeout time.Duration
 	silence     time.Duration
 	recorder    quetzalroad.Recorder
+	mapper      peermapper.Mapper
 	listener    net.Listener
 	mu          sync.Mutex
 	// conns holds at most one open connection to each peer and is guarded by
@@ -73,6 +74,7 @@
 // Build implements kernel.Part.
 func (c *Connector) Build(n *kernel.Node) error {
 	c.recorder = n.Recorder
+	c.mapper = peermapper.Mapper{Directory: n.Directory}
 	listener, err := net.Listen("tcp", c.address.String())
 	if err != nil {
 		return err
@@ -140,11 +142,11 @@
 // Beat implements the Peer service.
 func (s *server) Beat(_ context.Context, in *peerwire.Heartbeat) (*peerwire.Heartbeat, error) {
 	s.connector.received(quetzalroad.ControlHeartbeat, in)
-	h, err := peermapper.DecodeHeartbeat(in)
+	h, err := s.connector.mapper.DecodeHeartbeat(in)
 	if err != nil {
 		return nil, err
 	}
-	out := peermapper.EncodeHeartbeat(s.handler.Beat(h))
+	out := s.connector.mapper.EncodeHeartbeat(s.handler.Beat(h))
 	s.connector.sent(quetzalroad.ControlHeartbeat, out)
 	return out, nil
 }
@@ -271,7 +273,7 @@
 
 // Beat implements quetzalroad.PeerTransport.
 func (c *Connector) Beat(ctx context.Context, to netip.AddrPort, h quetzalroad.Heartbeat) (quetzalroad.Heartbeat, error) {
-	in := peermapper.EncodeHeartbeat(h)
+	in := c.mapper.EncodeHeartbeat(h)
 	var answer quetzalroad.Heartbeat
 	err := c.with(ctx, to, func(client peerwire.DRPCPeerClient) error {
 		c.sent(quetzalroad.ControlHeartbeat, in)
@@ -280,7 +282,7 @@
 			return err
 		}
 		c.received(quetzalroad.ControlHeartbeat, out)
-		answer, err = peermapper.DecodeHeartbeat(out)
+		answer, err = c.mapper.DecodeHeartbeat(out)
 		return err
 	})
 	return answer, err
--- a/peermapper/heartbeat.go
+++ b/peermapper/heartbeat.go
@@ -12,30 +12,36 @@
 	"github.com/quetzalroad/quetzalroad/peerwire"
 )
 
+// Mapper maps heartbeats. Upstreams and teams are told by the revision at which
+// they stand; those that an end doesn't know, as its state differs, are left
+// out.
+type Mapper struct {
+	Directory quetzalroad.Directory
+}
+
 // EncodeHeartbeat gives the wire form of a heartbeat.
-func EncodeHeartbeat(h quetzalroad.Heartbeat) *peerwire.Heartbeat {
+func (m Mapper) EncodeHeartbeat(h quetzalroad.Heartbeat) *peerwire.Heartbeat {
 	w := &peerwire.Heartbeat{
 		Node: string(h.From.Name), DataCentre: string(h.From.DataCentre), Region: string(h.Region),
 		Address: h.From.Address.String(), Stopping: h.Stopping, Far: h.Far,
-		Teams: encodeTeams(h.Teams),
+		Teams: m.encodeTeams(h.Teams), Loads: m.encodeLoads(h.Loads),
 	}
 	for _, x := range h.Heads {
 		w.Heads = append(w.Heads, &peerwire.Head{Stream: string(x.Stream), Offset: int64(x.Offset)})
 	}
-	for _, x := range h.Loads {
-		w.Loads = append(w.Loads, &peerwire.Load{Upstream: string(x.Upstream), Running: uint32(x.Running), FirstTokenUs: uint32(x.FirstToken.Microseconds())})
-	}
 	for _, x := range h.Reports {
-		w.Reports = append(w.Reports, &peerwire.Report{
-			Upstream: string(x.Upstream), TakenUs: x.Report.Taken.UnixMicro(),
-			Running: uint32(x.Report.Running), Waiting: uint32(x.Report.Waiting), Leaving: x.Report.Leaving,
-		})
+		if u, ok := m.Directory.Upstream(x.Upstream); ok {
+			w.Reports = append(w.Reports, &peerwire.Report{
+				Revision: uint64(u.Revision), TakenUs: x.Report.Taken.UnixMicro(),
+				Running: uint32(x.Report.Running), Waiting: uint32(x.Report.Waiting), Leaving: x.Report.Leaving,
+			})
+		}
 	}
 	for _, x := range h.Services {
 		w.Services = append(w.Services, &peerwire.ServiceDemand{Service: string(x.Service), Wanted: encodeTiers(x.Wanted)})
 	}
 	for _, x := range h.Places {
-		place := &peerwire.Place{DataCentre: string(x.DataCentre), TakenUs: x.Taken.UnixMicro(), Teams: encodeTeams(x.Demand)}
+		place := &peerwire.Place{DataCentre: string(x.DataCentre), TakenUs: x.Taken.UnixMicro(), Teams: m.encodeTeams(x.Demand)}
 		for _, r := range x.Rooms {
 			place.Rooms = append(place.Rooms, &peerwire.ServiceRoom{Service: string(r.Service), Free: uint32(max(0, r.Free))})
 		}
@@ -75,16 +81,58 @@
 	return wanted
 }
 
-func encodeTeams(demand []quetzalroad.TeamDemand) []*peerwire.TeamDemand {
-	var w []*peerwire.TeamDemand
+func (m Mapper) encodeLoads(loads []quetzalroad.UpstreamLoad) *peerwire.Loads {
+	w := &peerwire.Loads{}
+	for _, x := range loads {
+		if u, ok := m.Directory.Upstream(x.Upstream); ok {
+			w.Revisions = append(w.Revisions, uint64(u.Revision))
+			w.Running = append(w.Running, uint32(x.Running))
+		}
+	}
+	return w
+}
+
+func (m Mapper) decodeLoads(w *peerwire.Loads) []quetzalroad.UpstreamLoad {
+	var loads []quetzalroad.UpstreamLoad
+	for i, r := range w.GetRevisions() {
+		name, ok := m.Directory.UpstreamAt(quetzalroad.Revision(r))
+		if ok && i < len(w.GetRunning()) {
+			loads = append(loads, quetzalroad.UpstreamLoad{Upstream: name, Running: int(w.GetRunning()[i])})
+		}
+	}
+	return loads
+}
+
+func (m Mapper) encodeTeams(demand []quetzalroad.TeamDemand) *peerwire.Teams {
+	w := &peerwire.Teams{}
 	for _, x := range demand {
-		w = append(w, &peerwire.TeamDemand{Team: string(x.Team), TokensPerSecond: float32(x.TokensPerSecond), Running: uint32(x.Running), Wanted: uint32(x.Wanted)})
+		if t, ok := m.Directory.Team(x.Team); ok {
+			w.Revisions = append(w.Revisions, uint64(t.Revision))
+			w.TokensPerSecond = append(w.TokensPerSecond, uint32(x.TokensPerSecond))
+			w.Running = append(w.Running, uint32(x.Running))
+			w.Wanted = append(w.Wanted, uint32(x.Wanted))
+		}
 	}
 	return w
 }
 
+func (m Mapper) decodeTeams(w *peerwire.Teams) []quetzalroad.TeamDemand {
+	var demand []quetzalroad.TeamDemand
+	count := min(len(w.GetRevisions()), len(w.GetTokensPerSecond()), len(w.GetRunning()), len(w.GetWanted()))
+	for i := range count {
+		name, ok := m.Directory.TeamAt(quetzalroad.Revision(w.GetRevisions()[i]))
+		if !ok {
+			continue
+		}
+		demand = append(demand, quetzalroad.TeamDemand{
+			Team: name, TokensPerSecond: float64(w.GetTokensPerSecond()[i]), Running: int(w.GetRunning()[i]), Wanted: int(w.GetWanted()[i]),
+		})
+	}
+	return demand
+}
+
 // DecodeHeartbeat reads the wire form of a heartbeat.
-func DecodeHeartbeat(w *peerwire.Heartbeat) (quetzalroad.Heartbeat, error) {
+func (m Mapper) DecodeHeartbeat(w *peerwire.Heartbeat) (quetzalroad.Heartbeat, error) {
 	address, err := netip.ParseAddrPort(w.GetAddress())
 	if err != nil {
 		return quetzalroad.Heartbeat{}, errors.Wrap(err, "address of a peer")
@@ -97,15 +145,15 @@
 			Name: quetzalroad.NodeName(w.GetNode()), DataCentre: quetzalroad.DataCentre(w.GetDataCentre()), Address: address,
 		},
 		Region: quetzalroad.Region(w.GetRegion()), Stopping: w.GetStopping(), Far: w.GetFar(),
-		Teams: decodeTeams(w.GetTeams()),
+		Teams: m.decodeTeams(w.GetTeams()), Loads: m.decodeLoads(w.GetLoads()),
 	}
-	decodeLoads(w, &h)
+	m.decodeReports(w, &h)
 	for _, x := range w.GetHeads() {
 		h.Heads = append(h.Heads, quetzalroad.StreamHead{Stream: quetzalroad.Stream(x.GetStream()), Offset: quetzalroad.Offset(x.GetOffset())})
 	}
 	for _, x := range w.GetPlaces() {
 		place := quetzalroad.PlaceDemand{
-			DataCentre: quetzalroad.DataCentre(x.GetDataCentre()), Taken: time.UnixMicro(x.GetTakenUs()), Demand: decodeTeams(x.GetTeams()),
+			DataCentre: quetzalroad.DataCentre(x.GetDataCentre()), Taken: time.UnixMicro(x.GetTakenUs()), Demand: m.decodeTeams(x.GetTeams()),
 		}
 		for _, r := range x.GetRooms() {
 			place.Rooms = append(place.Rooms, quetzalroad.ServiceRoom{Service: quetzalroad.ServiceName(r.GetService()), Free: int(r.GetFree())})
@@ -128,37 +176,21 @@
 	return h, nil
 }
 
-func decodeLoads(w *peerwire.Heartbeat, h *quetzalroad.Heartbeat) {
-	for _, x := range w.GetLoads() {
-		h.Loads = append(h.Loads, quetzalroad.UpstreamLoad{
-			Upstream: quetzalroad.UpstreamName(x.GetUpstream()), Running: int(x.GetRunning()),
-			FirstToken: time.Duration(x.GetFirstTokenUs()) * time.Microsecond,
-		})
-	}
+func (m Mapper) decodeReports(w *peerwire.Heartbeat, h *quetzalroad.Heartbeat) {
 	for _, x := range w.GetReports() {
-		h.Reports = append(h.Reports, quetzalroad.UpstreamReport{
-			Upstream: quetzalroad.UpstreamName(x.GetUpstream()),
-			Report: quetzalroad.LoadReport{
-				Taken: time.UnixMicro(x.GetTakenUs()), Running: int(x.GetRunning()), Waiting: int(x.GetWaiting()), Leaving: x.GetLeaving(),
-			},
-		})
+		name, ok := m.Directory.UpstreamAt(quetzalroad.Revision(x.GetRevision()))
+		if !ok {
+			continue
+		}
+		h.Reports = append(h.Reports, quetzalroad.UpstreamReport{Upstream: name, Report: quetzalroad.LoadReport{
+			Taken: time.UnixMicro(x.GetTakenUs()), Running: int(x.GetRunning()), Waiting: int(x.GetWaiting()), Leaving: x.GetLeaving(),
+		}})
 	}
 	for _, x := range w.GetServices() {
 		h.Services = append(h.Services, quetzalroad.ServiceDemand{Service: quetzalroad.ServiceName(x.GetService()), Wanted: decodeTiers(x.GetWanted())})
 	}
 }
 
-func decodeTeams(w []*peerwire.TeamDemand) []quetzalroad.TeamDemand {
-	var demand []quetzalroad.TeamDemand
-	for _, x := range w {
-		demand = append(demand, quetzalroad.TeamDemand{
-			Team: quetzalroad.TeamName(x.GetTeam()), TokensPerSecond: float64(x.GetTokensPerSecond()),
-			Running: int(x.GetRunning()), Wanted: int(x.GetWanted()),
-		})
-	}
-	return demand
-}
-
 // EncodeRecords gives the wire form of records.
 func EncodeRecords(records []quetzalroad.Record) *peerwire.RecordsAnswer {
 	w := &peerwire.RecordsAnswer{}
