Count a place taken back at once as no progress

Cause: TestEveryClassProgressesUnderEndlessChats failed in one of 25 runs with other thread counts: five drafts took 30.1 s. A draft that got a place and was paused for a chat at once counted as served, so its tier got no place of the floor. Ruled out: the floor's size and its turn. A tier now progresses where a request ended lately, or one runs that was not paused for floor-after. Also: a view of upstreams asks each estimate once (26% of a node's control time before).

--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -220,6 +220,6 @@
 	a.once.Do(func() {
 		now := time.Now()
 		a.queue.settle(a.waiter, float64(1+a.waiter.request.PromptTokens+tokens))
-		a.queue.giveBack(now, a.waiter)
+		a.queue.done(now, a.waiter)
 	})
 }
--- a/admitter/prioritizer/queue.go
+++ b/admitter/prioritizer/queue.go
@@ -437,13 +437,12 @@
 
 func (q *queue) startLocked(now time.Time, w *waiter) {
 	w.started = now
-	q.tiers[w.tier()].grantedAt = now
 	close(w.granted)
 }
 
 // grantFloorLocked gives a place of the floor to the tier below the first
-// that has gone longest without any place. A tier that gets places anyway
-// needs no floor.
+// that has gone longest without being served. A tier that makes progress
+// anyway needs no floor.
 func (q *queue) grantFloorLocked(now time.Time, r room) bool {
 	used := 0
 	for i := range q.tiers {
@@ -458,6 +457,7 @@
 	}
 	w := t.pop()
 	t.floor++
+	t.servedAt = now
 	w.state = stateFloor
 	q.startLocked(now, w)
 	return true
@@ -468,10 +468,10 @@
 	for i := 1; i < len(q.tiers); i++ {
 		t := &q.tiers[i]
 		after := q.owner.policy.floorAfter
-		if t.waiting == 0 || t.oldest(now) < after || now.Sub(t.grantedAt) < after {
+		if t.waiting == 0 || t.oldest(now) < after || t.progresses(now, after) {
 			continue
 		}
-		if best == nil || t.grantedAt.Before(best.grantedAt) {
+		if best == nil || t.servedAt.Before(best.servedAt) {
 			best = t
 		}
 	}
@@ -552,6 +552,14 @@
 	q.tiers[w.tier()].settle(w.request.Team, actual-w.cost)
 }
 
+// done frees the place of a request that ended.
+func (q *queue) done(now time.Time, w *waiter) {
+	q.mu.Lock()
+	q.tiers[w.tier()].servedAt = now
+	q.mu.Unlock()
+	q.giveBack(now, w)
+}
+
 // giveBack frees the place of a request.
 func (q *queue) giveBack(now time.Time, w *waiter) {
 	c := q.owner.capacity.Capacity(now, q.service)
--- a/admitter/prioritizer/waiter.go
+++ b/admitter/prioritizer/waiter.go
@@ -169,8 +169,9 @@
 	pausable []*waiter
 	// preemptible tells that the tier's last request could be paused.
 	preemptible bool
-	// grantedAt is when the tier last got a place, on the floor or not.
-	grantedAt time.Time
+	// servedAt is when a request of the tier last ended, or got a place of the
+	// floor.
+	servedAt time.Time
 }
 
 // push adds a waiter to its team's line.
@@ -268,6 +269,16 @@
 	return now.Sub(t.arrivals[0].enqueued)
 }
 
+// progresses tells that the tier is served without the floor: a request ended
+// lately, or one runs that wasn't paused for a while. A place that is given and
+// taken back at once is no progress.
+func (t *tier) progresses(now time.Time, after time.Duration) bool {
+	if now.Sub(t.servedAt) < after || t.running > len(t.pausable) {
+		return true
+	}
+	return len(t.pausable) > 0 && now.Sub(t.pausable[0].started) >= after
+}
+
 // peakHalfLife is how fast a past peak fades.
 const peakHalfLife = 8 * time.Second
 
--- a/cmd/quetzalbench/sloper/cluster.go
+++ b/cmd/quetzalbench/sloper/cluster.go
@@ -49,7 +49,7 @@
 	serviceName = "llm"
 	profileName = "chat"
 	// slotsEach is the slots of an upstream.
-	slotsEach = 8
+	slotsEach = 32
 	// hold is how long a request holds its place, in the mean.
 	hold = 3 * time.Second
 	// readyPoll is how often a node is asked whether it is ready.
--- a/cmd/quetzalbench/sloper/sloper.go
+++ b/cmd/quetzalbench/sloper/sloper.go
@@ -8,12 +8,15 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
 	"runtime"
+	"runtime/pprof"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"gonum.org/v1/gonum/stat"
 
@@ -28,6 +31,7 @@
 	teams     int
 	rate      float64
 	span      time.Duration
+	profile   string
 }
 
 // Command is "slopes".
@@ -65,6 +69,7 @@
 	f.IntVar(&o.upstreams, "upstreams", 68, "upstreams in each data centre")
 	f.IntVar(&o.teams, "teams", 2600, "teams of the deployment")
 	f.Float64Var(&o.rate, "rate", 25, "requests a second on each node")
+	f.StringVar(&o.profile, "cpu-profile", "", "write a profile of the processor time to this file")
 	f.DurationVar(&o.span, "span", 10*time.Second, "how long each size is measured")
 }
 
@@ -159,8 +164,14 @@
 	if err := wait(ctx, warmUp); err != nil {
 		return cost{}, err
 	}
+	stopProfile, err := o.startProfile()
+	if err != nil {
+		return cost{}, err
+	}
 	before, used := c.counters(), processor()
-	if err := wait(ctx, o.span); err != nil {
+	err = wait(ctx, o.span)
+	stopProfile()
+	if err != nil {
 		return cost{}, err
 	}
 	after, usedThen := c.counters(), processor()
@@ -169,6 +180,25 @@
 	return o.cost(s, before, after, usedThen-used, float64(full.HeapAlloc)-float64(empty.HeapAlloc)), nil
 }
 
+// startProfile begins a profile, if one is asked for, and gives what ends it.
+func (o *slopeOptions) startProfile() (func(), error) {
+	if o.profile == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(o.profile)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.CombineErrors(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		// The profile was written; a failure to close shows when it is read.
+		_ = file.Close()
+	}, nil
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/prover/chat_test.go
+++ b/prover/chat_test.go
@@ -155,8 +155,10 @@
 		if diff := cmp.Diff(want, r.outcomes); diff != "" {
 			t.Errorf("drafts (-want +got):\n%s", diff)
 		}
-		if took > 30*time.Second {
-			t.Errorf("five drafts took %s under endless chats", took)
+		// Each tier is served at least once in floor-after, which is 2 s, and a
+		// draft of 50 tokens runs for less than 1.5 s.
+		if bound := 5 * (2*time.Second + 1500*time.Millisecond); took > bound {
+			t.Errorf("five drafts took %s under endless chats, the bound is %s", took, bound)
 		}
 		group.Wait()
 	})
--- a/tracker/capacity.go
+++ b/tracker/capacity.go
@@ -12,7 +12,7 @@
 
 // viewLifetime is how long a view of a service's upstreams is used again. It
 // bounds how late a drain takes hold on this node.
-const viewLifetime = 10 * time.Millisecond
+const viewLifetime = 20 * time.Millisecond
 
 // viewShards is the number of shards of the cache of views.
 const viewShards = 16
@@ -93,64 +93,74 @@
 	return left
 }
 
+// seen is an upstream as it looked when a view was formed.
+type seen struct {
+	upstream quetzalroad.Upstream
+	estimate quetzalroad.LoadEstimate
+}
+
 // look forms a view: the nearest place that has usable upstreams, less the
 // suspect ones as far as the share allows.
 func (t *Tracker) look(now time.Time, s quetzalroad.ServiceName) *view {
 	v := &view{at: now}
-	usable := t.nearest(now, t.directory.UpstreamsOf(s))
-	v.candidates = t.withoutSuspects(now, usable)
-	for _, u := range v.candidates {
-		e := t.Estimate(u.Name, now)
-		v.capacity.Slots += u.Slots
-		v.capacity.Unexplained += max(0, e.Running-e.Own-e.Told)
+	for _, x := range t.withoutSuspects(t.nearest(now, t.directory.UpstreamsOf(s))) {
+		v.candidates = append(v.candidates, x.upstream)
+		v.capacity.Slots += x.upstream.Slots
+		v.capacity.Unexplained += max(0, x.estimate.Running-x.estimate.Own-x.estimate.Told)
 	}
 	return v
 }
 
 // nearest gives the usable upstreams of this data centre, else of the region,
 // else of all.
-func (t *Tracker) nearest(now time.Time, all []quetzalroad.Upstream) []quetzalroad.Upstream {
-	var here, region, far []quetzalroad.Upstream
-	for _, u := range all {
-		switch {
-		case u.Draining || t.drains.Marked(u.Name) || t.Estimate(u.Name, now).Leaving:
-		case u.DataCentre == t.place:
-			here = append(here, u)
-		case u.Region == t.region:
-			region = append(region, u)
-		default:
-			far = append(far, u)
-		}
+func (t *Tracker) nearest(now time.Time, all []quetzalroad.Upstream) []seen {
+	here := t.ring(now, all, func(u quetzalroad.Upstream) bool { return u.DataCentre == t.place })
+	if anySound(here) {
+		return here
 	}
-	for _, ring := range [][]quetzalroad.Upstream{here, region} {
-		if t.anySound(now, ring) {
-			return ring
-		}
+	region := t.ring(now, all, func(u quetzalroad.Upstream) bool { return u.DataCentre != t.place && u.Region == t.region })
+	if anySound(region) {
+		return region
 	}
+	far := t.ring(now, all, func(u quetzalroad.Upstream) bool { return u.Region != t.region })
 	if len(far) > 0 {
 		return far
 	}
 	return append(here, region...)
 }
 
-func (t *Tracker) anySound(now time.Time, ring []quetzalroad.Upstream) bool {
-	for _, u := range ring {
-		if !t.Estimate(u.Name, now).Suspect {
+// ring gives the usable upstreams that are in some places.
+func (t *Tracker) ring(now time.Time, all []quetzalroad.Upstream, in func(quetzalroad.Upstream) bool) []seen {
+	var some []seen
+	for _, u := range all {
+		if u.Draining || !in(u) || t.drains.Marked(u.Name) {
+			continue
+		}
+		if e := t.Estimate(u.Name, now); !e.Leaving {
+			some = append(some, seen{upstream: u, estimate: e})
+		}
+	}
+	return some
+}
+
+func anySound(ring []seen) bool {
+	for _, x := range ring {
+		if !x.estimate.Suspect {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *Tracker) withoutSuspects(now time.Time, all []quetzalroad.Upstream) []quetzalroad.Upstream {
+func (t *Tracker) withoutSuspects(all []seen) []seen {
 	allowed := int(t.suspectMax * float64(len(all)))
-	var left []quetzalroad.Upstream
-	for _, u := range all {
-		if allowed > 0 && t.Estimate(u.Name, now).Suspect {
+	var left []seen
+	for _, x := range all {
+		if allowed > 0 && x.estimate.Suspect {
 			allowed--
 			continue
 		}
-		left = append(left, u)
+		left = append(left, x)
 	}
 	return left
 }
