Learn the usual token time also where affinity decides

Cause: with a fifth of the engines slowed fivefold, chats still went to the slow ones for 20 s. The node knew their token time (100 ms against 15); but where a prompt's prefix led to an upstream the service's usual token time was never learnt, so nothing counted as slow. Ruled out: detection of stalls and the weight of new observations, which changed nothing.

--- a/balancer/estimator/estimator.go
+++ b/balancer/estimator/estimator.go
@@ -59,11 +59,11 @@
 	}
 	low, high := e.span(r, len(candidates))
 	usual := e.times.usual(r.Service.Name)
+	best := candidates[low+e.draws.below(high-low)]
+	least := e.cost(now, r, best, usual)
 	if near, ok := e.near(now, r, candidates[low:high], usual); ok {
 		return near
 	}
-	best := candidates[low+e.draws.below(high-low)]
-	least := e.cost(now, r, best, usual)
 	for range e.choices - 1 {
 		u := candidates[low+e.draws.below(high-low)]
 		c := e.cost(now, r, u, usual)
--- a/peermapper/heartbeat.go
+++ b/peermapper/heartbeat.go
@@ -87,6 +87,7 @@
 		if u, ok := m.Directory.Upstream(x.Upstream); ok {
 			w.Revisions = append(w.Revisions, uint64(u.Revision))
 			w.Running = append(w.Running, uint32(x.Running))
+			w.TokenTimeMs = append(w.TokenTimeMs, uint32(x.TokenTime.Milliseconds()))
 		}
 	}
 	return w
@@ -96,9 +97,14 @@
 	var loads []quetzalroad.UpstreamLoad
 	for i, r := range w.GetRevisions() {
 		name, ok := m.Directory.UpstreamAt(quetzalroad.Revision(r))
-		if ok && i < len(w.GetRunning()) {
-			loads = append(loads, quetzalroad.UpstreamLoad{Upstream: name, Running: int(w.GetRunning()[i])})
+		if !ok || i >= len(w.GetRunning()) {
+			continue
+		}
+		l := quetzalroad.UpstreamLoad{Upstream: name, Running: int(w.GetRunning()[i])}
+		if i < len(w.GetTokenTimeMs()) {
+			l.TokenTime = time.Duration(w.GetTokenTimeMs()[i]) * time.Millisecond
 		}
+		loads = append(loads, l)
 	}
 	return loads
 }
--- a/request.go
+++ b/request.go
@@ -122,9 +122,9 @@
 	Upstream UpstreamName
 	// Running counts the node's requests there.
 	Running int
-	// FirstToken is the node's recent mean time to a first token; zero when
-	// it has seen none.
-	FirstToken time.Duration
+	// TokenTime is the time between two tokens that the node saw there lately;
+	// zero when it has seen none.
+	TokenTime time.Duration
 }
 
 // LoadEstimate is what a node believes about an upstream.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -32,14 +32,15 @@
 	// correct late reports.
 	movesKept = 128
 	// gain is the weight of a new observation in a moving mean.
-	gain = 0.2
+	gain = 0.4
 	// reportGain is the weight of a new report against the ones before. Single
 	// reports are noisy, as they and the peers' telling lag differently.
 	reportGain = 0.3
 	// staleAfter is the age at which observed times say nothing any more.
 	staleAfter = 10 * time.Second
 	// stallFactor is how many token times without progress count as a stall.
-	stallFactor = 4
+	// The next token will then have taken at least the time since the last.
+	stallFactor = 2
 )
 
 // move is a change of the number of attempts on an upstream.
@@ -92,11 +93,13 @@
 	foreign int
 	// tokenTime and firstToken are moving means, each with the time of the
 	// last observation.
-	tokenTime  time.Duration
-	tokenAt    time.Time
+	tokenTime time.Duration
+	tokenAt   time.Time
+	// heardAt is when tokenTime was last taken from a peer.
+	heardAt    time.Time
 	firstToken time.Duration
 	firstAt    time.Time
-	// progress is when an attempt last began or made a token.
+	// progress is when an attempt last made a token, or the only one began.
 	progress time.Time
 	// failures counts failed attempts in a row; suspectUntil is set from it.
 	failures     int
@@ -181,8 +184,10 @@
 // Begin implements quetzalroad.LoadTracker.
 func (t *Tracker) Begin(u quetzalroad.UpstreamName, now time.Time) {
 	t.with(u, func(b *belief) {
+		if b.own == 0 {
+			b.progress = now
+		}
 		b.moved(now, 1)
-		b.progress = now
 	})
 }
 
@@ -256,11 +261,27 @@
 	told := make(map[quetzalroad.UpstreamName]bool, len(loads))
 	for _, l := range loads {
 		told[l.Upstream] = true
-		t.with(l.Upstream, func(b *belief) { b.setPeer(n, received, l.Running) })
+		t.with(l.Upstream, func(b *belief) {
+			b.setPeer(n, received, l.Running)
+			b.hear(received, l.TokenTime)
+		})
 	}
 	t.clearPeer(n, received, told)
 }
 
+// hearsayAfter is the age of an own observation from which a peer's is taken.
+const hearsayAfter = 300 * time.Millisecond
+
+// hear takes the token time that a peer saw, where this node has seen none of
+// its own just now.
+func (b *belief) hear(received time.Time, tokenTime time.Duration) {
+	if tokenTime <= 0 || received.Sub(b.tokenAt) < hearsayAfter {
+		return
+	}
+	b.tokenTime = mean(b.tokenTime, tokenTime, received.Sub(b.heardAt))
+	b.heardAt = received
+}
+
 // Forget implements quetzalroad.LoadTracker.
 func (t *Tracker) Forget(n quetzalroad.NodeName) {
 	if _, known := t.tellers.LoadAndDelete(n); known {
@@ -329,7 +350,7 @@
 	if !b.reported.IsZero() && now.Sub(b.report.Taken) < reportTTL {
 		e.Running += int(max(0, b.unexplained))
 	}
-	if now.Sub(b.tokenAt) < staleAfter {
+	if now.Sub(b.tokenAt) < staleAfter || now.Sub(b.heardAt) < staleAfter {
 		e.TokenTime = b.tokenTime
 	}
 	if now.Sub(b.firstAt) < staleAfter {
@@ -337,23 +358,31 @@
 	}
 	quiet := now.Sub(b.progress)
 	if b.own > 0 && e.TokenTime > 0 && quiet > stallFactor*e.TokenTime {
-		e.TokenTime = max(e.TokenTime, quiet/stallFactor)
+		e.TokenTime = quiet
 	}
 	return e
 }
 
-// Own implements quetzalroad.LoadTracker.
-func (t *Tracker) Own(time.Time) []quetzalroad.UpstreamLoad {
+// Own implements quetzalroad.LoadTracker. An upstream is told while this node
+// has work there, or saw its token time a moment ago.
+func (t *Tracker) Own(now time.Time) []quetzalroad.UpstreamLoad {
 	var loads []quetzalroad.UpstreamLoad
 	for i := range t.shards {
 		sh := &t.shards[i]
 		sh.mu.Lock()
 		for u, b := range sh.beliefs {
-			if b.own > 0 {
-				loads = append(loads, quetzalroad.UpstreamLoad{Upstream: u, Running: b.own, FirstToken: b.firstToken})
+			l := quetzalroad.UpstreamLoad{Upstream: u, Running: b.own}
+			if now.Sub(b.tokenAt) < toldFor {
+				l.TokenTime = b.tokenTime
+			}
+			if l.Running > 0 || l.TokenTime > 0 {
+				loads = append(loads, l)
 			}
 		}
 		sh.mu.Unlock()
 	}
 	return loads
 }
+
+// toldFor is how long an observed token time is told to peers.
+const toldFor = 2 * time.Second
