Give places at once where nobody waits; drop global locks

Every request went through the queue's heaps and three channels, the count of peers had one lock for all, and so had the histogram of a class. Now: where nobody waits and there is room the place is given at once; the count is an atomic pointer; histograms are in eight shards.

--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -111,15 +111,20 @@
 func (p *Prioritizer) Admit(ctx context.Context, r *quetzalroad.Request) (quetzalroad.Admission, error) {
 	q := p.queue(r.Service.Name)
 	now := time.Now()
-	w := &waiter{request: r, enqueued: now, cost: p.cost(r)}
-	if err := q.enter(now, w); err != nil {
+	a := &admission{queue: q, waiter: waiter{request: r, enqueued: now}}
+	granted, err := q.enter(now, &a.waiter)
+	if err != nil {
 		return nil, err
 	}
-	if err := q.wait(ctx, w, p.patience(r)); err != nil {
+	if granted {
+		p.recorder.Waited(r.Profile.Class, 0)
+		return a, nil
+	}
+	if err := q.wait(ctx, &a.waiter, p.patience(r)); err != nil {
 		return nil, err
 	}
 	p.recorder.Waited(r.Profile.Class, time.Since(now))
-	return &admission{queue: q, waiter: w}, nil
+	return a, nil
 }
 
 // cost is what a request is charged in its team's share, in tokens.
@@ -197,29 +202,29 @@
 // admission is the place of one request.
 type admission struct {
 	queue  *queue
-	waiter *waiter
+	waiter waiter
 	once   sync.Once
 }
 
 // Paused implements quetzalroad.Admission.
 func (a *admission) Paused() <-chan struct{} {
-	return a.queue.pausedOf(a.waiter)
+	return a.queue.pausedOf(&a.waiter)
 }
 
 // Resume implements quetzalroad.Admission.
 func (a *admission) Resume(ctx context.Context) error {
-	a.queue.giveBack(time.Now(), a.waiter)
-	if err := a.queue.reenter(time.Now(), a.waiter); err != nil {
+	a.queue.giveBack(time.Now(), &a.waiter)
+	if err := a.queue.reenter(time.Now(), &a.waiter); err != nil {
 		return err
 	}
-	return a.queue.wait(ctx, a.waiter, 0)
+	return a.queue.wait(ctx, &a.waiter, 0)
 }
 
 // Done implements quetzalroad.Admission.
 func (a *admission) Done(tokens int) {
 	a.once.Do(func() {
 		now := time.Now()
-		a.queue.settle(a.waiter, float64(1+a.waiter.request.PromptTokens+tokens))
-		a.queue.done(now, a.waiter)
+		a.queue.settle(&a.waiter, float64(1+a.waiter.request.PromptTokens+tokens))
+		a.queue.done(now, &a.waiter)
 	})
 }
--- a/admitter/prioritizer/queue.go
+++ b/admitter/prioritizer/queue.go
@@ -153,30 +153,69 @@
 	return whole
 }
 
-// enter puts a request into the queue, or refuses it where waiting can't help.
-func (q *queue) enter(now time.Time, w *waiter) error {
+// enter gives a request a place, which it tells, or puts it into the queue, or
+// refuses it where waiting can't help.
+func (q *queue) enter(now time.Time, w *waiter) (bool, error) {
 	c := q.owner.capacity.Capacity(now, q.service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := &q.tiers[w.tier()]
+	if q.passLocked(now, c, w) {
+		return true, nil
+	}
 	if err := q.makeSpaceLocked(w); err != nil {
-		return err
+		return false, err
 	}
+	w.cost = q.owner.cost(w.request)
 	q.pushLocked(w)
 	t.notePeak(now)
 	q.dispatchLocked(now, c)
-	if w.state != stateWaiting || !w.request.Profile.Interactive {
-		return nil
+	if w.state != stateWaiting {
+		return true, nil
+	}
+	if !w.request.Profile.Interactive {
+		return false, nil
 	}
 	wait := q.predictLocked(w)
 	budget := q.owner.patience(w.request)
 	if wait <= budget {
-		return nil
+		return false, nil
 	}
 	t.remove(w)
 	w.state = stateOut
 	q.checkRefusalLocked(w, quetzalroad.ReasonTargetUnreachable)
-	return unreachable(wait - budget)
+	return false, unreachable(wait - budget)
+}
+
+// passLocked gives a place at once where nobody waits and there is room. What
+// a team takes from idle room isn't charged to it.
+func (q *queue) passLocked(now time.Time, c quetzalroad.Capacity, w *waiter) bool {
+	if q.waitingAboveLocked(quetzalroad.LowestTier) > 0 {
+		return false
+	}
+	r := q.roomLocked(now, c)
+	if q.runningLocked()+q.reserveLocked(now, w, r) >= r.slots {
+		return false
+	}
+	t := &q.tiers[w.tier()]
+	t.preemptible = w.request.Profile.Preemptible
+	q.placeLocked(now, t, w)
+	t.notePeak(now)
+	return true
+}
+
+// placeLocked gives a place of a tier to a request.
+func (q *queue) placeLocked(now time.Time, t *tier, w *waiter) {
+	t.running++
+	t.grants++
+	w.state = stateRunning
+	w.started = now
+	if w.request.Profile.Preemptible && !w.request.Profile.Interactive {
+		if w.paused == nil {
+			w.paused = make(chan struct{})
+		}
+		t.pausable = append(t.pausable, w)
+	}
 }
 
 func unreachable(over time.Duration) *quetzalroad.Refusal {
@@ -197,7 +236,7 @@
 
 func (q *queue) pushLocked(w *waiter) {
 	w.granted = make(chan struct{})
-	w.paused = make(chan struct{})
+	w.paused = nil
 	w.state = stateWaiting
 	w.grantsBelow = q.grantsBelowLocked(w.tier())
 	t := &q.tiers[w.tier()]
@@ -423,23 +462,13 @@
 			return false
 		}
 		w := t.pop()
-		t.running++
-		t.grants++
-		w.state = stateRunning
-		if w.request.Profile.Preemptible && !w.request.Profile.Interactive {
-			t.pausable = append(t.pausable, w)
-		}
-		q.startLocked(now, w)
+		q.placeLocked(now, t, w)
+		close(w.granted)
 		return true
 	}
 	return false
 }
 
-func (q *queue) startLocked(now time.Time, w *waiter) {
-	w.started = now
-	close(w.granted)
-}
-
 // grantFloorLocked gives a place of the floor to the tier below the first
 // that has gone longest without being served. A tier that makes progress
 // anyway needs no floor.
@@ -459,7 +488,8 @@
 	t.floor++
 	t.servedAt = now
 	w.state = stateFloor
-	q.startLocked(now, w)
+	w.started = now
+	close(w.granted)
 	return true
 }
 
@@ -549,6 +579,9 @@
 func (q *queue) settle(w *waiter, actual float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if w.cost == 0 {
+		return
+	}
 	q.tiers[w.tier()].settle(w.request.Team, actual-w.cost)
 }
 
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"expvar"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -147,30 +148,57 @@
 	figures = 2
 )
 
-// histograms keeps one histogram a class, each under its own lock. The zero
-// value is empty.
+// histogramShards is the number of histograms of a class. An observation goes
+// to any of them; they are merged when they are read.
+const histogramShards = 8
+
+// histograms keeps the histograms of each class. The zero value is empty.
 type histograms struct {
 	// classes maps a quetzalroad.Class to a *histogram.
 	classes sync.Map
 }
 
 type histogram struct {
+	shards [histogramShards]histogramShard
+}
+
+type histogramShard struct {
 	mu sync.Mutex
-	// h holds microseconds and is guarded by mu.
+	// h holds microseconds and is guarded by mu; it is made on first use.
 	h *hdrhistogram.Histogram
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowest.Microseconds(), highest.Microseconds(), figures)
+}
+
 func (s *histograms) record(class quetzalroad.Class, took time.Duration) {
 	v, ok := s.classes.Load(class)
 	if !ok {
-		fresh := &histogram{h: hdrhistogram.New(lowest.Microseconds(), highest.Microseconds(), figures)}
-		v, _ = s.classes.LoadOrStore(class, fresh)
+		v, _ = s.classes.LoadOrStore(class, new(histogram))
+	}
+	sh := &v.(*histogram).shards[rand.IntN(histogramShards)]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.h == nil {
+		sh.h = newHistogram()
 	}
-	one := v.(*histogram)
-	one.mu.Lock()
-	defer one.mu.Unlock()
 	// A value out of range is counted at the bound, so no error can come.
-	_ = one.h.RecordValue(min(max(took, lowest), highest).Microseconds())
+	_ = sh.h.RecordValue(min(max(took, lowest), highest).Microseconds())
+}
+
+// merged gives all shards in one.
+func (one *histogram) merged() *hdrhistogram.Histogram {
+	all := newHistogram()
+	for i := range one.shards {
+		sh := &one.shards[i]
+		sh.mu.Lock()
+		if sh.h != nil {
+			all.Merge(sh.h)
+		}
+		sh.mu.Unlock()
+	}
+	return all
 }
 
 type histogramJSON struct {
@@ -196,10 +224,9 @@
 }
 
 func (one *histogram) summary() histogramJSON {
-	one.mu.Lock()
-	defer one.mu.Unlock()
+	all := one.merged()
 	at := func(quantile float64) string {
-		return (time.Duration(one.h.ValueAtQuantile(quantile)) * time.Microsecond).String()
+		return (time.Duration(all.ValueAtQuantile(quantile)) * time.Microsecond).String()
 	}
-	return histogramJSON{Count: one.h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: at(100)}
+	return histogramJSON{Count: all.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: at(100)}
 }
--- /dev/null
+++ b/follower/machine_test.go
@@ -0,0 +1,177 @@
+package follower
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/recordmapper"
+)
+
+// records gives the records that publish a state of a size.
+func records(tb testing.TB, teams, upstreams int) []quetzalroad.Record {
+	tb.Helper()
+	var all []quetzalroad.Record
+	add := func(kind quetzalroad.ObjectKind, name string, o quetzalroad.Object) {
+		data, err := recordmapper.EncodeChange(quetzalroad.Change{
+			ID: quetzalroad.ChangeID(fmt.Sprintf("change-%d", len(all))), Author: "test", Kind: kind, Name: name, Object: o,
+		})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		all = append(all, quetzalroad.Record{Offset: quetzalroad.Offset(len(all)), Data: data})
+	}
+	add(quetzalroad.ObjectProfile, "chat", quetzalroad.Object{Profile: &quetzalroad.Profile{
+		Name: "chat", Class: "chat", FirstTokenTarget: time.Second, Timeout: time.Minute,
+	}})
+	add(quetzalroad.ObjectService, "llm", quetzalroad.Object{Service: &quetzalroad.Service{
+		Name: "llm", Kind: quetzalroad.KindEngine, Models: []quetzalroad.ModelName{"llm"},
+	}})
+	service := func(i int) quetzalroad.ServiceName {
+		return quetzalroad.ServiceName(fmt.Sprintf("llm-%02d", i%targetServices))
+	}
+	for i := range upstreams {
+		name := fmt.Sprintf("engine-%04d", i)
+		add(quetzalroad.ObjectUpstream, name, quetzalroad.Object{Upstream: &quetzalroad.Upstream{
+			Name: quetzalroad.UpstreamName(name), Service: service(i), Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			DataCentre: "here", Region: "here", Slots: 8,
+		}})
+	}
+	for i := range teams {
+		name := fmt.Sprintf("team-%04d", i)
+		add(quetzalroad.ObjectTeam, name, quetzalroad.Object{Team: &quetzalroad.Team{
+			Name: quetzalroad.TeamName(name), DefaultProfile: "chat", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey(name)},
+		}})
+	}
+	return all
+}
+
+// fresh gives a machine without any state.
+func fresh() *machine {
+	return &machine{}
+}
+
+func applyAll(tb testing.TB, m *machine, all []quetzalroad.Record) {
+	tb.Helper()
+	for _, r := range all {
+		if _, _, err := m.apply(r); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+func TestSnapshotRestoresTheWholeState(t *testing.T) {
+	m := fresh()
+	applyAll(t, m, records(t, 20, 10))
+	data, err := m.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := fresh()
+	if err := other.restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := other.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(data), string(again)); diff != "" {
+		t.Errorf("(-before +after):\n%s", diff)
+	}
+	if team, ok := other.store.TeamByKey(quetzalroad.HashKey("team-0007")); !ok || team.Name != "team-0007" {
+		t.Errorf("the key of team-0007 leads to %q", team.Name)
+	}
+	if name, ok := other.store.UpstreamAt(quetzalroad.RevisionAt(4)); !ok || name != "engine-0002" {
+		t.Errorf("revision 5 leads to %q", name)
+	}
+}
+
+func TestOlderSnapshotIsRefused(t *testing.T) {
+	m := fresh()
+	all := records(t, 5, 5)
+	applyAll(t, m, all[:6])
+	old, err := m.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	applyAll(t, m, all[6:])
+	applied := m.store.Applied()
+	if err := m.restore(old); err == nil {
+		t.Error("an older snapshot was taken")
+	}
+	if got := m.store.Applied(); got != applied {
+		t.Errorf("the state went from %d to %d", applied, got)
+	}
+}
+
+func TestRepeatedChangeGetsItsFirstVerdict(t *testing.T) {
+	m := fresh()
+	all := records(t, 1, 1)
+	applyAll(t, m, all)
+	first := m.byID["change-2"]
+	again := quetzalroad.Record{Offset: quetzalroad.Offset(len(all)), Data: all[2].Data}
+	_, verdict, err := m.apply(again)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(first, verdict); diff != "" {
+		t.Errorf("(-first +again):\n%s", diff)
+	}
+	if got := m.store.revision(quetzalroad.ObjectUpstream, "engine-0000"); got != first.Revision {
+		t.Errorf("revision %d stands, want %d", got, first.Revision)
+	}
+}
+
+func TestReplacedKeysAndModelsLeadNowhere(t *testing.T) {
+	m := fresh()
+	applyAll(t, m, records(t, 1, 1))
+	team, _ := m.store.Team("team-0000")
+	team.KeyHashes = []quetzalroad.KeyHash{quetzalroad.HashKey("new")}
+	m.store.put(quetzalroad.ObjectTeam, "team-0000", quetzalroad.Object{Team: &team})
+	if _, ok := m.store.TeamByKey(quetzalroad.HashKey("team-0000")); ok {
+		t.Error("the old key still leads to the team")
+	}
+	if _, ok := m.store.TeamByKey(quetzalroad.HashKey("new")); !ok {
+		t.Error("the new key leads nowhere")
+	}
+	m.store.put(quetzalroad.ObjectService, "llm", quetzalroad.Object{})
+	if _, ok := m.store.ServiceForModel("llm"); ok {
+		t.Error("the model of a deleted service still leads to it")
+	}
+}
+
+// The target's size.
+const (
+	targetTeams     = 2600
+	targetUpstreams = 1500
+	targetServices  = 37
+)
+
+func BenchmarkApply(b *testing.B) {
+	all := records(b, targetTeams, targetUpstreams)
+	b.ReportAllocs()
+	for b.Loop() {
+		applyAll(b, fresh(), all)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(len(all)), "µs/record")
+}
+
+func BenchmarkRestore(b *testing.B) {
+	m := fresh()
+	applyAll(b, m, records(b, targetTeams, targetUpstreams))
+	data, err := m.snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := fresh().restore(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data))/1e6, "MB-snapshot")
+}
--- a/limiter/sharer/share.go
+++ b/limiter/sharer/share.go
@@ -23,26 +23,22 @@
 // crowdLifetime is how long a crowd is used again.
 const crowdLifetime = 100 * time.Millisecond
 
-// placeCache keeps the crowd for a while.
-type placeCache struct {
-	mu sync.Mutex
-	// crowd and at are guarded by mu; the crowd is not changed once it is
-	// stored.
+// counted is a crowd with the time at which it was counted.
+type counted struct {
 	crowd crowd
 	at    time.Time
 }
 
 // crowd counts whom limits are shared with. Data centres are those of the
-// published upstreams, which all nodes know alike, cut off or not.
+// published upstreams, which all nodes know alike, cut off or not. A count is
+// used again for a while; two that are made at once do no harm.
 func (s *Sharer) crowd(now time.Time) crowd {
-	s.places.mu.Lock()
-	defer s.places.mu.Unlock()
-	if s.places.crowd.nodes > 0 && now.Sub(s.places.at) < crowdLifetime {
-		return s.places.crowd
+	if last := s.counted.Load(); last != nil && now.Sub(last.at) < crowdLifetime {
+		return last.crowd
 	}
-	s.places.crowd = s.count(now)
-	s.places.at = now
-	return s.places.crowd
+	fresh := &counted{crowd: s.count(now), at: now}
+	s.counted.Store(fresh)
+	return fresh.crowd
 }
 
 func (s *Sharer) count(now time.Time) crowd {
--- a/limiter/sharer/sharer.go
+++ b/limiter/sharer/sharer.go
@@ -9,6 +9,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,7 +80,8 @@
 	lifetime    time.Duration
 	shards      [shardCount]shard
 	services    serviceBounds
-	places      placeCache
+	// counted is the last count of those that limits are shared with.
+	counted atomic.Pointer[counted]
 }
 
 // Declare implements kernel.Part.
