--- a/cmd/quetzalemu/lister/lister.go
+++ b/cmd/quetzalemu/lister/lister.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
 )
@@ -95,14 +98,28 @@
 	State      string `json:"state"`
 }
 
-func (l *Lister) list(w http.ResponseWriter, _ *http.Request) {
+// list answers with the list, or without a body where the caller has it.
+func (l *Lister) list(w http.ResponseWriter, r *http.Request) {
 	j := listJSON{VMs: []vmJSON{}}
 	for _, v := range l.shown(time.Now()) {
 		j.VMs = append(j.VMs, vmJSON{
 			Name: v.Name, Role: v.Role, Address: v.Address.String(), DataCentre: string(v.DataCentre), State: string(v.State),
 		})
 	}
-	faulter.Answer(w, j)
+	data, err := json.Marshal(j)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	version := fmt.Sprintf(`"%x"`, xxhash.Sum64(data))
+	w.Header().Set("ETag", version)
+	if r.Header.Get("If-None-Match") == version {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A client that is gone doesn't miss the answer.
+	_, _ = w.Write(data)
 }
 
 // put changes a VM; what the body leaves out stays as it was.
--- a/vmclient/client.go
+++ b/vmclient/client.go
@@ -3,6 +3,9 @@
 //	GET /v1/vms
 //	  → 200 {"vms":[{"name":"graz-1","role":"node","address":"10.0.0.1:7100",
 //	         "data-centre":"at-east-graz","state":"live"}]}
+//
+// The list seldom changes and may be long, so a read names the version that
+// the node has (If-None-Match) and gets 304 without a body while it stands.
 package vmclient
 
 import (
@@ -12,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +44,11 @@
 	recorder quetzalroad.Recorder
 	node     *kernel.Node
 	http     http.Client
+	mu       sync.Mutex
+	// version and last are the list as last read, and are guarded by mu. The
+	// list is not changed once it is stored.
+	version string
+	last    []quetzalroad.VM
 }
 
 // Declare implements kernel.Part.
@@ -80,11 +89,19 @@
 	if err != nil {
 		return nil, err
 	}
+	version, last := c.known()
+	if version != "" {
+		request.Header.Set("If-None-Match", version)
+	}
 	answer, err := c.http.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode == http.StatusNotModified {
+		c.recorder.Received(quetzalroad.ControlVMs, len(version))
+		return last, nil
+	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, err
@@ -93,7 +110,23 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, errors.Newf("VM list answered %s", answer.Status)
 	}
-	return decode(data)
+	vms, err := decode(data)
+	if err == nil {
+		c.keep(answer.Header.Get("ETag"), vms)
+	}
+	return vms, err
+}
+
+func (c *Client) known() (string, []quetzalroad.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, c.last
+}
+
+func (c *Client) keep(version string, vms []quetzalroad.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.last = version, vms
 }
 
 func decode(data []byte) ([]quetzalroad.VM, error) {
