--- /dev/null
+++ b/claimmapper/batch_test.go
@@ -0,0 +1,57 @@
+package claimmapper
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+func TestBatchSurvivesItsForm(t *testing.T) {
+	want := Batch{Node: "node-1", Entries: []Entry{
+		{Step: StepClaim, Key: quetzalroad.HashKey("k"), Call: quetzalroad.HashKey("c"), ID: "r/1", At: time.Unix(5, 7).UTC()},
+		{Step: StepDone, Key: quetzalroad.HashKey("k"), ID: "r/1", Answer: &quetzalroad.ServiceAnswer{Status: 201, Header: http.Header{"Location": {"/x"}}, Body: []byte("ok")}},
+		{Step: StepDone, Key: quetzalroad.HashKey("l"), ID: "r/2", Lost: true},
+		{Step: StepRelease, Key: quetzalroad.HashKey("m"), ID: "r/3"},
+	}}
+	data, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(Batch{Node: "n", Entries: []Entry{{Step: StepClaim, ID: "r", At: time.Unix(1, 0)}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"format":1,"entries":[{"step":"release","key":"00"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := Decode(data)
+		if err != nil {
+			return
+		}
+		form, err := Encode(b)
+		if err != nil {
+			return
+		}
+		again, err := Decode(form)
+		if err != nil {
+			t.Fatalf("%s can't be read again: %v", form, err)
+		}
+		if diff := cmp.Diff(b, again); diff != "" {
+			t.Errorf("(-first +again):\n%s", diff)
+		}
+	})
+}
