Bound a stopping node's wait for the log

Cause: seed 30 of the randomised runs never ended: a node cut off from the log was stopped as planned and waited for good until its idempotency keys' outcomes were in the log. Ruled out: an open request; the dispatcher had none.

--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -134,8 +134,12 @@
 	return true
 }
 
-// flush waits until all outcomes are in the log, for a planned stop.
+// flush waits until all outcomes are in the log, for a planned stop. It gives
+// up after a while: a key whose outcome is missing stays claimed, which is
+// safe, and a log that is away must not keep a node from stopping.
 func (c *Claimer) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.flushTimeout)
+	defer cancel()
 	for {
 		changed := c.batch.signal()
 		if c.batch.empty() {
@@ -144,6 +148,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			c.logger.Warn("outcomes of idempotency keys did not reach the log")
 			return
 		}
 	}
--- a/peerconnector/proof_test.go
+++ b/peerconnector/proof_test.go
@@ -17,8 +17,9 @@
 		b.Close()
 	}()
 	given = giveProof(a, []byte(dialer), 5*time.Second)
+	accepted = <-done
 	a.Close()
-	return given, <-done
+	return given, accepted
 }
 
 func TestBothEndsProveTheKey(t *testing.T) {
--- a/prover/chat_test.go
+++ b/prover/chat_test.go
@@ -187,3 +187,26 @@
 		}
 	})
 }
+
+func TestPlannedStopEndsWhileTheLogIsAway(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, x *fixture) {
+		n := x.Nodes[0]
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			x.Log.SetDown(true)
+		}()
+		x.Services.RunTime = time.Second
+		if _, err := n.Dispatcher.Call(context.Background(), booking(n, "b1", "key")); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		n.Stop(context.Background())
+		if err := n.Wait(); err != nil {
+			t.Error(err)
+		}
+		// The balancer's lag of the fixture and the usual flush timeout.
+		if took, bound := time.Since(began), time.Second+15*time.Second; took > bound {
+			t.Errorf("the stop took %s, the bound is %s", took, bound)
+		}
+	})
+}
--- a/prover/random_test.go
+++ b/prover/random_test.go
@@ -15,7 +15,10 @@
 	"github.com/quetzalroad/quetzalroad/kernel"
 )
 
-var seeds = flag.Int("seeds", 20, "number of seeds of the randomised runs")
+var (
+	seeds     = flag.Int("seeds", 20, "number of seeds of the randomised runs")
+	firstSeed = flag.Int("first-seed", 1, "first seed of the randomised runs")
+)
 
 // step is one thing that happens in a randomised run.
 type step struct {
@@ -316,7 +319,7 @@
 }
 
 func TestRandomHistories(t *testing.T) {
-	for seed := 1; seed <= *seeds; seed++ {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		for name, value := range map[string]string{"rapid.seed": strconv.Itoa(seed), "rapid.checks": "5", "rapid.nofailfile": "true"} {
 			if err := flag.Set(name, value); err != nil {
 				t.Fatal(err)
--- a/recordmapper/records_test.go
+++ b/recordmapper/records_test.go
@@ -1,11 +1,11 @@
 package recordmapper
 
 import (
-	"errors"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
