Test what two broken invariants slipped through

Cause: the code was broken on purpose, one invariant at a time, and the tests run over it (go test ./prover ./follower). Not caught at first: an idempotent call that may have run told not-run, and chats paused for urgent work. Two tests added; both breaks are caught now, the second by the breach only-lower-preemptible-work-paused as well.

--- a/prover/chat_test.go
+++ b/prover/chat_test.go
@@ -210,3 +210,25 @@
 		}
 	})
 }
+
+func TestChatsAreNeverPausedForWorkAboveThem(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		urgent := chatProfile()
+		urgent.Name, urgent.Class, urgent.Tier = "urgent", "urgent", 0
+		x.publish(quetzalroad.Object{Profile: urgent})
+		x.Engines.Length = func(*quetzalroad.Chat) int { return 200 }
+		chats := make(chan *results)
+		go func() { chats <- x.runChats(24, 500*time.Millisecond, "chat") }()
+		time.Sleep(time.Second)
+		r := x.runChats(20, time.Second, "urgent")
+		if r.reasons[quetzalroad.ReasonTargetUnreachable] == 0 {
+			t.Errorf("no urgent request lacked room, the test shows nothing: %v", r.outcomes)
+		}
+		if got := (<-chats).outcomes[quetzalroad.OutcomeCompleted]; got < 16 {
+			t.Errorf("only %d chats were completed", got)
+		}
+		if got := x.Nodes[0].Vars.Get("retries").String(); got != "{}" {
+			t.Errorf("retries = %s, want none: nothing may be paused", got)
+		}
+	})
+}
--- a/prover/claims_test.go
+++ b/prover/claims_test.go
@@ -238,3 +238,19 @@
 		}
 	})
 }
+
+func TestIdempotentCallThatMayHaveRunIsNotToldNotRun(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, x *fixture) {
+		x.Services.SetFaults(1, 0, 0, 1)
+		n := x.Nodes[0]
+		c := booking(n, "b1", "")
+		c.Idempotent = true
+		_, err := n.Dispatcher.Call(context.Background(), c)
+		if diff := cmp.Diff(quetzalroad.OutcomeUnknown, outcome(err)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		if runs := x.Services.Total(); runs < 2 {
+			t.Errorf("an idempotent call was tried %d times", runs)
+		}
+	})
+}
