--- /dev/null
+++ b/claimer/table_test.go
@@ -0,0 +1,76 @@
+package claimer
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/claimmapper"
+)
+
+func claim(key, id string, at time.Time) claimmapper.Entry {
+	return claimmapper.Entry{Step: claimmapper.StepClaim, Key: quetzalroad.HashKey(key), Call: quetzalroad.HashKey("call"), ID: quetzalroad.RequestID(id), At: at}
+}
+
+func TestFirstClaimWinsAndARepeatedAppendChangesNothing(t *testing.T) {
+	var table table
+	sh := table.shard(quetzalroad.HashKey("key"))
+	now := time.Unix(1000, 0)
+	var got []quetzalroad.ClaimState
+	for _, e := range []claimmapper.Entry{claim("key", "a", now), claim("key", "b", now), claim("key", "a", now), claim("key", "c", now.Add(2*time.Hour))} {
+		got = append(got, sh.applyClaim(e, time.Hour))
+	}
+	want := []quetzalroad.ClaimState{quetzalroad.ClaimWon, quetzalroad.ClaimHeld, quetzalroad.ClaimWon, quetzalroad.ClaimExpired}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestOnlyTheHolderReleasesAKey(t *testing.T) {
+	var table table
+	sh := table.shard(quetzalroad.HashKey("key"))
+	now := time.Unix(1000, 0)
+	sh.applyClaim(claim("key", "a", now), time.Hour)
+	sh.applyRelease(claim("key", "b", now))
+	if got := sh.applyClaim(claim("key", "c", now), time.Hour); got != quetzalroad.ClaimHeld {
+		t.Errorf("after a stranger's release the key is %v", got)
+	}
+	sh.applyRelease(claim("key", "a", now))
+	if got := sh.applyClaim(claim("key", "c", now), time.Hour); got != quetzalroad.ClaimWon {
+		t.Errorf("after the holder's release the key is %v", got)
+	}
+}
+
+func TestOutcomeStandsAgainstALateRelease(t *testing.T) {
+	var table table
+	sh := table.shard(quetzalroad.HashKey("key"))
+	now := time.Unix(1000, 0)
+	sh.applyClaim(claim("key", "a", now), time.Hour)
+	sh.applyDone(claim("key", "a", now))
+	sh.applyRelease(claim("key", "a", now))
+	if got := sh.applyClaim(claim("key", "b", now), time.Hour); got != quetzalroad.ClaimDone {
+		t.Errorf("the key is %v", got)
+	}
+}
+
+func BenchmarkClaimMemory(b *testing.B) {
+	const count = 100000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		all := new(table)
+		for i := range count {
+			e := claim(fmt.Sprintf("key-%d", i), fmt.Sprintf("1d98a205-5fdd-4aa8-87d2-%012d/1d98a205-5fdd-4aa8-87d2-dae736115eef", i), time.Unix(1, 0))
+			all.shard(e.Key).applyClaim(e, time.Hour)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/key")
+		runtime.KeepAlive(all)
+	}
+}
--- a/claimmapper/batch_test.go
+++ b/claimmapper/batch_test.go
@@ -55,3 +55,36 @@
 		}
 	})
 }
+
+// batchOf gives a batch of claims, or of outcomes with an answer.
+func batchOf(count int, done bool) Batch {
+	b := Batch{Node: "at-east-graz-entry-1"}
+	for range count {
+		e := Entry{Step: StepClaim, Key: quetzalroad.HashKey("k"), Call: quetzalroad.HashKey("c"), ID: "1d98a205-5fdd-4aa8-87d2-dae736115eef/1d98a205-5fdd-4aa8-87d2-dae736115eef", At: time.Unix(1e9, 5)}
+		if done {
+			e = Entry{Step: StepDone, Key: e.Key, ID: e.ID, Answer: &quetzalroad.ServiceAnswer{Status: 200, Header: http.Header{"Content-Type": {"application/json"}}, Body: make([]byte, 100)}}
+		}
+		b.Entries = append(b.Entries, e)
+	}
+	return b
+}
+
+func BenchmarkClaimAndOutcome(b *testing.B) {
+	const count = 10
+	size := 0
+	for b.Loop() {
+		size = 0
+		for _, done := range []bool{false, true} {
+			data, err := Encode(batchOf(count, done))
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := Decode(data); err != nil {
+				b.Fatal(err)
+			}
+			size += len(data)
+		}
+	}
+	b.ReportMetric(float64(size)/count, "B/booking")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/count, "µs/booking")
+}
--- a/gossiper/beater.go
+++ b/gossiper/beater.go
@@ -171,7 +171,8 @@
 			}
 			group.Wait()
 		}
-		timer := time.NewTimer(g.farInterval/2 + rand.N(g.farInterval))
+		pace := g.farPace()
+		timer := time.NewTimer(pace/2 + rand.N(pace))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -181,6 +182,23 @@
 	}
 }
 
+// farSharers is the number of nodes of a data centre from which on they share
+// the talking to other data centres out.
+const farSharers = 3
+
+// farPace is the time between two exchanges of this node with other data
+// centres. The more nodes its data centre has, the rarer it is, as what one
+// hears it tells the others.
+func (g *Gossiper) farPace() time.Duration {
+	nodes := 1
+	for _, m := range g.members.list() {
+		if m.address.DataCentre == g.node.DataCentre {
+			nodes++
+		}
+	}
+	return g.farInterval * time.Duration(max(farSharers, nodes)) / farSharers
+}
+
 // pickFar draws a node of each other data centre, preferring those that were
 // heard of lately.
 func (g *Gossiper) pickFar() []member {
--- a/limiter/sharer/share.go
+++ b/limiter/sharer/share.go
@@ -54,11 +54,15 @@
 			known[p.DataCentre] = true
 			if p.DataCentre == s.node.DataCentre {
 				c.nodes++
-			} else if now.Sub(p.Heard) < s.lifetime {
-				c.heard[p.DataCentre] = true
 			}
 		}
 	}
+	s.heard.Range(func(d, taken any) bool {
+		if now.Sub(taken.(time.Time)) < s.lifetime {
+			c.heard[d.(quetzalroad.DataCentre)] = true
+		}
+		return true
+	})
 	c.places = len(known)
 	return c
 }
--- a/limiter/sharer/sharer.go
+++ b/limiter/sharer/sharer.go
@@ -80,6 +80,8 @@
 	lifetime    time.Duration
 	shards      [shardCount]shard
 	services    serviceBounds
+	// heard maps a quetzalroad.DataCentre to the time of the last sum from it.
+	heard sync.Map
 	// counted is the last count of those that limits are shared with.
 	counted atomic.Pointer[counted]
 }
@@ -267,6 +269,9 @@
 
 // Place implements quetzalroad.Limiter.
 func (s *Sharer) Place(d quetzalroad.DataCentre, taken time.Time, demand []quetzalroad.TeamDemand) {
+	if last, ok := s.heard.Load(d); !ok || taken.After(last.(time.Time)) {
+		s.heard.Store(d, taken)
+	}
 	for _, one := range demand {
 		s.with(one.Team, func(a *account) {
 			if a.places == nil {
