--- a/callerserver/exchange.go
+++ b/callerserver/exchange.go
@@ -33,7 +33,6 @@
 	id       quetzalroad.RequestID
 	arrived  time.Time
 	request  *http.Request
-	params   bunrouter.Params
 	response http.ResponseWriter
 	control  *http.ResponseController
 	team     quetzalroad.Team
@@ -51,7 +50,7 @@
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
 		x := &exchange{
 			server: s, id: quetzalroad.RequestID(uuid.NewString()), arrived: time.Now(),
-			request: r.Request, params: r.Params(), response: w, control: http.NewResponseController(w),
+			request: r.Request, response: w, control: http.NewResponseController(w),
 		}
 		open := s.open.Add(1)
 		defer s.open.Add(-1)
--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +95,8 @@
 	}
 }
 
-// serviceMethods are the methods that a plain service may be called with.
+// serviceMethods are the usual methods of plain services. Others come by the
+// handlers of what is not found, and are carried too.
 var serviceMethods = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
 }
@@ -124,12 +126,24 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// isServicePath tells a path of a plain service, which may be called with any
+// method, also with those that the router does not know.
+func (x *exchange) isServicePath() bool {
+	return strings.HasPrefix(x.request.URL.Path, servicePrefix)
+}
+
 func (s *Server) notFound(x *exchange) error {
+	if x.isServicePath() {
+		return s.service(x)
+	}
 	x.status = http.StatusNotFound
 	return quetzalroad.Refuse(quetzalroad.ReasonNotFound, "there is nothing at this path", 0)
 }
 
 func (s *Server) notAllowed(x *exchange) error {
+	if x.isServicePath() {
+		return s.service(x)
+	}
 	x.status = http.StatusMethodNotAllowed
 	return quetzalroad.Refuse(quetzalroad.ReasonNotFound, "this path doesn't take that method", 0)
 }
--- a/callerserver/service.go
+++ b/callerserver/service.go
@@ -8,8 +8,12 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
+// servicePrefix begins the paths of plain services.
+const servicePrefix = "/services/"
+
 func (s *Server) service(x *exchange) error {
-	name := quetzalroad.ServiceName(x.params.ByName("service"))
+	first, _, _ := strings.Cut(strings.TrimPrefix(x.request.URL.Path, servicePrefix), "/")
+	name := quetzalroad.ServiceName(first)
 	service, ok := s.node.Directory.Service(name)
 	if !ok || service.Kind != quetzalroad.KindPlain {
 		return quetzalroad.Refuse(quetzalroad.ReasonUnknownService, "there is no plain service "+strconv.Quote(string(name)), 0)
@@ -51,7 +55,7 @@
 	}
 	header := x.request.Header.Clone()
 	header.Del("Authorization")
-	path := strings.TrimPrefix(x.request.URL.EscapedPath(), "/services/"+string(service.Name))
+	path := strings.TrimPrefix(x.request.URL.EscapedPath(), servicePrefix+string(service.Name))
 	if path == "" {
 		path = "/"
 	}
--- a/cmd/quetzalemu/demonstrator/demonstrator_test.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator_test.go
@@ -355,7 +355,7 @@
 
 func TestServiceCarriesMethodQueryBodyAndAnswer(t *testing.T) {
 	d := bringUp(t)
-	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, "PURGE"} {
 		r, err := send(t.Context(), method, "http://"+d.nodes[1].address.String()+"/services/"+serviceName+"/a/b%20c?x=1&y=2", teamKey, nil, []byte("body"))
 		if err != nil {
 			t.Fatal(err)
@@ -370,3 +370,46 @@
 		}
 	}
 }
+
+func TestRefusalsSayWhatIsWrong(t *testing.T) {
+	d := bringUp(t)
+	node := "http://" + d.nodes[0].address.String()
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		key    string
+		header map[string]string
+		body   string
+		status int
+		code   string
+	}{
+		{"no key", http.MethodPost, "/v1/chat/completions", "", nil, "{}", 401, "unauthorized"},
+		{"not a chat", http.MethodPost, "/v1/chat/completions", teamKey, nil, "[", 400, "malformed-request"},
+		{"unknown model", http.MethodPost, "/v1/chat/completions", teamKey, nil, `{"model":"x","messages":[{"role":"user","content":"y"}]}`, 404, "unknown-model"},
+		{"unknown profile", http.MethodPost, "/v1/chat/completions", teamKey, map[string]string{"Quetzalroad-Profile": "x"}, string(chatBody("y", false)), 400, "unknown-profile"},
+		{"unknown service", http.MethodPost, "/services/x/y", teamKey, nil, "", 404, "unknown-service"},
+		{"unknown path", http.MethodGet, "/v2", teamKey, nil, "", 404, "not-found"},
+		{"wrong method", http.MethodDelete, "/v1/models", teamKey, nil, "", 405, "not-found"},
+		{"body too large", http.MethodPost, "/services/portal-obras/x", teamKey, nil, strings.Repeat("x", 5<<20), 413, "body-too-large"},
+		{"key too long", http.MethodPost, "/services/portal-obras/x", teamKey, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, "", 400, "malformed-request"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, err := send(t.Context(), test.method, node+test.path, test.key, test.header, []byte(test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got struct {
+				Code      string `json:"code"`
+				RequestID string `json:"request-id"`
+			}
+			if err := json.Unmarshal([]byte(r.body), &got); err != nil {
+				t.Fatalf("%s: %v", r.body, err)
+			}
+			if r.status != test.status || got.Code != test.code || r.outcome != "not-run" || got.RequestID == "" {
+				t.Errorf("status %d, outcome %s, body %s", r.status, r.outcome, r.body)
+			}
+		})
+	}
+}
--- a/cmd/quetzalemu/demonstrator/once.go
+++ b/cmd/quetzalemu/demonstrator/once.go
@@ -16,9 +16,9 @@
 const (
 	// drainBound is how long a drain may take to hold on every node.
 	drainBound = 3 * time.Second
-	// chatsAfterDrain is the number of chats sent to each node to see that a
-	// drained engine gets none.
-	chatsAfterDrain = 8
+	// chatsEach is the number of chats sent to each node, before the drain and
+	// after it.
+	chatsEach = 8
 )
 
 // engineStats is an engine's own count.
@@ -118,6 +118,9 @@
 // bound.
 func (d *deployment) tryDrain(ctx context.Context, s commander.Streams) error {
 	drained := d.engines[0]
+	if err := d.sendChats(ctx); err != nil {
+		return err
+	}
 	r, err := send(ctx, http.MethodPost, "http://"+d.nodes[0].admin.String()+"/admin/v1/upstreams/"+drained.name+"/drain", adminKey, nil, nil)
 	if err != nil {
 		return err
@@ -139,7 +142,27 @@
 	if err := stats(ctx, drained.address, &before); err != nil {
 		return err
 	}
-	for i := range chatsAfterDrain {
+	if err := d.sendChats(ctx); err != nil {
+		return err
+	}
+	if err := stats(ctx, drained.address, &after); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.Out, "%s ran %d before and %d after %d more chats\n\n", drained.name, before.Runs, after.Runs, chatsEach*len(d.nodes)); err != nil {
+		return err
+	}
+	if before.Runs == 0 {
+		return errors.New("the engine had no work before the drain: the check shows nothing")
+	}
+	if after.Runs != before.Runs {
+		return errors.New("the drained engine got new work")
+	}
+	return nil
+}
+
+// sendChats sends some chats to each node and looks whether all were answered.
+func (d *deployment) sendChats(ctx context.Context) error {
+	for i := range chatsEach {
 		for _, p := range d.nodes {
 			r, err := d.chat(ctx, p, chatBody(fmt.Sprintf("Question %d", i), false))
 			if err != nil {
@@ -150,15 +173,6 @@
 			}
 		}
 	}
-	if err := stats(ctx, drained.address, &after); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(s.Out, "%s ran %d before and %d after %d more chats\n\n", drained.name, before.Runs, after.Runs, chatsAfterDrain*len(d.nodes)); err != nil {
-		return err
-	}
-	if after.Runs != before.Runs {
-		return errors.New("the drained engine got new work")
-	}
 	return nil
 }
 
--- a/peerconnector/proof_test.go
+++ b/peerconnector/proof_test.go
@@ -13,12 +13,16 @@
 	a, b := net.Pipe()
 	done := make(chan error, 1)
 	go func() {
-		done <- acceptProof(b, []byte(listener), 5*time.Second)
-		b.Close()
+		err := acceptProof(b, []byte(listener), 5*time.Second)
+		if err != nil {
+			b.Close()
+		}
+		done <- err
 	}()
 	given = giveProof(a, []byte(dialer), 5*time.Second)
 	accepted = <-done
 	a.Close()
+	b.Close()
 	return given, accepted
 }
 
