--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,17 +9,14 @@
 	"context"
 	"expvar"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
 )
 
 func init() {
@@ -76,15 +73,6 @@
 	tailLost bool
 }
 
-// partial is a snapshot of which some parts were read.
-type partial struct {
-	id     string
-	covers quetzalroad.Offset
-	// data has an entry for each part; missing counts the nil ones.
-	data    [][]byte
-	missing int
-}
-
 // Declare implements kernel.Part.
 func (f *Follower) Declare(s *configurer.Section) {
 	s.Duration("poll-wait", &f.pollWait, 10*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
@@ -265,87 +253,6 @@
 	waiter <- v
 }
 
-// collect gathers the parts of a snapshot and gives its data once it is whole.
-func (f *Follower) collect(p *recordmapper.SnapshotPart) ([]byte, bool) {
-	if f.parts.id != p.ID || len(f.parts.data) != p.Parts {
-		f.parts = partial{id: p.ID, covers: p.Covers, data: make([][]byte, p.Parts), missing: p.Parts}
-	}
-	if f.parts.data[p.Part] == nil {
-		f.parts.data[p.Part] = p.Data
-		f.parts.missing--
-	}
-	if f.parts.missing > 0 {
-		return nil, false
-	}
-	var whole []byte
-	for _, d := range f.parts.data {
-		whole = append(whole, d...)
-	}
-	if p.Covers > f.snapshotAt {
-		f.snapshotAt = p.Covers
-	}
-	return whole, true
-}
-
-// scanGap looks for a whole snapshot among records that don't join on, and
-// restores the state from it.
-func (f *Follower) scanGap(records []quetzalroad.Record) {
-	for _, r := range records {
-		f.scan = r.Offset + 1
-		entry, err := recordmapper.Decode(r.Data)
-		if err != nil || entry.Snapshot == nil {
-			continue
-		}
-		whole, ok := f.collect(entry.Snapshot)
-		if !ok {
-			continue
-		}
-		if err := f.restore(whole); err != nil {
-			f.logger.Warn("snapshot not taken", "offset", int64(r.Offset), "error", err)
-		}
-	}
-}
-
-// restore loads a snapshot and closes the gap. Records after it are read
-// again from the log or from peers.
-func (f *Follower) restore(data []byte) error {
-	if err := f.machine.restore(data); err != nil {
-		return err
-	}
-	f.kept = nil
-	f.gap = false
-	f.consulted = true
-	if applied := f.machine.store.Applied(); applied > f.known {
-		f.known = applied
-	}
-	f.vars.Add("snapshots-loaded", 1)
-	for id := range f.waiting {
-		if v, ok := f.machine.byID[id]; ok {
-			f.answer(id, v)
-		}
-	}
-	return nil
-}
-
-// Snapshot implements quetzalroad.Snapshotter.
-func (f *Follower) Snapshot() ([]byte, quetzalroad.Offset) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	data, err := f.machine.snapshot()
-	if err != nil {
-		f.logger.Error("snapshot failed", "error", err)
-		return nil, quetzalroad.NoOffset
-	}
-	return data, f.machine.store.Applied()
-}
-
-// Restore implements quetzalroad.Snapshotter.
-func (f *Follower) Restore(data []byte) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.restore(data)
-}
-
 // Stream implements quetzalroad.Relay.
 func (f *Follower) Stream() quetzalroad.Stream {
 	return quetzalroad.StreamState
@@ -387,143 +294,3 @@
 		f.known = head
 	}
 }
-
-// Publish implements quetzalroad.Publisher. A change whose append was not
-// answered is looked for in the stream and appended again under the same id.
-func (f *Follower) Publish(ctx context.Context, c quetzalroad.Change) (quetzalroad.Verdict, error) {
-	if c.ID == "" {
-		c.ID = quetzalroad.ChangeID(uuid.NewString())
-	}
-	data, err := recordmapper.EncodeChange(c)
-	if err != nil {
-		return quetzalroad.Verdict{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, f.publishTimeout)
-	defer cancel()
-	verdicts := f.expect(c.ID)
-	defer f.forget(c.ID)
-	v, err := f.appendUntilRead(ctx, data, verdicts)
-	if err != nil {
-		return quetzalroad.Verdict{}, &quetzalroad.UnconfirmedError{ID: c.ID, Cause: err}
-	}
-	if !v.Accepted {
-		return v, &quetzalroad.ConflictError{Kind: c.Kind, Name: c.Name, Base: c.Base, Current: v.Revision}
-	}
-	return v, nil
-}
-
-func (f *Follower) expect(id quetzalroad.ChangeID) <-chan quetzalroad.Verdict {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	verdicts := make(chan quetzalroad.Verdict, 1)
-	if v, seen := f.machine.byID[id]; seen {
-		verdicts <- v
-		return verdicts
-	}
-	if f.waiting == nil {
-		f.waiting = make(map[quetzalroad.ChangeID]chan quetzalroad.Verdict)
-	}
-	f.waiting[id] = verdicts
-	return verdicts
-}
-
-func (f *Follower) forget(id quetzalroad.ChangeID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.waiting, id)
-}
-
-func (f *Follower) appendUntilRead(ctx context.Context, data []byte, verdicts <-chan quetzalroad.Verdict) (quetzalroad.Verdict, error) {
-	for {
-		appended := f.appendOnce(ctx, data)
-		wait := f.retryPause
-		if appended == nil {
-			wait = f.publishTimeout
-		}
-		t := time.NewTimer(wait)
-		select {
-		case v := <-verdicts:
-			t.Stop()
-			return v, nil
-		case <-ctx.Done():
-			t.Stop()
-			return quetzalroad.Verdict{}, errors.CombineErrors(appended, ctx.Err())
-		case <-t.C:
-		}
-	}
-}
-
-func (f *Follower) appendOnce(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, f.appendTimeout)
-	defer cancel()
-	_, err := f.log.Append(ctx, quetzalroad.StreamState, data)
-	if err != nil {
-		f.vars.Add("log-append-failures", 1)
-	}
-	return err
-}
-
-// snapshotCheck is how often a node looks whether a snapshot is due.
-const snapshotCheck = 5 * time.Second
-
-// writeSnapshots appends a snapshot when enough records came since the last.
-// Nodes look at random moments. Of n nodes each writes with a chance of one in
-// n, which doubles with each look that finds the snapshot still due, so that
-// mostly one node writes and some node does for sure. A second snapshot does no
-// harm.
-func (f *Follower) writeSnapshots(ctx context.Context) error {
-	chances := 1
-	for {
-		f.pause(ctx, snapshotCheck+rand.N(snapshotCheck))
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		switch {
-		case !f.snapshotDue():
-			chances = 1
-		case rand.IntN(f.nodes()) < chances:
-			f.writeSnapshot(ctx)
-			chances = 1
-		default:
-			chances *= 2
-		}
-	}
-}
-
-// nodes counts the nodes that may write a snapshot.
-func (f *Follower) nodes() int {
-	if f.node.Peers == nil {
-		return 1
-	}
-	return 1 + len(f.node.Peers.Status())
-}
-
-func (f *Follower) snapshotDue() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	applied := f.machine.store.Applied()
-	return !f.gap && !f.tailLost && applied == f.known && int(applied-f.snapshotAt) > f.snapshotEvery
-}
-
-func (f *Follower) writeSnapshot(ctx context.Context) {
-	data, covers := f.Snapshot()
-	if data == nil {
-		return
-	}
-	id := uuid.NewString()
-	parts := (len(data) + snapshotPartBytes - 1) / snapshotPartBytes
-	for i := range parts {
-		end := min((i+1)*snapshotPartBytes, len(data))
-		record, err := recordmapper.EncodeSnapshot(recordmapper.SnapshotPart{
-			ID: id, Covers: covers, Part: i, Parts: parts, Data: data[i*snapshotPartBytes : end],
-		})
-		if err == nil {
-			err = f.appendOnce(ctx, record)
-		}
-		if err != nil {
-			f.logger.Warn("snapshot not written", "part", i, "parts", parts, "error", err)
-			return
-		}
-	}
-	f.vars.Add("snapshots-written", 1)
-}
