--- a/balancer/estimator/estimator.go
+++ b/balancer/estimator/estimator.go
@@ -57,7 +57,7 @@
 	if len(candidates) == 1 {
 		return candidates[0]
 	}
-	low, high := e.span(now, r, len(candidates))
+	low, high := e.span(r, len(candidates))
 	usual := e.times.usual(r.Service.Name)
 	best := candidates[low+e.draws.below(high-low)]
 	least := e.cost(now, r, best, usual)
@@ -79,12 +79,8 @@
 // are in order of name, the same on all nodes, so the first ones are left to
 // interactive work without any agreement. Interactive work may use them all
 // and prefers the ones left to it by their lower load.
-func (e *Estimator) span(now time.Time, r *quetzalroad.Request, count int) (low, high int) {
+func (e *Estimator) span(r *quetzalroad.Request, count int) (low, high int) {
 	if !r.Profile.Preemptible {
-		e.times.noteInteractive(r.Service.Name, now)
-		return 0, count
-	}
-	if now.Sub(e.times.lastInteractive(r.Service.Name)) > interactiveFor {
 		return 0, count
 	}
 	low = int(e.shortShare * float64(count))
@@ -94,10 +90,6 @@
 	return low, count
 }
 
-// interactiveFor is how long upstreams are left to interactive work after the
-// last of it came.
-const interactiveFor = 10 * time.Second
-
 // near gives the upstream that a request's prefix leads to, if its load
 // allows.
 func (e *Estimator) near(now time.Time, r *quetzalroad.Request, candidates []quetzalroad.Upstream, usual time.Duration) (quetzalroad.Upstream, bool) {
--- a/balancer/estimator/times.go
+++ b/balancer/estimator/times.go
@@ -28,28 +28,6 @@
 	mu sync.Mutex
 	// median is guarded by mu and made on first use; its values are positive.
 	median map[quetzalroad.ServiceName]time.Duration
-	// interactive is when a service last had interactive work, guarded and
-	// made likewise.
-	interactive map[quetzalroad.ServiceName]time.Time
-}
-
-// noteInteractive notes that a service has interactive work.
-func (c *timeCache) noteInteractive(s quetzalroad.ServiceName, now time.Time) {
-	sh := c.shard(s)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.interactive == nil {
-		sh.interactive = make(map[quetzalroad.ServiceName]time.Time)
-	}
-	sh.interactive[s] = now
-}
-
-// lastInteractive gives when a service last had interactive work.
-func (c *timeCache) lastInteractive(s quetzalroad.ServiceName) time.Time {
-	sh := c.shard(s)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.interactive[s]
 }
 
 func (c *timeCache) shard(s quetzalroad.ServiceName) *timeShard {
