Add quetzalbench load; make silent log connections anew

Cause: with all connections to the log gone silent, a read waited 13 s and each append met one dead kept connection after another. Reads are held for 2 s and given up after 3; a failed call drops the kept connections.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -67,7 +67,7 @@
 	s.Duration("timeout", &c.timeout, 2*time.Second, 10*time.Millisecond, time.Minute, "How long a request waits for its claim.")
 	s.Duration("append-timeout", &c.appendTimeout, time.Second, 10*time.Millisecond, time.Minute, "How long one append may take.")
 	s.Duration("batch-interval", &c.interval, 20*time.Millisecond, time.Millisecond, time.Second, "Least time between two appends.")
-	s.Duration("poll-wait", &c.pollWait, 10*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
+	s.Duration("poll-wait", &c.pollWait, 2*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
 	s.Duration("retry-pause", &c.retryPause, 100*time.Millisecond, time.Millisecond, time.Minute, "Pause after a failed read or append.")
 	s.Duration("flush-timeout", &c.flushTimeout, 15*time.Second, 0, time.Hour, "How long a stopping node waits for the log to take the outcomes it has.")
 	s.Int("max-kept-bytes", &c.maxKept, 2048, 0, 64<<10, "Largest answer kept in the log for repeated requests.")
--- a/cmd/quetzalbench/main.go
+++ b/cmd/quetzalbench/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"os"
 
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/loader"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/overheader"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/sloper"
 	"github.com/quetzalroad/quetzalroad/commander"
@@ -14,6 +15,7 @@
 func main() {
 	streams := commander.System()
 	commands := commander.New("quetzalbench", streams)
+	commands.Register(&loader.Command{Streams: streams}, "")
 	commands.Register(&sloper.Command{Streams: streams}, "")
 	commands.Register(&overheader.Command{Streams: streams}, "")
 	flag.Parse()
--- a/cmd/quetzalemu/demonstrator/demonstrator_test.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator_test.go
@@ -413,3 +413,24 @@
 		})
 	}
 }
+
+func TestSilentLogConnectionsAreMadeAnew(t *testing.T) {
+	d := bringUp(t)
+	fault(t, place{address: d.log}, map[string]any{"silent-open-connections": true})
+	eventually(t, "a keyed booking runs", func() bool {
+		r, err := send(t.Context(), http.MethodPost, "http://"+d.nodes[0].address.String()+"/services/"+serviceName+"/bookings", teamKey,
+			map[string]string{"Idempotency-Key": "visit"}, []byte("{}"))
+		return err == nil && r.outcome == "completed"
+	})
+	runs := 0
+	for _, p := range d.services {
+		var count serviceStats
+		if err := stats(t.Context(), p.address, &count); err != nil {
+			t.Fatal(err)
+		}
+		runs += count.RunsByKey["visit"]
+	}
+	if runs != 1 {
+		t.Errorf("the booking ran %d times", runs)
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -75,7 +75,7 @@
 
 // Declare implements kernel.Part.
 func (f *Follower) Declare(s *configurer.Section) {
-	s.Duration("poll-wait", &f.pollWait, 10*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
+	s.Duration("poll-wait", &f.pollWait, 2*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open for new records.")
 	s.Duration("retry-pause", &f.retryPause, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a failed read of the log.")
 	s.Duration("append-timeout", &f.appendTimeout, 2*time.Second, 10*time.Millisecond, time.Minute, "How long one append may take.")
 	s.Duration("publish-timeout", &f.publishTimeout, 10*time.Second, 100*time.Millisecond, 5*time.Minute, "How long to wait until a change was read back.")
--- a/logclient/client.go
+++ b/logclient/client.go
@@ -39,7 +39,7 @@
 	// maxAnswerBytes bounds what is read of one answer.
 	maxAnswerBytes = 64 << 20
 	// readSlack is how much longer than its wait a read may take.
-	readSlack = 3 * time.Second
+	readSlack = time.Second
 )
 
 // Client is the log as seen over HTTP.
@@ -48,6 +48,7 @@
 	dialTimeout time.Duration
 	recorder    quetzalroad.Recorder
 	http        http.Client
+	transport   *http.Transport
 }
 
 // Declare implements kernel.Part.
@@ -60,7 +61,8 @@
 func (c *Client) Build(n *kernel.Node) error {
 	c.recorder = n.Recorder
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
-	c.http.Transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	c.transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	c.http.Transport = c.transport
 	n.Log = c
 	return nil
 }
@@ -118,6 +120,9 @@
 	c.recorder.Sent(quetzalroad.ControlLog, len(url)+len(body))
 	answer, err := c.http.Do(request)
 	if err != nil {
+		// A connection that went silent is seldom alone: the kept ones are
+		// dropped, so that the next call makes a new one.
+		c.transport.CloseIdleConnections()
 		return err
 	}
 	defer answer.Body.Close()
