--- a/cmd/quetzalemu/demonstrator/demonstrator_test.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator_test.go
@@ -434,3 +434,38 @@
 		t.Errorf("the booking ran %d times", runs)
 	}
 }
+
+func TestPlannedStopTurnsUnreadyAndEndsTheLastStream(t *testing.T) {
+	d := bringUp(t)
+	for _, p := range d.engines {
+		fault(t, p, map[string]any{"slow-factor": 10})
+	}
+	body := []byte(`{"model":"` + modelName + `","stream":true,"max_tokens":30,"messages":[{"role":"user","content":"Tell me all"}]}`)
+	got := make(chan streamed, 1)
+	go func() {
+		r, err := d.chat(context.Background(), d.nodes[0], body)
+		if err != nil {
+			t.Error(err)
+		}
+		one := streamed{body: body, status: r.status, outcome: r.outcome}
+		one.text, one.done, one.marked = readStream(r.body)
+		got <- one
+	}()
+	node := d.running[0]
+	eventually(t, "the chat is under way", func() bool { return node.Open() == 1 })
+	stopped := make(chan error, 1)
+	go func() {
+		go node.Stop(context.Background())
+		stopped <- node.Wait()
+	}()
+	eventually(t, "the node is unready", func() bool {
+		r, err := send(t.Context(), http.MethodGet, "http://"+d.nodes[0].admin.String()+"/readyz", "", nil, nil)
+		return err == nil && r.status == http.StatusServiceUnavailable
+	})
+	if err := <-stopped; err != nil {
+		t.Errorf("the node ended with %v", err)
+	}
+	if one := <-got; !one.check(t, 0) {
+		t.Errorf("the stream was cut: outcome %s", one.outcome)
+	}
+}
--- a/faker/deployment.go
+++ b/faker/deployment.go
@@ -14,7 +14,6 @@
 )
 
 // Deployment is several nodes over the same fakes. The zero value has none.
-// The plug-ins of the nodes are those that the test imports.
 type Deployment struct {
 	Log      Log
 	Network  Network
--- a/measurer/plugins_test.go
+++ b/faker/plugins.go
@@ -1,6 +1,7 @@
-package measurer
+package faker
 
 import (
+	// The nodes of a fake deployment are built from these.
 	_ "github.com/quetzalroad/quetzalroad/admitter/prioritizer"
 	_ "github.com/quetzalroad/quetzalroad/admitter/queuer"
 	_ "github.com/quetzalroad/quetzalroad/balancer/estimator"
--- a/names.go
+++ b/names.go
@@ -1,9 +1,6 @@
 package quetzalroad
 
-import (
-	"crypto/sha256"
-	"time"
-)
+import "crypto/sha256"
 
 // TeamName names a customer team.
 type TeamName string
@@ -73,12 +70,3 @@
 func HashKey(key string) KeyHash {
 	return sha256.Sum256([]byte(key))
 }
-
-// Deadline is the moment after which an answer is of no use to its caller.
-// The zero value means that there is none.
-func (r *Request) Deadline() time.Time {
-	if r.Profile.Timeout <= 0 {
-		return time.Time{}
-	}
-	return r.Arrived.Add(r.Profile.Timeout)
-}
--- a/request.go
+++ b/request.go
@@ -31,6 +31,15 @@
 	IdempotencyKey string
 }
 
+// Deadline is the moment after which an answer is of no use to its caller.
+// The zero value means that there is none.
+func (r *Request) Deadline() time.Time {
+	if r.Profile.Timeout <= 0 {
+		return time.Time{}
+	}
+	return r.Arrived.Add(r.Profile.Timeout)
+}
+
 // Chat is a request for a completion.
 type Chat struct {
 	Request
