--- a/adminserver/server.go
+++ b/adminserver/server.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"encoding/hex"
+	"crypto/sha256"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -39,14 +39,11 @@
 	maxBody = 256 << 10
 	// bodyTimeout bounds the reading of a request.
 	bodyTimeout = 10 * time.Second
-	// hashHexLength is the length of a SHA-256 sum in hex.
-	hashHexLength = 64
 )
 
 // Server is the part that listens to operators.
 type Server struct {
 	address  netip.AddrPort
-	keyHash  string
 	profiles bool
 	node     *kernel.Node
 	logger   *slog.Logger
@@ -57,7 +54,7 @@
 // Declare implements kernel.Part.
 func (s *Server) Declare(section *configurer.Section) {
 	section.Address("address", &s.address, "127.0.0.1:7081", "Where to listen.")
-	section.Secret("key-sha256", &s.keyHash, hashHexLength, "SHA-256 sum, in hex, of the operators' bearer key.")
+	section.Sum("key-sha256", (*[sha256.Size]byte)(&s.key), "SHA-256 sum, in hex, of the operators' bearer key.")
 	section.Bool("pprof", &s.profiles, false, "Offer the runtime's profiles under /debug/pprof/ to operators.")
 }
 
@@ -65,11 +62,6 @@
 func (s *Server) Build(n *kernel.Node) error {
 	s.node = n
 	s.logger = n.Logger
-	sum, err := hex.DecodeString(s.keyHash)
-	if err != nil || len(sum) != len(s.key) {
-		return errors.New("admin.key-sha256 is not the hex form of a SHA-256 sum")
-	}
-	copy(s.key[:], sum)
 	s.http = http.Server{Handler: s.routes(), ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)}
 	listener, err := net.Listen("tcp", s.address.String())
 	if err != nil {
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -136,6 +136,21 @@
 	}
 }
 
+func TestSumIsCheckedWithItsPlace(t *testing.T) {
+	var sum [32]byte
+	section := new(Section)
+	section.Sum("key", &sum, "The sum.")
+	var file File
+	file.Add("admin", "The face.", Fixed{Section: section})
+	err := file.Read("f", []byte(`{"admin": {"key": "zz"}}`))
+	if err == nil || err.Error() != "f:1:19: admin.key: is not the hex form of a SHA-256 sum" {
+		t.Errorf("err = %v", err)
+	}
+	if err := file.Read("f", []byte(`{"admin": {"key": "`+strings.Repeat("ab", 32)+`"}}`)); err != nil || sum[31] != 0xab {
+		t.Errorf("err = %v, sum %x", err, sum)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(`{"node": {"name": "a", "wait": "1s"}}`))
 	f.Add([]byte(`{"node": // x` + "\n" + `{}}`))
--- a/configurer/section.go
+++ b/configurer/section.go
@@ -7,6 +7,8 @@
 package configurer
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -206,6 +208,23 @@
 	}})
 }
 
+// Sum binds a required SHA-256 sum in hex.
+func (s *Section) Sum(key string, target *[sha256.Size]byte, doc string) {
+	*target = [sha256.Size]byte{}
+	s.add(field{key: key, doc: doc, text: `""`, required: true, set: func(v hujson.Value) string {
+		text, problem := stringOf(v)
+		if problem != "" {
+			return problem
+		}
+		sum, err := hex.DecodeString(text)
+		if err != nil || len(sum) != len(target) {
+			return "is not the hex form of a SHA-256 sum"
+		}
+		copy(target[:], sum)
+		return ""
+	}})
+}
+
 // Choice binds one of several words.
 func (s *Section) Choice(key string, target *string, def string, words []string, doc string) {
 	*target = def
