--- a/limiter/sharer/sharer.go
+++ b/limiter/sharer/sharer.go
@@ -122,7 +122,7 @@
 	if !s.services.acquire(r.Service, crowd.nodes*crowd.places) {
 		return nil, quetzalroad.Refuse(quetzalroad.ReasonServiceConcurrency, "the service runs as many requests as it may", retryConcurrency)
 	}
-	cost := estimate(r)
+	cost := s.estimate(r)
 	if err := s.acquireTeam(now, r, cost, crowd); err != nil {
 		s.services.release(r.Service)
 		return nil, err
@@ -130,9 +130,14 @@
 	return &grant{sharer: s, request: r, cost: cost}, nil
 }
 
-// estimate is the number of tokens a request is charged before it ran.
-func estimate(r *quetzalroad.Request) int {
-	return r.PromptTokens + r.MaxTokens
+// estimate is the number of tokens a request is charged before it ran: its
+// prompt and what such requests usually generate. What it really takes is
+// settled when it ends.
+func (s *Sharer) estimate(r *quetzalroad.Request) int {
+	if r.Service.Kind == quetzalroad.KindPlain {
+		return 0
+	}
+	return r.PromptTokens + s.node.Lengths.Remaining(r, 0)
 }
 
 func (s *Sharer) acquireTeam(now time.Time, r *quetzalroad.Request, cost int, crowd crowd) error {
