Name what peers tell by what it is

Cause: read as a newcomer, crowd, told, tell, story and judge needed explaining. Renamed to sharers, peerDemand, placeSum, notify, run and verify; no behaviour changes.

--- a/admitter/prioritizer/prioritizer.go
+++ b/admitter/prioritizer/prioritizer.go
@@ -175,7 +175,7 @@
 		p.queue(d.Service)
 	}
 	for _, q := range p.queues() {
-		q.setPeer(n, told{at: received, wanted: wanted[q.service]})
+		q.setPeer(n, peerDemand{at: received, wanted: wanted[q.service]})
 	}
 }
 
--- a/admitter/prioritizer/queue.go
+++ b/admitter/prioritizer/queue.go
@@ -19,8 +19,8 @@
 // tierCounts counts requests by tier.
 type tierCounts = [quetzalroad.MaxTiers]int
 
-// told is the demand on a peer.
-type told struct {
+// peerDemand is the demand on a peer.
+type peerDemand struct {
 	at     time.Time
 	wanted tierCounts
 }
@@ -37,7 +37,7 @@
 	// pausing counts the requests told to give back their place.
 	pausing int
 	// peers is the demand on the other nodes of the data centre.
-	peers map[quetzalroad.NodeName]told
+	peers map[quetzalroad.NodeName]peerDemand
 	// armed tells that a recheck is due.
 	armed bool
 }
@@ -57,11 +57,11 @@
 	return counts
 }
 
-func (q *queue) setPeer(n quetzalroad.NodeName, t told) {
+func (q *queue) setPeer(n quetzalroad.NodeName, t peerDemand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.peers == nil {
-		q.peers = make(map[quetzalroad.NodeName]told)
+		q.peers = make(map[quetzalroad.NodeName]peerDemand)
 	}
 	q.peers[n] = t
 }
@@ -407,7 +407,7 @@
 			if victim == nil {
 				break
 			}
-			q.tellLocked(victim, t)
+			q.pauseVictimLocked(victim, t)
 		}
 	}
 }
@@ -426,7 +426,7 @@
 	return nil
 }
 
-func (q *queue) tellLocked(victim *waiter, gainer quetzalroad.Tier) {
+func (q *queue) pauseVictimLocked(victim *waiter, gainer quetzalroad.Tier) {
 	p := victim.request.Profile
 	if victim.tier() <= gainer || !p.Preemptible || p.Interactive {
 		q.owner.recorder.Breach("only-lower-preemptible-work-paused",
--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -29,7 +29,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pending = append(b.pending, e)
-	b.tellLocked()
+	b.notifyLocked()
 }
 
 // withdraw takes a claim out, unless it is with the appender.
@@ -44,7 +44,7 @@
 	}
 }
 
-func (b *batcher) tellLocked() {
+func (b *batcher) notifyLocked() {
 	if b.changed != nil {
 		close(b.changed)
 		b.changed = nil
@@ -83,7 +83,7 @@
 	defer b.mu.Unlock()
 	b.pending = slices.Clone(b.pending[b.flying:])
 	b.flying = 0
-	b.tellLocked()
+	b.notifyLocked()
 }
 
 // empty tells that nothing waits to be appended.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -107,7 +107,7 @@
 		have.status = statusLost
 	}
 	have.answer = e.Answer
-	have.tell()
+	have.notify()
 }
 
 func (sh *shard) applyRelease(e claimmapper.Entry) {
@@ -116,10 +116,10 @@
 		return
 	}
 	delete(sh.entries, e.Key)
-	have.tell()
+	have.notify()
 }
 
-func (e *entry) tell() {
+func (e *entry) notify() {
 	for _, w := range e.watchers {
 		close(w)
 	}
@@ -133,7 +133,7 @@
 		sh.mu.Lock()
 		for key, e := range sh.entries {
 			if e.at.Before(before) {
-				e.tell()
+				e.notify()
 				delete(sh.entries, key)
 			}
 		}
--- a/faker/log.go
+++ b/faker/log.go
@@ -58,7 +58,7 @@
 	return one
 }
 
-func (l *Log) tellLocked() {
+func (l *Log) notifyLocked() {
 	if l.changed != nil {
 		close(l.changed)
 		l.changed = nil
@@ -70,7 +70,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.down = down
-	l.tellLocked()
+	l.notifyLocked()
 }
 
 // SetCut cuts a node off from the log or joins it again.
@@ -81,7 +81,7 @@
 		l.cut = make(map[quetzalroad.NodeName]bool)
 	}
 	l.cut[n] = cut
-	l.tellLocked()
+	l.notifyLocked()
 }
 
 // LoseAnswers makes a share of the appends lose their answer after they took
@@ -111,7 +111,7 @@
 	defer l.mu.Unlock()
 	one := l.streamLocked(s)
 	one.records = one.records[:from-one.earliest]
-	l.tellLocked()
+	l.notifyLocked()
 }
 
 // Appends counts the appends to a stream.
@@ -144,7 +144,7 @@
 		l.appends = make(map[quetzalroad.Stream]int)
 	}
 	l.appends[s]++
-	l.tellLocked()
+	l.notifyLocked()
 	return offset
 }
 
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -47,8 +47,8 @@
 	members map[quetzalroad.NodeName]*member
 }
 
-// told is a sum of another data centre, with when it came.
-type told struct {
+// placeSum is a sum of another data centre, with when it came.
+type placeSum struct {
 	demand quetzalroad.PlaceDemand
 	at     time.Time
 	// direct tells that it came from that data centre itself.
@@ -61,7 +61,7 @@
 	mu     sync.Mutex
 	// places holds the last sum of each other data centre, and trips the last
 	// round trip to it. Both are guarded by mu.
-	places map[quetzalroad.DataCentre]told
+	places map[quetzalroad.DataCentre]placeSum
 	trips  map[quetzalroad.DataCentre]time.Duration
 }
 
@@ -213,10 +213,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.places == nil {
-		s.places = make(map[quetzalroad.DataCentre]told)
+		s.places = make(map[quetzalroad.DataCentre]placeSum)
 	}
 	if p.Taken.After(s.places[p.DataCentre].demand.Taken) {
-		s.places[p.DataCentre] = told{demand: p, at: now, direct: direct}
+		s.places[p.DataCentre] = placeSum{demand: p, at: now, direct: direct}
 	}
 }
 
--- a/limiter/sharer/share.go
+++ b/limiter/sharer/share.go
@@ -10,8 +10,8 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// crowd is how many others a limit is shared with.
-type crowd struct {
+// sharers is how many others a limit is shared with.
+type sharers struct {
 	// nodes counts the nodes of this data centre, this one included.
 	nodes int
 	// places counts the data centres that have nodes or upstreams.
@@ -20,29 +20,29 @@
 	heard map[quetzalroad.DataCentre]bool
 }
 
-// crowdLifetime is how long a crowd is used again.
-const crowdLifetime = 100 * time.Millisecond
+// sharersLifetime is how long a count of sharers is used again.
+const sharersLifetime = 100 * time.Millisecond
 
-// counted is a crowd with the time at which it was counted.
+// counted holds the sharers with the time at which they were counted.
 type counted struct {
-	crowd crowd
-	at    time.Time
+	sharers sharers
+	at      time.Time
 }
 
-// crowd counts whom limits are shared with. Data centres are those of the
+// sharers counts whom limits are shared with. Data centres are those of the
 // published upstreams, which all nodes know alike, cut off or not. A count is
 // used again for a while; two that are made at once do no harm.
-func (s *Sharer) crowd(now time.Time) crowd {
-	if last := s.counted.Load(); last != nil && now.Sub(last.at) < crowdLifetime {
-		return last.crowd
+func (s *Sharer) sharers(now time.Time) sharers {
+	if last := s.counted.Load(); last != nil && now.Sub(last.at) < sharersLifetime {
+		return last.sharers
 	}
-	fresh := &counted{crowd: s.count(now), at: now}
+	fresh := &counted{sharers: s.count(now), at: now}
 	s.counted.Store(fresh)
-	return fresh.crowd
+	return fresh.sharers
 }
 
-func (s *Sharer) count(now time.Time) crowd {
-	c := crowd{nodes: 1, heard: make(map[quetzalroad.DataCentre]bool)}
+func (s *Sharer) count(now time.Time) sharers {
+	c := sharers{nodes: 1, heard: make(map[quetzalroad.DataCentre]bool)}
 	known := map[quetzalroad.DataCentre]bool{s.node.DataCentre: true}
 	if s.node.Directory != nil {
 		for _, u := range s.node.Directory.Upstreams() {
@@ -75,7 +75,7 @@
 }
 
 // rate is the node's part of a team's tokens a second.
-func (s *Sharer) rate(now time.Time, a *account, t quetzalroad.Team, c crowd) float64 {
+func (s *Sharer) rate(now time.Time, a *account, t quetzalroad.Team, c sharers) float64 {
 	d := a.amounts(now, s.lifetime, c, a.rateAt(now), func(d quetzalroad.TeamDemand) float64 { return d.TokensPerSecond })
 	return math.Max(s.share(float64(t.TokensPerSecond), d, c), 1e-3)
 }
@@ -84,7 +84,7 @@
 // the team's places, shared out by demand, on top of those held. Each node may
 // hold at least one, so that a team that comes to a fresh node isn't refused
 // there before its demand was told.
-func (s *Sharer) placesFor(now time.Time, a *account, t quetzalroad.Team, c crowd) int {
+func (s *Sharer) placesFor(now time.Time, a *account, t quetzalroad.Team, c sharers) int {
 	wanted := func(d quetzalroad.TeamDemand) float64 { return float64(d.Wanted) }
 	d := a.amounts(now, s.lifetime, c, float64(a.wantedNow(now)), wanted)
 	share := s.share(float64(t.Concurrency), d, c)
@@ -100,7 +100,7 @@
 
 // roundsUp gives the fractions of a place to the nodes in turn: in each
 // period a node rounds up in proportion to its fraction.
-func (s *Sharer) roundsUp(now time.Time, t quetzalroad.TeamName, fraction float64, c crowd) bool {
+func (s *Sharer) roundsUp(now time.Time, t quetzalroad.TeamName, fraction float64, c sharers) bool {
 	if c.nodes*c.places <= 1 {
 		return false
 	}
@@ -112,7 +112,7 @@
 // golden steps a hash through its whole range evenly.
 const golden = 0x9E3779B97F4A7C15
 
-func (a *account) amounts(now time.Time, lifetime time.Duration, c crowd, own float64, of func(quetzalroad.TeamDemand) float64) amounts {
+func (a *account) amounts(now time.Time, lifetime time.Duration, c sharers, own float64, of func(quetzalroad.TeamDemand) float64) amounts {
 	d := amounts{own: own}
 	for _, t := range a.peers {
 		if now.Sub(t.at) < lifetime {
@@ -132,7 +132,7 @@
 // the parts of those that were not heard of are left to them whole. What
 // remains follows the demand. The nodes of the data centre share its part in
 // the same way.
-func (s *Sharer) share(limit float64, d amounts, c crowd) float64 {
+func (s *Sharer) share(limit float64, d amounts, c sharers) float64 {
 	here := limit
 	if c.places > 1 {
 		even := limit / float64(c.places)
@@ -147,7 +147,7 @@
 }
 
 // floor gives the node's sure part of a team's limits.
-func (s *Sharer) floor(t quetzalroad.Team, c crowd) floor {
+func (s *Sharer) floor(t quetzalroad.Team, c sharers) floor {
 	share := s.staticShare / float64(max(1, c.nodes))
 	if c.places > 1 {
 		share *= s.staticShare / float64(c.places)
--- a/limiter/sharer/sharer.go
+++ b/limiter/sharer/sharer.go
@@ -38,8 +38,8 @@
 	retryConcurrency = time.Second
 )
 
-// told is the demand that another told of.
-type told struct {
+// peerDemand is the demand that another told of.
+type peerDemand struct {
 	at     time.Time
 	demand quetzalroad.TeamDemand
 }
@@ -62,8 +62,8 @@
 	static floor
 	// peers and places hold what others told of; an entry is replaced as a
 	// whole.
-	peers  map[quetzalroad.NodeName]told
-	places map[quetzalroad.DataCentre]told
+	peers  map[quetzalroad.NodeName]peerDemand
+	places map[quetzalroad.DataCentre]peerDemand
 }
 
 // shard holds the accounts of the teams that hash to it.
@@ -118,12 +118,12 @@
 // Acquire implements quetzalroad.Limiter. The service's bound is taken first
 // and given back where the team's refuses.
 func (s *Sharer) Acquire(now time.Time, r *quetzalroad.Request) (quetzalroad.Grant, error) {
-	crowd := s.crowd(now)
-	if !s.services.acquire(r.Service, crowd.nodes*crowd.places) {
+	sharers := s.sharers(now)
+	if !s.services.acquire(r.Service, sharers.nodes*sharers.places) {
 		return nil, quetzalroad.Refuse(quetzalroad.ReasonServiceConcurrency, "the service runs as many requests as it may", retryConcurrency)
 	}
 	cost := s.estimate(r)
-	if err := s.acquireTeam(now, r, cost, crowd); err != nil {
+	if err := s.acquireTeam(now, r, cost, sharers); err != nil {
 		s.services.release(r.Service)
 		return nil, err
 	}
@@ -140,18 +140,18 @@
 	return r.PromptTokens + s.node.Lengths.Remaining(r, 0)
 }
 
-func (s *Sharer) acquireTeam(now time.Time, r *quetzalroad.Request, cost int, crowd crowd) error {
+func (s *Sharer) acquireTeam(now time.Time, r *quetzalroad.Request, cost int, sharers sharers) error {
 	sh := s.shard(r.Team.Name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	a := sh.account(r.Team.Name)
 	a.ask(now, cost)
-	a.static = s.floor(r.Team, crowd)
-	if places := s.placesFor(now, a, r.Team, crowd); r.Team.Concurrency > 0 && a.running >= places {
+	a.static = s.floor(r.Team, sharers)
+	if places := s.placesFor(now, a, r.Team, sharers); r.Team.Concurrency > 0 && a.running >= places {
 		return quetzalroad.Refuse(quetzalroad.ReasonTeamConcurrency, "the team runs as many requests as it may", retryConcurrency)
 	}
 	if r.Team.TokensPerSecond > 0 {
-		rate := s.rate(now, a, r.Team, crowd)
+		rate := s.rate(now, a, r.Team, sharers)
 		a.fill(now, rate)
 		if a.level <= 0 {
 			wait := time.Duration((1 - a.level) / rate * float64(time.Second))
@@ -265,9 +265,9 @@
 	for _, d := range demand {
 		s.with(d.Team, func(a *account) {
 			if a.peers == nil {
-				a.peers = make(map[quetzalroad.NodeName]told)
+				a.peers = make(map[quetzalroad.NodeName]peerDemand)
 			}
-			a.peers[n] = told{at: received, demand: d}
+			a.peers[n] = peerDemand{at: received, demand: d}
 		})
 	}
 }
@@ -280,10 +280,10 @@
 	for _, one := range demand {
 		s.with(one.Team, func(a *account) {
 			if a.places == nil {
-				a.places = make(map[quetzalroad.DataCentre]told)
+				a.places = make(map[quetzalroad.DataCentre]peerDemand)
 			}
 			if taken.After(a.places[d].at) {
-				a.places[d] = told{at: taken, demand: one}
+				a.places[d] = peerDemand{at: taken, demand: one}
 			}
 		})
 	}
--- a/prover/random_test.go
+++ b/prover/random_test.go
@@ -52,8 +52,8 @@
 	}), 5, 25).Draw(t, "steps")
 }
 
-// story is a randomised run under way.
-type story struct {
+// run is a randomised run under way.
+type run struct {
 	*fixture
 	group sync.WaitGroup
 	mu    sync.Mutex
@@ -65,23 +65,23 @@
 	accepted quetzalroad.Revision
 }
 
-func (s *story) problem(format string, args ...any) {
+func (s *run) problem(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.problems = append(s.problems, fmt.Sprintf(format, args...))
 }
 
 // node gives a node to talk to.
-func (s *story) node(which int) *kernel.Node {
+func (s *run) node(which int) *kernel.Node {
 	return s.Nodes[which%len(s.Nodes)]
 }
 
-func (s *story) engine(which int) quetzalroad.UpstreamName {
+func (s *run) engine(which int) quetzalroad.UpstreamName {
 	return quetzalroad.UpstreamName(fmt.Sprintf("%s-engine-%d", places[which%len(places)], which%enginesPerPlace))
 }
 
 // do does one step.
-func (s *story) do(x step) {
+func (s *run) do(x step) {
 	machine := s.Engines.Machines[s.engine(x.which)]
 	switch x.kind {
 	case "chats":
@@ -121,7 +121,7 @@
 }
 
 // chats sends some chats and checks each answer.
-func (s *story) chats(x step, profile string, count int) {
+func (s *run) chats(x step, profile string, count int) {
 	for i := range count {
 		n := s.node(x.which + i)
 		s.mu.Lock()
@@ -143,7 +143,7 @@
 }
 
 // book sends a booking under one key to several nodes.
-func (s *story) book(x step) {
+func (s *run) book(x step) {
 	s.mu.Lock()
 	s.started++
 	key := fmt.Sprintf("key-%d", s.started)
@@ -171,7 +171,7 @@
 	}
 }
 
-func (s *story) change(x step) {
+func (s *run) change(x step) {
 	n := s.node(x.which)
 	s.mu.Lock()
 	s.started++
@@ -187,7 +187,7 @@
 	})
 }
 
-func (s *story) drain(x step) {
+func (s *run) drain(x step) {
 	n, name := s.node(x.which), s.engine(x.which)
 	s.group.Go(func() {
 		// Whether the log took it is looked at in the end.
@@ -195,7 +195,7 @@
 	})
 }
 
-func (s *story) undrain(x step) {
+func (s *run) undrain(x step) {
 	n, name := s.node(x.which), s.engine(x.which)
 	s.group.Go(func() {
 		// A refused undrain leaves the upstream drained.
@@ -204,7 +204,7 @@
 }
 
 // nodes kills, stops or starts a node. Two are always left.
-func (s *story) nodes(x step) {
+func (s *run) nodes(x step) {
 	if x.kind == "start" {
 		s.mu.Lock()
 		s.started++
@@ -243,7 +243,7 @@
 
 // waitReady gives a new node some time to become ready; one that can't, as it
 // finds neither log nor peer, is taken out again.
-func (s *story) waitReady(n *kernel.Node) {
+func (s *run) waitReady(n *kernel.Node) {
 	for range 50 {
 		if n.Ready() == nil {
 			return
@@ -256,7 +256,7 @@
 }
 
 // heal ends all faults.
-func (s *story) heal() {
+func (s *run) heal() {
 	s.Log.SetDown(false)
 	s.Log.LoseAnswers(0, 1)
 	s.Services.SetFaults(0, 0, 0, 1)
@@ -270,8 +270,8 @@
 	}
 }
 
-// judge looks at what must hold after everything has healed.
-func (s *story) judge() {
+// verify looks at what must hold after everything has healed.
+func (s *run) verify() {
 	time.Sleep(relayBound + 2*time.Second)
 	for _, b := range s.Breaches() {
 		s.problem("invariant broken: %s", b)
@@ -301,18 +301,18 @@
 	}
 }
 
-// tell plays a history and gives what was wrong.
-func tell(t *testing.T, steps []step) []string {
+// play runs a history and gives what was wrong.
+func play(t *testing.T, steps []step) []string {
 	var problems []string
 	inBubble(t, 4, func(_ *testing.T, x *fixture) {
-		s := &story{fixture: x}
+		s := &run{fixture: x}
 		for _, one := range steps {
 			s.do(one)
 			time.Sleep(one.pause)
 		}
 		s.heal()
 		s.group.Wait()
-		s.judge()
+		s.verify()
 		problems = s.problems
 	})
 	return problems
@@ -327,7 +327,7 @@
 		}
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			rapid.Check(t, func(r *rapid.T) {
-				if problems := tell(t, drawSteps(r)); len(problems) > 0 {
+				if problems := play(t, drawSteps(r)); len(problems) > 0 {
 					r.Fatalf("%d problems, the first: %s", len(problems), problems[0])
 				}
 			})
