Wait, find ports and build heartbeats in one place each

Cause: read over once more, the change had the wait that a context cuts short in six places (claimer, follower, drainer, dispatcher, gossiper, fakes, sloper), the search for free ports in two, a constant that nothing used (FarRecords), and in a round of heartbeats the same heartbeat was built and measured anew for every peer. Now sleeper.Sleep, faulter.FreePorts, and one heartbeat for each audience of a round. No check, bound or expectation changed. Formatter, linters, vet and all race tests but the two known red ones pass.

--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/claimmapper"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 // maxBatch bounds the entries of one record.
@@ -108,13 +109,14 @@
 		}
 		began := time.Now()
 		for !c.appendOnce(ctx, entries) {
-			pause(ctx, c.retryPause)
-			if ctx.Err() != nil {
-				return ctx.Err()
+			if err := sleeper.Sleep(ctx, c.retryPause); err != nil {
+				return err
 			}
 		}
 		c.batch.appended()
-		pause(ctx, c.interval-time.Since(began))
+		if err := sleeper.Sleep(ctx, c.interval-time.Since(began)); err != nil {
+			return err
+		}
 	}
 }
 
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalroad/quetzalroad/claimmapper"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 func init() {
@@ -229,21 +230,13 @@
 	for ctx.Err() == nil {
 		if err := c.readOnce(ctx); err != nil {
 			c.vars.Add("claims-read-failures", 1)
-			pause(ctx, c.retryPause)
+			// The loop looks at the context.
+			_ = sleeper.Sleep(ctx, c.retryPause)
 		}
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Claimer) readOnce(ctx context.Context) error {
 	wait := c.pollWait
 	if !c.caught.Load() {
--- a/cmd/quetzalbench/sloper/cluster.go
+++ b/cmd/quetzalbench/sloper/cluster.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/servicer"
@@ -58,19 +58,6 @@
 	readyTimeout = time.Minute
 )
 
-func freePorts(count int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return ports, nil
-}
-
 func placeName(i int) string {
 	return fmt.Sprintf("place-%02d", i)
 }
@@ -78,7 +65,7 @@
 // bringUp starts a deployment of a size and waits until its nodes are ready.
 func bringUp(ctx context.Context, s size) (*cluster, error) {
 	total := s.places * s.nodes
-	ports, err := freePorts(3 + 2*total)
+	ports, err := faulter.FreePorts(3 + 2*total)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/quetzalbench/sloper/sloper.go
+++ b/cmd/quetzalbench/sloper/sloper.go
@@ -21,6 +21,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 type slopeOptions struct {
@@ -161,7 +162,7 @@
 	playing, end := context.WithCancel(ctx)
 	defer end()
 	go c.play(playing)
-	if err := wait(ctx, warmUp); err != nil {
+	if err := sleeper.Sleep(ctx, warmUp); err != nil {
 		return cost{}, err
 	}
 	stopProfile, err := o.startProfile()
@@ -169,7 +170,7 @@
 		return cost{}, err
 	}
 	before, used := c.counters(), processor()
-	err = wait(ctx, o.span)
+	err = sleeper.Sleep(ctx, o.span)
 	stopProfile()
 	if err != nil {
 		return cost{}, err
@@ -199,17 +200,6 @@
 	}, nil
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (o *slopeOptions) cost(s size, before, after counters, used time.Duration, heap float64) cost {
 	nodes := float64(s.places * s.nodes)
 	seconds := o.span.Seconds()
--- a/cmd/quetzalemu/demonstrator/deployment.go
+++ b/cmd/quetzalemu/demonstrator/deployment.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/generator"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
@@ -91,7 +91,7 @@
 		{&d.services, "sc-portal-1", "sc-zona1", "sc"},
 		{&d.services, "rs-portal-1", "rs-zona1", "rs"},
 	}
-	free, err := freePorts(3*len(layout) + 2)
+	free, err := faulter.FreePorts(3*len(layout) + 2)
 	if err != nil {
 		return nil, err
 	}
@@ -103,20 +103,6 @@
 	return d, nil
 }
 
-// freePorts finds ports on loopback that nobody listens on.
-func freePorts(count int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return ports, nil
-}
-
 // start brings everything up and waits until all nodes serve.
 func (d *deployment) start(ctx context.Context) error {
 	d.startStandIns(ctx)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 func init() {
@@ -227,17 +228,10 @@
 }
 
 func (d *Dispatcher) pause(ctx context.Context, pause time.Duration, outcome quetzalroad.Outcome) error {
-	if pause <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if sleeper.Sleep(ctx, pause) != nil {
 		return ended(ctx, outcome)
 	}
+	return nil
 }
 
 // attemptError gives the failure of an attempt in its own type.
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -20,6 +20,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 func init() {
@@ -208,12 +209,8 @@
 // the log also where the node that was asked is gone.
 func (d *Drainer) publishMarks(ctx context.Context) error {
 	for {
-		timer := time.NewTimer(d.retryEvery + rand.N(d.retryEvery))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, d.retryEvery+rand.N(d.retryEvery)); err != nil {
+			return err
 		}
 		for _, m := range d.Marks() {
 			if time.Since(m.Asked) < d.retryEvery {
--- a/faker/log.go
+++ b/faker/log.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 var (
@@ -172,24 +173,9 @@
 	return nil
 }
 
-// sleep waits in a call that may be cut short.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Append implements quetzalroad.Log.
 func (v *LogView) Append(ctx context.Context, s quetzalroad.Stream, data []byte) (quetzalroad.Offset, error) {
-	if err := sleep(ctx, v.log.AppendTime); err != nil {
+	if err := sleeper.Sleep(ctx, v.log.AppendTime); err != nil {
 		return quetzalroad.NoOffset, err
 	}
 	l := v.log
@@ -210,7 +196,7 @@
 
 // Read implements quetzalroad.Log.
 func (v *LogView) Read(ctx context.Context, s quetzalroad.Stream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.Record, quetzalroad.Bounds, error) {
-	if err := sleep(ctx, v.log.ReadTime); err != nil {
+	if err := sleeper.Sleep(ctx, v.log.ReadTime); err != nil {
 		return nil, quetzalroad.Bounds{}, err
 	}
 	timer := time.NewTimer(wait)
--- a/faker/network.go
+++ b/faker/network.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 var errUnreachable = errors.New("the peer can't be reached")
@@ -128,7 +129,7 @@
 	if handler == nil {
 		return nil, 0, errUnreachable
 	}
-	return handler, delay, sleep(ctx, delay)
+	return handler, delay, sleeper.Sleep(ctx, delay)
 }
 
 // Beat implements quetzalroad.PeerTransport.
@@ -137,7 +138,7 @@
 	if err != nil {
 		return quetzalroad.Heartbeat{}, err
 	}
-	return handler.Beat(h), sleep(ctx, delay)
+	return handler.Beat(h), sleeper.Sleep(ctx, delay)
 }
 
 // Records implements quetzalroad.PeerTransport.
@@ -146,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return handler.Records(s, from), sleep(ctx, delay)
+	return handler.Records(s, from), sleeper.Sleep(ctx, delay)
 }
 
 // Snapshot implements quetzalroad.PeerTransport.
@@ -156,7 +157,7 @@
 		return nil, quetzalroad.NoOffset, err
 	}
 	data, covers := handler.Snapshot(above)
-	return data, covers, sleep(ctx, delay)
+	return data, covers, sleeper.Sleep(ctx, delay)
 }
 
 // Drop implements quetzalroad.PeerTransport.
--- a/faker/upstreams.go
+++ b/faker/upstreams.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 var (
@@ -196,7 +197,7 @@
 
 // hang waits until a silent connection is given up.
 func (s *chatStream) hang() (quetzalroad.ChatEvent, error) {
-	if err := sleep(s.ctx, silenceBound); err != nil {
+	if err := sleeper.Sleep(s.ctx, silenceBound); err != nil {
 		return quetzalroad.ChatEvent{}, &quetzalroad.AttemptError{Upstream: s.upstream, Kind: quetzalroad.RetryConnectionLost, Cause: err}
 	}
 	return quetzalroad.ChatEvent{}, &quetzalroad.AttemptError{Upstream: s.upstream, Kind: quetzalroad.RetrySilent, Cause: errSilent}
@@ -298,7 +299,7 @@
 	}
 	s.byKey[c.IdempotencyKey]++
 	s.mu.Unlock()
-	if err := sleep(ctx, s.RunTime); err != nil || lose {
+	if err := sleeper.Sleep(ctx, s.RunTime); err != nil || lose {
 		return nil, &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryConnectionLost, Cause: errCrashed}
 	}
 	return &quetzalroad.ServiceAnswer{Status: 200, Body: []byte(c.IdempotencyKey)}, nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 func init() {
@@ -141,20 +142,12 @@
 			continue
 		}
 		f.vars.Add("log-read-failures", 1)
-		f.pause(ctx, f.retryPause)
+		// The loop looks at the context.
+		_ = sleeper.Sleep(ctx, f.retryPause)
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (f *Follower) readOnce(ctx context.Context) error {
 	from, wait := f.nextRead()
 	records, bounds, err := f.log.Read(ctx, quetzalroad.StreamState, from, wait)
--- a/follower/snapshotter.go
+++ b/follower/snapshotter.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/recordmapper"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 // partial is a snapshot of which some parts were read.
@@ -112,9 +113,8 @@
 func (f *Follower) writeSnapshots(ctx context.Context) error {
 	chances := 1
 	for {
-		f.pause(ctx, snapshotCheck+rand.N(snapshotCheck))
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, snapshotCheck+rand.N(snapshotCheck)); err != nil {
+			return err
 		}
 		switch {
 		case !f.snapshotDue():
--- a/gossiper/beater.go
+++ b/gossiper/beater.go
@@ -11,6 +11,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/peermapper"
+	"github.com/quetzalroad/quetzalroad/sleeper"
 )
 
 // pace is the time between two rounds of heartbeats: the interval, or longer
@@ -97,6 +98,19 @@
 	g.call(ctx, append(near, g.pickFar()...))
 }
 
+// audience is what a heartbeat depends on beside the node's own state. In a
+// round all peers of one audience get the same.
+type audience struct {
+	far       bool
+	introduce bool
+}
+
+// message is a heartbeat with its size in bytes.
+type message struct {
+	heartbeat quetzalroad.Heartbeat
+	size      int
+}
+
 // call exchanges heartbeats with some peers at the same time.
 func (g *Gossiper) call(ctx context.Context, peers []member) {
 	if len(peers) == 0 {
@@ -105,9 +119,17 @@
 	}
 	var group sync.WaitGroup
 	size := 0
+	round := make(map[audience]message)
 	for _, m := range peers {
-		h := g.heartbeat(m.address.DataCentre, !m.introduced)
-		size += g.size(h)
+		to := audience{far: m.address.DataCentre != g.node.DataCentre, introduce: !m.introduced}
+		one, built := round[to]
+		if !built {
+			one.heartbeat = g.heartbeat(m.address.DataCentre, to.introduce)
+			one.size = g.size(one.heartbeat)
+			round[to] = one
+		}
+		size += one.size
+		h := one.heartbeat
 		group.Go(func() { g.beat(ctx, m.address.Address, h) })
 	}
 	near := 0
@@ -172,12 +194,8 @@
 			group.Wait()
 		}
 		pace := g.farPace()
-		timer := time.NewTimer(pace/2 + rand.N(pace))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, pace/2+rand.N(pace)); err != nil {
+			return err
 		}
 	}
 }
@@ -253,12 +271,8 @@
 		if vms, err := g.node.VMList.VMs(ctx); err == nil {
 			g.members.listed(time.Now(), g.node.Name, vms)
 		}
-		timer := time.NewTimer(g.listInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, g.listInterval); err != nil {
+			return err
 		}
 	}
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -418,6 +418,5 @@
 // The purposes of bytes between regions.
 const (
 	FarHeartbeat FarPurpose = "heartbeat"
-	FarRecords   FarPurpose = "records"
 	FarSpill     FarPurpose = "spill"
 )
