--- a/cmd/quetzalbench/loader/loader.go
+++ b/cmd/quetzalbench/loader/loader.go
@@ -22,7 +22,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/chatter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/reporter"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 type loadOptions struct {
--- a/cmd/quetzalbench/main.go
+++ b/cmd/quetzalbench/main.go
@@ -9,7 +9,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/loader"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/overheader"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/sloper"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func main() {
--- a/cmd/quetzalbench/overheader/overheader.go
+++ b/cmd/quetzalbench/overheader/overheader.go
@@ -16,7 +16,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalbench/chatter"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 type overheadOptions struct {
--- a/cmd/quetzalbench/sloper/cluster.go
+++ b/cmd/quetzalbench/sloper/cluster.go
@@ -19,8 +19,8 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/servicer"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
 )
 
 // size is the size of a deployment to measure.
--- a/cmd/quetzalbench/sloper/sloper.go
+++ b/cmd/quetzalbench/sloper/sloper.go
@@ -20,8 +20,8 @@
 	"github.com/google/subcommands"
 	"gonum.org/v1/gonum/stat"
 
-	"github.com/quetzalroad/quetzalroad/commander"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/commander"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 type slopeOptions struct {
--- a/cmd/quetzalctl/caller/caller.go
+++ b/cmd/quetzalctl/caller/caller.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // maxAnswerBytes bounds an answer.
--- a/cmd/quetzalctl/deleter/deleter.go
+++ b/cmd/quetzalctl/deleter/deleter.go
@@ -12,7 +12,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/putter"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 type deleteOptions struct {
--- a/cmd/quetzalctl/drainer/drainer.go
+++ b/cmd/quetzalctl/drainer/drainer.go
@@ -13,7 +13,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 type drainOptions struct {
--- a/cmd/quetzalctl/grouper/grouper.go
+++ b/cmd/quetzalctl/grouper/grouper.go
@@ -12,8 +12,8 @@
 	"github.com/google/subcommands"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/caller"
-	"github.com/quetzalroad/quetzalroad/commander"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/support/commander"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 // Options are what every command depends on and its common flags.
--- a/cmd/quetzalctl/lister/lister_test.go
+++ b/cmd/quetzalctl/lister/lister_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func TestFlagsAndArgumentsReachTheRunFunction(t *testing.T) {
--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -18,7 +18,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/putter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/shower"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/statuser"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // verbs gives the commands that every kind of object has.
--- a/cmd/quetzalctl/noder/noder.go
+++ b/cmd/quetzalctl/noder/noder.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // Command is "node list".
--- a/cmd/quetzalctl/printer/printer.go
+++ b/cmd/quetzalctl/printer/printer.go
@@ -9,7 +9,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // padding is the space between two columns on a terminal.
--- a/cmd/quetzalctl/printer/printer_test.go
+++ b/cmd/quetzalctl/printer/printer_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func TestTableIsAlignedOnATerminalAndTabbedInAPipe(t *testing.T) {
--- a/cmd/quetzalctl/putter/putter.go
+++ b/cmd/quetzalctl/putter/putter.go
@@ -23,7 +23,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/watcher"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // keyBytes is the strength of a key made here.
--- a/cmd/quetzalctl/statuser/statuser.go
+++ b/cmd/quetzalctl/statuser/statuser.go
@@ -19,7 +19,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/printer"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // clearScreen goes to the top of an empty terminal.
--- a/cmd/quetzalctl/watcher/watcher.go
+++ b/cmd/quetzalctl/watcher/watcher.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/caller"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 const (
--- a/cmd/quetzalemu/demonstrator/demonstrator.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // stopTimeout bounds the planned stop of the demo.
--- a/cmd/quetzalemu/demonstrator/demonstrator_test.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator_test.go
@@ -17,7 +17,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/generator"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func TestOnceIsAsPromised(t *testing.T) {
--- a/cmd/quetzalemu/demonstrator/deployment.go
+++ b/cmd/quetzalemu/demonstrator/deployment.go
@@ -21,8 +21,8 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/servicer"
-	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // The names and keys of the demo.
--- a/cmd/quetzalemu/demonstrator/once.go
+++ b/cmd/quetzalemu/demonstrator/once.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/generator"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 const (
--- a/cmd/quetzalemu/generator/face.go
+++ b/cmd/quetzalemu/generator/face.go
@@ -19,8 +19,8 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
-	"github.com/quetzalroad/quetzalroad/faker"
-	"github.com/quetzalroad/quetzalroad/loadmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/loadmapper"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 const (
--- a/cmd/quetzalemu/generator/prompt.go
+++ b/cmd/quetzalemu/generator/prompt.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/quetzalroad/quetzalroad/chatmapper"
-	"github.com/quetzalroad/quetzalroad/faker"
+	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // Answer gives the words of the whole answer to the messages of a call, for
--- a/cmd/quetzalemu/main.go
+++ b/cmd/quetzalemu/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/demonstrator"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/standin"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func main() {
--- a/cmd/quetzalemu/servicer/servicer.go
+++ b/cmd/quetzalemu/servicer/servicer.go
@@ -11,7 +11,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/faulter"
-	"github.com/quetzalroad/quetzalroad/loadmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/loadmapper"
 )
 
 // maxBytes bounds the body of a call.
--- a/cmd/quetzalemu/standin/standin.go
+++ b/cmd/quetzalemu/standin/standin.go
@@ -23,7 +23,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/logkeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/servicer"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // options are what a stand-in depends on and its flags.
--- a/cmd/quetzalroad/checker/checker.go
+++ b/cmd/quetzalroad/checker/checker.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/quetzalroad/quetzalroad/commander"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // options are what the command depends on.
--- a/cmd/quetzalroad/checker/checker_test.go
+++ b/cmd/quetzalroad/checker/checker_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func TestAllFilesAreCheckedAndReportedTogether(t *testing.T) {
--- a/cmd/quetzalroad/defaulter/defaulter.go
+++ b/cmd/quetzalroad/defaulter/defaulter.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/quetzalroad/quetzalroad/commander"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 // Command is "defaults".
--- a/cmd/quetzalroad/main.go
+++ b/cmd/quetzalroad/main.go
@@ -10,7 +10,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalroad/checker"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalroad/defaulter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalroad/server"
-	"github.com/quetzalroad/quetzalroad/commander"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
 func main() {
--- a/cmd/quetzalroad/server/server.go
+++ b/cmd/quetzalroad/server/server.go
@@ -12,10 +12,13 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/quetzalroad/quetzalroad/commander"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
+// bootVariable names the settings file where the command line names none.
+const bootVariable = "QUETZALROAD_BOOT"
+
 // stillOpenEvery is how often a stopping node says what it waits for.
 const stillOpenEvery = 10 * time.Second
 
@@ -26,6 +29,8 @@
 	level   slog.Level
 	// signals asks for a planned stop; each further one says what is open.
 	signals <-chan os.Signal
+	// reloads tells that the settings file changed.
+	reloads <-chan os.Signal
 }
 
 // Command is "serve".
@@ -45,10 +50,12 @@
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return `serve [-log-level LEVEL] FILE:
-  Runs the node with the settings in FILE until SIGTERM or SIGINT. It then
-  turns unready, goes on accepting while the balancer's list lags, waits for
-  the last answer and exits 0. A second signal says what is still open.
+	return `serve [-log-level LEVEL] [FILE]:
+  Runs the node with the settings in FILE, or in the file that the variable
+  QUETZALROAD_BOOT names, until SIGTERM or SIGINT. It then turns unready, goes
+  on accepting while the balancer's list lags, waits for the last answer and
+  exits 0. A second signal says what is still open. SIGHUP checks the file
+  again; what changed in it holds from the next start.
 
   quetzalroad serve node.hujson
 `
@@ -65,7 +72,11 @@
 }
 
 func (c *Command) execute(ctx context.Context, f *flag.FlagSet) error {
-	if f.NArg() != 1 {
+	file := f.Arg(0)
+	if file == "" {
+		file = os.Getenv(bootVariable)
+	}
+	if f.NArg() > 1 || file == "" {
 		return &commander.UsageError{Problem: "one settings file is needed"}
 	}
 	level, err := commander.ParseLevel(c.logLevel)
@@ -75,11 +86,14 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	run := c.Run
 	if run == nil {
 		run = runServe
 	}
-	return run(ctx, &options{streams: c.Streams, file: f.Arg(0), level: level, signals: signals})
+	return run(ctx, &options{streams: c.Streams, file: file, level: level, signals: signals, reloads: reloads})
 }
 
 func runServe(ctx context.Context, o *options) error {
@@ -99,18 +113,36 @@
 	node.Logger.Info("started", "data-centre", string(node.DataCentre))
 	ended := make(chan error, 1)
 	go func() { ended <- node.Wait() }()
-	select {
-	case err := <-ended:
-		return err
-	case <-o.signals:
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-o.reloads:
+			recheck(node.Logger, o.file)
+		case <-o.signals:
+			go node.Stop(ctx)
+			return awaitEnd(node, ended, o)
+		}
+	}
+}
+
+// recheck reads the settings file again and logs what it finds. The running
+// node keeps its settings.
+func recheck(logger *slog.Logger, file string) {
+	data, err := os.ReadFile(file)
+	if err == nil {
+		err = kernel.NewPlan().Read(file, data)
+	}
+	if err != nil {
+		logger.Error("settings file has findings, the running settings stay", "file", file, "error", err)
+		return
 	}
-	go node.Stop(ctx)
-	return awaitEnd(node, ended, o.signals)
+	logger.Info("settings file checked, it holds from the next start", "file", file)
 }
 
 // awaitEnd waits for the last answer, and says what is open now and then and
 // at each further signal.
-func awaitEnd(node *kernel.Node, ended <-chan error, signals <-chan os.Signal) error {
+func awaitEnd(node *kernel.Node, ended <-chan error, o *options) error {
 	ticker := time.NewTicker(stillOpenEvery)
 	defer ticker.Stop()
 	for {
@@ -118,8 +150,10 @@
 		case err := <-ended:
 			node.Logger.Info("stopped")
 			return err
-		case <-signals:
+		case <-o.signals:
 			node.Logger.Warn("still stopping", "open", node.Open())
+		case <-o.reloads:
+			recheck(node.Logger, o.file)
 		case <-ticker.C:
 			node.Logger.Info("still stopping", "open", node.Open())
 		}
--- a/objectmapper/objects.go
+++ b/codecs/objectmapper/objects.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 type profileJSON struct {
--- a/peermapper/heartbeat.go
+++ b/codecs/peermapper/heartbeat.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/peerwire"
+	"github.com/quetzalroad/quetzalroad/peers/peerwire"
 )
 
 // Mapper maps heartbeats. Upstreams and teams are told by the revision at which
--- a/recordmapper/records.go
+++ b/codecs/recordmapper/records.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/objectmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/objectmapper"
 )
 
 // Format is the version of the records this package writes.
--- a/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 func init() {
@@ -42,6 +42,7 @@
 	d.node = n
 	d.logger = n.Logger
 	n.Dispatcher = d
+	n.Forwarder = d
 	n.OnOpen(d.count)
 	n.OnStop(d.drain)
 	return nil
@@ -204,6 +205,11 @@
 	if errors.As(failure.Cause, &rejected) {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonRejected, Message: "the upstream rejected the call", Outcome: t.outcome(), Cause: rejected}
 	}
+	var refusal *quetzalroad.Refusal
+	if errors.As(failure.Cause, &refusal) {
+		refusal.Outcome = t.outcome()
+		return refusal
+	}
 	if !failure.NotRun {
 		t.runs++
 		if t.runs > 1 && !r.Idempotent {
--- /dev/null
+++ b/decisions/dispatcher/forward.go
@@ -0,0 +1,341 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// Forward implements quetzalroad.Forwarder.
+func (d *Dispatcher) Forward(ctx context.Context, f *quetzalroad.Forwarding, sink quetzalroad.ForwardSink) error {
+	defer d.begin()()
+	bounded, cancel := bound(ctx, &f.Request)
+	defer cancel()
+	service, ok := d.node.Directory.Service(pick(f.Route.Shares))
+	if !ok {
+		return noUpstream()
+	}
+	f.Service = service
+	p, err := d.enter(bounded, &f.Request)
+	if err != nil {
+		return err
+	}
+	r := &forwardRun{dispatcher: d, forwarding: f, place: p, sink: sink, caller: ctx, last: f.LastEvent}
+	defer func() { p.leave(r.pieces) }()
+	run := bounded
+	if !f.Idempotent && !f.Route.Streaming {
+		// The work of a request that can't be repeated goes on when its caller
+		// leaves, as breaking it off would leave its outcome open.
+		var stop context.CancelFunc
+		run, stop = bound(context.WithoutCancel(ctx), &f.Request)
+		defer stop()
+	}
+	return r.serve(run)
+}
+
+// pick draws one of a route's services by weight.
+func pick(shares []quetzalroad.RouteShare) quetzalroad.ServiceName {
+	total := 0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := rand.IntN(total)
+	for _, s := range shares {
+		if drawn < s.Weight {
+			return s.Service
+		}
+		drawn -= s.Weight
+	}
+	return ""
+}
+
+// forwardRun is the run of one forwarding over its attempts.
+type forwardRun struct {
+	dispatcher *Dispatcher
+	forwarding *quetzalroad.Forwarding
+	place      place
+	sink       quetzalroad.ForwardSink
+	// caller ends when the caller leaves.
+	caller context.Context
+	tries  tries
+	// begun tells that the caller got a part of the answer.
+	begun bool
+	// last is the id of the last event that the caller has.
+	last int64
+	// pieces counts the events passed on.
+	pieces int
+}
+
+func (r *forwardRun) serve(ctx context.Context) error {
+	d := r.dispatcher
+	d.node.Retry.First(time.Now(), r.forwarding.Service.Name)
+	for {
+		u, ok := d.choose(&r.forwarding.Request, r.place, r.tries.tried)
+		if !ok {
+			return r.settle(noUpstream())
+		}
+		r.tries.count++
+		err := r.attempt(ctx, u)
+		if err == nil {
+			return nil
+		}
+		var refusal *quetzalroad.Refusal
+		if errors.As(err, &refusal) {
+			return r.settle(refusal)
+		}
+		if err := r.again(ctx, attemptError(u.Name, err)); err != nil {
+			return err
+		}
+	}
+}
+
+// settle gives a refusal the outcome of all attempts.
+func (r *forwardRun) settle(refusal *quetzalroad.Refusal) *quetzalroad.Refusal {
+	if r.tries.ran {
+		refusal.Outcome = quetzalroad.OutcomeUnknown
+	}
+	return refusal
+}
+
+// again decides on another attempt. A stream that has begun goes on elsewhere
+// only where it may be resumed, and no more upstreams may run the request than
+// its route allows.
+func (r *forwardRun) again(ctx context.Context, failure *quetzalroad.AttemptError) error {
+	if r.begun && !r.forwarding.Route.Resumable {
+		r.tries.ran = true
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonStreamCut, Message: "the answer broke off and can't be taken up again", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
+	}
+	if !failure.NotRun && r.tries.runs+1 >= r.forwarding.Route.MaxRuns {
+		r.tries.ran = true
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and no other may", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
+	}
+	return r.dispatcher.again(ctx, &r.forwarding.Request, &r.tries, failure)
+}
+
+// attempt sends the request to one upstream and hands its answer on.
+func (r *forwardRun) attempt(ctx context.Context, u quetzalroad.Upstream) error {
+	d := r.dispatcher
+	d.node.Recorder.Attempt()
+	began := time.Now()
+	d.node.Load.Begin(u.Name, began)
+	err := r.exchange(ctx, u, began)
+	d.node.Load.End(u.Name, time.Now(), r.blames(ctx, err))
+	return err
+}
+
+// blames tells that an attempt's failure is its upstream's.
+func (r *forwardRun) blames(ctx context.Context, err error) bool {
+	var failure *quetzalroad.AttemptError
+	if ctx.Err() != nil || !errors.As(err, &failure) {
+		return false
+	}
+	return failure.Kind != quetzalroad.RetryNotRun
+}
+
+func (r *forwardRun) exchange(ctx context.Context, u quetzalroad.Upstream, began time.Time) error {
+	d := r.dispatcher
+	a := &quetzalroad.Attempt{
+		Upstream: u, Forwarding: r.forwarding, After: r.last,
+		Allowed: func() error { return r.allowed(u) },
+	}
+	answer, err := d.node.Forwards.Send(ctx, a)
+	if err != nil {
+		r.report(u, attemptError(u.Name, err).Load)
+		return err
+	}
+	defer answer.Close()
+	head := answer.Head()
+	r.report(u, head.Load)
+	if promises(head.Status) {
+		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d without the word that the request was not run", head.Status)}
+	}
+	if head.Status >= http.StatusInternalServerError && r.repeatable() {
+		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d", head.Status)}
+	}
+	if head.Events {
+		return r.stream(u, began, answer)
+	}
+	return r.whole(u, began, answer)
+}
+
+func (r *forwardRun) report(u quetzalroad.Upstream, load *quetzalroad.LoadReport) {
+	if load != nil {
+		r.dispatcher.node.Load.Report(u.Name, load.Taken, *load)
+	}
+}
+
+// promises tells that a status states that a request was not run, which a
+// caller may only be told where it is known.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// repeatable tells that another upstream may be asked in place of an answer
+// that tells of a failure.
+func (r *forwardRun) repeatable() bool {
+	return r.forwarding.Idempotent && !r.begun && r.tries.runs+1 < r.forwarding.Route.MaxRuns
+}
+
+var (
+	errKeyGone   = errors.New("the key is no longer valid")
+	errStaleView = errors.New("the view of the published state is too old")
+	errLeft      = errors.New("the caller left before the request was sent")
+	errLeaving   = errors.New("the upstream began to leave before the request was sent")
+)
+
+// allowed looks again, immediately before sending, at what may have changed
+// while the request waited.
+func (r *forwardRun) allowed(u quetzalroad.Upstream) error {
+	d := r.dispatcher
+	f := r.forwarding
+	if r.caller.Err() != nil {
+		return errLeft
+	}
+	if f.Keyed {
+		if !d.node.Freshness.Current() {
+			return &quetzalroad.Refusal{Reason: quetzalroad.ReasonStaleState, Message: errStaleView.Error(), RetryAfter: staleRetry, Outcome: quetzalroad.OutcomeNotRun, Cause: errStaleView}
+		}
+		if team, ok := d.node.Directory.TeamByKey(f.Key); !ok || team.Name != f.Team.Name {
+			return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUnauthorized, Message: errKeyGone.Error(), Outcome: quetzalroad.OutcomeNotRun, Cause: errKeyGone}
+		}
+	}
+	if now, ok := d.node.Directory.Upstream(u.Name); !ok || now.Draining {
+		return errLeaving
+	}
+	return nil
+}
+
+// staleRetry is when a caller may try another node after this one found its
+// view too old.
+const staleRetry = 50 * time.Millisecond
+
+// maxHeld bounds the part of an answer that is held back until it is whole.
+const maxHeld = 256 << 10
+
+// whole hands an answer on once it is whole, so that one that breaks off can be
+// asked for again. One that is too long to hold goes on as it comes.
+func (r *forwardRun) whole(u quetzalroad.Upstream, began time.Time, answer quetzalroad.ForwardAnswer) error {
+	head := answer.Head()
+	var held []byte
+	for {
+		piece, err := answer.Next()
+		held = append(held, piece.Data...)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if len(held) > maxHeld {
+			return r.pass(answer, head, held)
+		}
+	}
+	now := time.Now()
+	r.first(u, now, began)
+	head.Length = int64(len(held))
+	return r.hand(head, held)
+}
+
+func (r *forwardRun) first(u quetzalroad.Upstream, now, began time.Time) {
+	d := r.dispatcher
+	p := r.forwarding.Profile
+	d.node.Load.FirstToken(u.Name, now, now.Sub(began))
+	if r.begun {
+		return
+	}
+	took := now.Sub(r.forwarding.Arrived)
+	d.node.Recorder.FirstToken(p.Class, took, took <= p.FirstTokenTarget)
+}
+
+// hand begins the caller's answer and writes the first of it.
+func (r *forwardRun) hand(head quetzalroad.AnswerHead, data []byte) error {
+	if !r.begun {
+		r.begun = true
+		if err := r.sink.Begin(head); err != nil {
+			return r.callerFailed(err)
+		}
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	if err := r.sink.Write(data); err != nil {
+		return r.callerFailed(err)
+	}
+	return nil
+}
+
+func (r *forwardRun) callerFailed(err error) error {
+	r.tries.ran = true
+	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerLeft, Message: "the caller took no more of the answer", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
+}
+
+// pass hands on what is held and the rest as it comes.
+func (r *forwardRun) pass(answer quetzalroad.ForwardAnswer, head quetzalroad.AnswerHead, held []byte) error {
+	if err := r.hand(head, held); err != nil {
+		return err
+	}
+	for {
+		piece, err := answer.Next()
+		if len(piece.Data) > 0 {
+			if err := r.hand(head, piece.Data); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// stream hands whole events on as they come. The ids follow each other over all
+// attempts; an event that the caller has already is dropped.
+func (r *forwardRun) stream(u quetzalroad.Upstream, began time.Time, answer quetzalroad.ForwardAnswer) error {
+	head := answer.Head()
+	head.Length = -1
+	var before time.Time
+	for {
+		piece, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return r.hand(head, nil)
+		}
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		if before.IsZero() {
+			r.first(u, now, began)
+		} else {
+			r.dispatcher.node.Load.Token(u.Name, now, now.Sub(before))
+		}
+		before = now
+		if piece.Event > 0 {
+			if piece.Event <= r.last {
+				continue
+			}
+			if r.begun && piece.Event != r.last+1 {
+				return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryBadAnswer, Cause: errors.Newf("event %d follows %d", piece.Event, r.last)}
+			}
+			r.last = piece.Event
+		}
+		r.pieces++
+		if err := r.hand(head, piece.Data); err != nil {
+			return err
+		}
+	}
+}
--- a/limiter/passer/passer.go
+++ b/decisions/limiter/passer/passer.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/spiller/sender/sender.go
+++ b/decisions/spiller/sender/sender.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/errors.go
+++ b/errors.go
@@ -8,6 +8,9 @@
 // ErrUnknownUpstream tells that there is no upstream of a name.
 var ErrUnknownUpstream = errors.New("there is no such upstream")
 
+// ErrTrimmed tells that a stream no longer holds the records asked for.
+var ErrTrimmed = errors.New("the records asked for are no longer in the stream")
+
 // ConflictError tells that another change of the same object came first.
 type ConflictError struct {
 	Kind ObjectKind
--- a/adminserver/objects.go
+++ b/faces/adminserver/objects.go
@@ -13,7 +13,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/objectmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/objectmapper"
 )
 
 // kinds maps the plural in a path to the kind of object.
--- a/adminserver/server.go
+++ b/faces/adminserver/server.go
@@ -23,8 +23,8 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/callerserver/chat.go
+++ b/faces/callerserver/chat.go
@@ -8,7 +8,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/chatmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
 )
 
 // The types of the events that the router adds to a stream.
--- a/kernel/examples_test.go
+++ b/kernel/examples_test.go
@@ -9,7 +9,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/objectmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/objectmapper"
 )
 
 func TestExamplesHoldOnlyValidObjects(t *testing.T) {
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -12,7 +12,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 // Identity is what a node knows of itself from its settings.
@@ -54,13 +54,24 @@
 	Transport   quetzalroad.PeerTransport
 	Peers       quetzalroad.Peers
 
+	KeyedLog      quetzalroad.KeyedLog
+	StateCodec    quetzalroad.StateCodec
+	Routes        quetzalroad.RouteTable
+	Freshness     quetzalroad.Freshness
+	CallerCodec   quetzalroad.CallerCodec
+	UpstreamCodec quetzalroad.UpstreamCodec
+	Forwards      quetzalroad.ForwardProtocol
+	Forwarder     quetzalroad.Forwarder
+
 	readiness []quetzalroad.Readiness
 	starts    []start
 	stops     []func(ctx context.Context)
 	open      []func() int
 	// balancerLag is how long the node goes on accepting after it turned
-	// unready.
+	// unready, and stopTimeout how long a planned stop may take in all; zero
+	// for as long as it takes.
 	balancerLag time.Duration
+	stopTimeout time.Duration
 
 	life     tomb.Tomb
 	stopping atomic.Bool
@@ -165,6 +176,11 @@
 
 func (n *Node) stop(ctx context.Context) {
 	n.stopping.Store(true)
+	if n.stopTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, n.stopTimeout)
+		defer cancel()
+	}
 	n.Logger.Info("stopping", "balancer-lag", n.balancerLag, "open", n.Open())
 	lag := time.NewTimer(n.balancerLag)
 	defer lag.Stop()
@@ -186,6 +202,7 @@
 	place    string
 	region   string
 	lag      time.Duration
+	patience time.Duration
 }
 
 // Given is a part that a program brings itself in place of a registered one.
@@ -203,9 +220,10 @@
 	section.Name("data-centre", &p.place, "", "Data centre this node runs in.")
 	section.Name("region", &p.region, "", "Region of the data centre.")
 	section.Duration("balancer-lag", &p.lag, 5*time.Second, 0, 10*time.Minute, "How long to go on accepting after turning unready.")
+	section.Duration("stop-timeout", &p.patience, 0, 0, 24*time.Hour, "How long a planned stop may take in all; zero for as long as the last answer takes.")
 	p.file.Add("node", "Who this node is.", configurer.Fixed{Section: section})
 	for _, s := range slots {
-		c := &chooser{slot: s.slot}
+		c := &chooser{slot: s.slot, optional: s.optional}
 		for _, g := range given {
 			if g.Slot == s.slot {
 				c.given = g.Part
@@ -242,6 +260,7 @@
 		Logger:      logger.With("node", p.name),
 		Vars:        new(expvar.Map),
 		balancerLag: p.lag,
+		stopTimeout: p.patience,
 	}
 	for _, s := range slots {
 		c := p.choosers[s.slot]
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -10,7 +10,7 @@
 import (
 	"sort"
 
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 // Slot is a place in the node that an implementation fills.
@@ -21,6 +21,8 @@
 	SlotRecorder   Slot = "recorder"
 	SlotLog        Slot = "log"
 	SlotVMList     Slot = "vm-list"
+	SlotKeyedLog   Slot = "keyed-log"
+	SlotEntries    Slot = "entries"
 	SlotState      Slot = "state"
 	SlotDrains     Slot = "drains"
 	SlotClaims     Slot = "claims"
@@ -33,10 +35,13 @@
 	SlotRetry      Slot = "retry"
 	SlotEngines    Slot = "engines"
 	SlotServices   Slot = "services"
+	SlotFields     Slot = "upstream-fields"
+	SlotForwards   Slot = "forwards"
 	SlotDispatcher Slot = "dispatcher"
 	SlotTransport  Slot = "peer-transport"
 	SlotPeers      Slot = "peers"
 	SlotAdmin      Slot = "admin"
+	SlotCallFields Slot = "caller-fields"
 	SlotCallers    Slot = "callers"
 )
 
@@ -44,27 +49,34 @@
 var slots = []struct {
 	slot Slot
 	doc  string
+	// optional slots may stay empty: settings choose "none".
+	optional bool
 }{
-	{SlotRecorder, "Counters and histograms of what the node decides."},
-	{SlotLog, "The platform's log."},
-	{SlotVMList, "The platform's lagging list of VMs."},
-	{SlotState, "The published state: following the log and publishing to it."},
-	{SlotDrains, "Drains that take hold before the log knows of them."},
-	{SlotClaims, "Claims of idempotency keys."},
-	{SlotLoad, "The belief about the load of upstreams."},
-	{SlotLengths, "What is learnt of the lengths of answers."},
-	{SlotBalancer, "The choice of an upstream."},
-	{SlotLimiter, "The limits of teams and services."},
-	{SlotAdmitter, "The queue in front of the upstreams."},
-	{SlotSpill, "Work that goes to another data centre for want of room."},
-	{SlotRetry, "Whether an attempt may be repeated."},
-	{SlotEngines, "The protocol of model engines."},
-	{SlotServices, "The protocol of plain services."},
-	{SlotDispatcher, "The way of a request from admission to its answer."},
-	{SlotTransport, "The connections between nodes."},
-	{SlotPeers, "The exchange with other nodes."},
-	{SlotAdmin, "The face for operators."},
-	{SlotCallers, "The face for callers."},
+	{slot: SlotRecorder, doc: "Counters and histograms of what the node decides."},
+	{slot: SlotLog, doc: "The platform's log.", optional: true},
+	{slot: SlotVMList, doc: "The platform's lagging list of VMs.", optional: true},
+	{slot: SlotKeyedLog, doc: "The platform's log where it keeps the newest record of each key.", optional: true},
+	{slot: SlotEntries, doc: "How operators' and upstreams' entries on the platform are read.", optional: true},
+	{slot: SlotState, doc: "The published state: following the log and publishing to it."},
+	{slot: SlotDrains, doc: "Drains that take hold before the log knows of them.", optional: true},
+	{slot: SlotClaims, doc: "Claims of idempotency keys.", optional: true},
+	{slot: SlotLoad, doc: "The belief about the load of upstreams."},
+	{slot: SlotLengths, doc: "What is learnt of the lengths of answers."},
+	{slot: SlotBalancer, doc: "The choice of an upstream."},
+	{slot: SlotLimiter, doc: "The limits of teams and services."},
+	{slot: SlotAdmitter, doc: "The queue in front of the upstreams."},
+	{slot: SlotSpill, doc: "Work that goes to another data centre for want of room."},
+	{slot: SlotRetry, doc: "Whether an attempt may be repeated."},
+	{slot: SlotEngines, doc: "The protocol of model engines.", optional: true},
+	{slot: SlotServices, doc: "The protocol of plain services.", optional: true},
+	{slot: SlotFields, doc: "The header fields between the router and upstreams that requests are passed on to.", optional: true},
+	{slot: SlotForwards, doc: "The way to upstreams that requests are passed on to unread.", optional: true},
+	{slot: SlotDispatcher, doc: "The way of a request from admission to its answer."},
+	{slot: SlotTransport, doc: "The connections between nodes.", optional: true},
+	{slot: SlotPeers, doc: "The exchange with other nodes.", optional: true},
+	{slot: SlotAdmin, doc: "The face for operators.", optional: true},
+	{slot: SlotCallFields, doc: "The header fields between callers and the router where requests are passed on unread.", optional: true},
+	{slot: SlotCallers, doc: "The face for callers."},
 }
 
 // Part is an implementation of a slot.
@@ -113,11 +125,19 @@
 	// given is set where the program brings the implementation itself, which
 	// leaves nothing to choose.
 	given Part
+	// optional lets settings leave the slot empty.
+	optional bool
 }
 
+// none is the name by which settings leave an optional slot empty.
+const none = "none"
+
 // Choose makes the part of the named plug-in and declares its settings.
 func (c *chooser) Choose(name string) *configurer.Section {
 	c.part = c.given
+	if c.given == nil && c.optional && name == none {
+		return new(configurer.Section)
+	}
 	if c.given == nil {
 		p, ok := registry[c.slot][name]
 		if !ok {
@@ -145,7 +165,12 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	if first == "" {
+	switch {
+	case first != "" && c.optional:
+		names = append(names, none)
+	case first == "" && c.optional:
+		first = none
+	case first == "":
 		return names
 	}
 	return append([]string{first}, names...)
--- a/gossiper/beater.go
+++ b/peers/gossiper/beater.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/peermapper"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/codecs/peermapper"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // pace is the time between two rounds of heartbeats: the interval, or longer
--- a/peerconnector/connector.go
+++ b/peers/peerconnector/connector.go
@@ -19,10 +19,10 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/codecs/peermapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/peermapper"
-	"github.com/quetzalroad/quetzalroad/peerwire"
+	"github.com/quetzalroad/quetzalroad/peers/peerwire"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/faker/deployment.go
+++ b/proofs/faker/deployment.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
 )
 
 // Deployment is several nodes over the same fakes. The zero value has none.
--- a/faker/log.go
+++ b/proofs/faker/log.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 var (
--- /dev/null
+++ b/proofs/faker/plugins.go
@@ -0,0 +1,23 @@
+package faker
+
+import (
+	// The nodes of a fake deployment are built from these.
+	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/prioritizer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/queuer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/estimator"
+	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/rotator"
+	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
+	_ "github.com/quetzalroad/quetzalroad/decisions/learner"
+	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/passer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/sharer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
+	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/repeater"
+	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/sender"
+	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/stayer"
+	_ "github.com/quetzalroad/quetzalroad/peers/gossiper"
+	_ "github.com/quetzalroad/quetzalroad/state/claimer"
+	_ "github.com/quetzalroad/quetzalroad/state/drainer"
+	_ "github.com/quetzalroad/quetzalroad/state/follower"
+	_ "github.com/quetzalroad/quetzalroad/state/tracker"
+	_ "github.com/quetzalroad/quetzalroad/support/counter"
+)
--- a/measurer/decision_test.go
+++ b/proofs/measurer/decision_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 const (
--- a/measurer/rig_test.go
+++ b/proofs/measurer/rig_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // policy is a set of plug-ins by its settings.
--- a/measurer/workload_test.go
+++ b/proofs/measurer/workload_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/faker"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 var anyAddress = netip.MustParseAddrPort("10.0.0.9:80")
--- a/prover/fixture_test.go
+++ b/proofs/prover/fixture_test.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/faker"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // fixture is a deployment of two data centres with engines and a plain
--- a/refusal.go
+++ b/refusal.go
@@ -37,6 +37,9 @@
 	ReasonDuplicate          Reason = "duplicate-in-progress"
 	ReasonRejected           Reason = "upstream-rejected"
 	ReasonStreamCut          Reason = "stream-cut"
+	ReasonUnknownRoute       Reason = "unknown-route"
+	ReasonStaleState         Reason = "stale-state"
+	ReasonOverloaded         Reason = "overloaded"
 )
 
 // Refusal is the error that ends a request which the router does not answer.
@@ -80,6 +83,8 @@
 	NotRun bool
 	// Kind is the kebab-case reason under which a retry is counted.
 	Kind RetryReason
+	// Load is what the upstream told of its load; nil where it told nothing.
+	Load *LoadReport
 	// Cause is the failure.
 	Cause error
 }
@@ -107,6 +112,8 @@
 	RetryPaused         RetryReason = "paused"
 	RetryHedge          RetryReason = "hedged"
 	RetryBadAnswer      RetryReason = "malformed-answer"
+	RetryForeignAnswer  RetryReason = "foreign-answer"
+	RetryMisdirected    RetryReason = "instance-replaced"
 )
 
 // RejectedError is an upstream's answer that the call itself is wrong. It is
--- a/request.go
+++ b/request.go
@@ -18,6 +18,8 @@
 	Model ModelName
 	// Arrived is when the node had read the request.
 	Arrived time.Time
+	// Due is when the caller stops waiting; zero where it didn't say.
+	Due time.Time
 	// PromptTokens is an estimate from the size of the prompt.
 	PromptTokens int
 	// MaxTokens bounds the tokens to generate; zero means no stated bound.
@@ -31,13 +33,18 @@
 	IdempotencyKey string
 }
 
-// Deadline is the moment after which an answer is of no use to its caller.
-// The zero value means that there is none.
+// Deadline is the moment after which an answer is of no use: the end of the
+// profile's timeout, or the caller's own if that is sooner. The zero value
+// means that there is none.
 func (r *Request) Deadline() time.Time {
 	if r.Profile.Timeout <= 0 {
-		return time.Time{}
+		return r.Due
 	}
-	return r.Arrived.Add(r.Profile.Timeout)
+	end := r.Arrived.Add(r.Profile.Timeout)
+	if !r.Due.IsZero() && r.Due.Before(end) {
+		return r.Due
+	}
+	return end
 }
 
 // Chat is a request for a completion.
@@ -118,6 +125,9 @@
 	Waiting int
 	// Leaving tells that the upstream wants no new work.
 	Leaving bool
+	// Slowness is how long work takes there at the moment, relative to the
+	// usual; zero where it isn't told.
+	Slowness float64
 }
 
 // UpstreamReport is a load report with the upstream that gave it.
--- /dev/null
+++ b/route.go
@@ -0,0 +1,97 @@
+package quetzalroad
+
+import "time"
+
+// RouteName names a published route.
+type RouteName string
+
+// Route leads the requests of a host and a path prefix to services.
+type Route struct {
+	// Name is unique among routes.
+	Name RouteName
+	// Host is matched against the request's host without regard to case.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Profile says what the work needs. Its name is the route's.
+	Profile Profile
+	// Streaming tells that answers are streams of events.
+	Streaming bool
+	// Resumable tells that a stream may be taken up at another upstream. It is
+	// set on streaming routes only.
+	Resumable bool
+	// PauseTarget is the longest pause between two events of a stream that is
+	// still in target; zero where none is stated.
+	PauseTarget time.Duration
+	// MaxRuns bounds the upstreams that may run one request. It is positive.
+	MaxRuns int
+	// Anonymous tells that no key is needed.
+	Anonymous bool
+	// Sticky tells that requests carry the parts of their prompt.
+	Sticky bool
+	// Shares lists the services the route leads to, at least one, each with a
+	// positive weight.
+	Shares []RouteShare
+}
+
+// RouteShare is one service of a route and its part of the requests.
+type RouteShare struct {
+	Service ServiceName
+	// Weight is the part, relative to the sum over the route.
+	Weight int
+}
+
+// CallerLimits bound what a caller may send and how long it may take. A zero
+// field states no bound.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// PublishedState is one whole version of what operators publish on the
+// platform.
+type PublishedState struct {
+	// Version grows with each publication, in uneven steps.
+	Version  int64
+	Routes   []Route
+	Services []Service
+	// Teams hold the hashes of their keys. It is empty where callers need no
+	// key.
+	Teams  []Team
+	Limits CallerLimits
+}
+
+// UpstreamEntry is what an upstream says of itself on the platform.
+type UpstreamEntry struct {
+	// Upstream is complete but for its region, name and revision.
+	Upstream Upstream
+	// Born is when this life of the upstream began; zero where it isn't said.
+	Born time.Time
+	// Sequence grows with each record of a life.
+	Sequence int64
+}
+
+// RouteTable finds the route of a request and the limits of callers.
+type RouteTable interface {
+	// Route gives the route with the longest prefix that begins the path.
+	Route(host, path string) (Route, bool)
+	// Limits gives the bounds on callers in force.
+	Limits() CallerLimits
+	// Keyed tells that the published state names teams, so that requests need
+	// a key.
+	Keyed() bool
+}
+
+// Freshness tells how old a node's view of the published state is.
+type Freshness interface {
+	// Age is the time since the platform's log last confirmed that the view
+	// held everything it had acknowledged. It goes on while the machine is
+	// suspended.
+	Age() time.Duration
+	// Current tells that the view is fresh enough for work that needs a key.
+	Current() bool
+	// Version is the version in force; zero before the first.
+	Version() int64
+}
--- a/state.go
+++ b/state.go
@@ -41,6 +41,9 @@
 	KeyHashes []KeyHash
 	// DefaultProfile is used by requests that name no profile.
 	DefaultProfile ProfileName
+	// Tier takes precedence over the tier of a route where OwnTier is set.
+	Tier    Tier
+	OwnTier bool
 	// Weight is the share among the teams of a tier. Zero counts as one.
 	Weight int
 	// TokensPerSecond bounds the rate of tokens over all nodes; zero means
@@ -77,6 +80,12 @@
 	// Concurrency bounds the running requests over all nodes; zero means no
 	// bound beside the slots of the upstreams.
 	Concurrency int
+	// Connections bounds the connections to one upstream over all nodes; zero
+	// means no bound.
+	Connections int
+	// MemoryTokens is the memory of one engine, in tokens; zero where it isn't
+	// told.
+	MemoryTokens int
 	// Revision is set by the state machine.
 	Revision Revision
 }
@@ -92,6 +101,9 @@
 	// DataCentre and Region tell where it runs.
 	DataCentre DataCentre
 	Region     Region
+	// Instance identifies this start of the back end where the address may be
+	// taken over by another; empty where it is not told.
+	Instance string
 	// Slots is the number of requests it runs at once within its targets.
 	// It is positive.
 	Slots int
--- a/claimer/batcher.go
+++ b/state/claimer/batcher.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/claimmapper"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/codecs/claimmapper"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // maxBatch bounds the entries of one record.
--- a/claimer/claimer.go
+++ b/state/claimer/claimer.go
@@ -20,10 +20,10 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/claimmapper"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/codecs/claimmapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 func init() {
--- a/claimer/table.go
+++ b/state/claimer/table.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/claimmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/claimmapper"
 )
 
 // shardCount is the number of shards of the table.
--- a/claimer/table_test.go
+++ b/state/claimer/table_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/claimmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/claimmapper"
 )
 
 func claim(key, id string, at time.Time) claimmapper.Entry {
--- a/drainer/drainer.go
+++ b/state/drainer/drainer.go
@@ -18,9 +18,9 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 func init() {
--- a/follower/machine.go
+++ b/state/follower/machine.go
@@ -7,8 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/objectmapper"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/objectmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
+	"github.com/quetzalroad/quetzalroad/state/storer"
 )
 
 // rememberedChanges is the number of changes whose verdicts are kept, so that
@@ -25,7 +26,7 @@
 // and their offsets alone, so that all nodes reach the same state. It is not
 // safe for concurrent use; the store it writes is.
 type machine struct {
-	store store
+	store storer.Store
 	// recent holds the last verdicts, oldest first, at most
 	// rememberedChanges; byID leads to them and has the same members.
 	recent []decided
@@ -44,13 +45,13 @@
 }
 
 func (m *machine) decide(offset quetzalroad.Offset, c *quetzalroad.Change) quetzalroad.Verdict {
-	current := m.store.revision(c.Kind, c.Name)
+	current := m.store.RevisionOf(c.Kind, c.Name)
 	if current != c.Base {
 		return quetzalroad.Verdict{Offset: offset, Revision: current, Problem: "another change came first"}
 	}
 	revision := quetzalroad.RevisionAt(offset)
 	o := stamp(c.Object, revision)
-	m.store.put(c.Kind, c.Name, o)
+	m.store.Put(c.Kind, c.Name, o)
 	if o == (quetzalroad.Object{}) {
 		revision = 0
 	}
@@ -178,14 +179,14 @@
 		objects[i] = kinded{kind, object}
 	}
 	m.fill(objects, j.Recent)
-	m.store.setApplied(covers)
+	m.store.SetApplied(covers)
 	return nil
 }
 
 func (m *machine) fill(objects []kinded, recent []decidedJSON) {
-	m.store.clear()
+	m.store.Clear()
 	for _, o := range objects {
-		m.store.put(o.kind, nameOf(o.object), o.object)
+		m.store.Put(o.kind, nameOf(o.object), o.object)
 	}
 	m.recent = nil
 	m.byID = nil
@@ -218,6 +219,6 @@
 	if err == nil && entry.Change != nil {
 		verdict = m.applyChange(r.Offset, entry.Change)
 	}
-	m.store.setApplied(r.Offset)
+	m.store.SetApplied(r.Offset)
 	return entry, verdict, err
 }
--- a/follower/machine_test.go
+++ b/state/follower/machine_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
 )
 
 // records gives the records that publish a state of a size.
@@ -121,7 +121,7 @@
 	if diff := cmp.Diff(first, verdict); diff != "" {
 		t.Errorf("(-first +again):\n%s", diff)
 	}
-	if got := m.store.revision(quetzalroad.ObjectUpstream, "engine-0000"); got != first.Revision {
+	if got := m.store.RevisionOf(quetzalroad.ObjectUpstream, "engine-0000"); got != first.Revision {
 		t.Errorf("revision %d stands, want %d", got, first.Revision)
 	}
 }
@@ -131,14 +131,14 @@
 	applyAll(t, m, records(t, 1, 1))
 	team, _ := m.store.Team("team-0000")
 	team.KeyHashes = []quetzalroad.KeyHash{quetzalroad.HashKey("new")}
-	m.store.put(quetzalroad.ObjectTeam, "team-0000", quetzalroad.Object{Team: &team})
+	m.store.Put(quetzalroad.ObjectTeam, "team-0000", quetzalroad.Object{Team: &team})
 	if _, ok := m.store.TeamByKey(quetzalroad.HashKey("team-0000")); ok {
 		t.Error("the old key still leads to the team")
 	}
 	if _, ok := m.store.TeamByKey(quetzalroad.HashKey("new")); !ok {
 		t.Error("the new key leads nowhere")
 	}
-	m.store.put(quetzalroad.ObjectService, "llm", quetzalroad.Object{})
+	m.store.Put(quetzalroad.ObjectService, "llm", quetzalroad.Object{})
 	if _, ok := m.store.ServiceForModel("llm"); ok {
 		t.Error("the model of a deleted service still leads to it")
 	}
--- a/follower/publisher.go
+++ b/state/follower/publisher.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
 )
 
 // Publish implements quetzalroad.Publisher. A change whose append was not
--- a/follower/snapshotter.go
+++ b/state/follower/snapshotter.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/recordmapper"
-	"github.com/quetzalroad/quetzalroad/sleeper"
+	"github.com/quetzalroad/quetzalroad/codecs/recordmapper"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // partial is a snapshot of which some parts were read.
--- a/logclient/client.go
+++ b/state/logclient/client.go
@@ -22,8 +22,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/follower/store.go
+++ b/state/storer/store.go
@@ -1,4 +1,6 @@
-package follower
+// Package storer holds the published state in shards, for many readers and the
+// one writer that follows a log.
+package storer
 
 import (
 	"slices"
@@ -35,32 +37,33 @@
 	lists map[quetzalroad.ServiceName][]quetzalroad.Upstream
 }
 
-// store is the published state in shards. It has one writer, the machine, and
+// Store is the published state in shards. It has one writer and
 // many readers. The zero value is empty.
-type store struct {
+type Store struct {
 	shards  [shardCount]shard
 	applied atomic.Int64
 }
 
-func (s *store) shard(key string) *shard {
+func (s *Store) shard(key string) *shard {
 	return &s.shards[xxhash.Sum64String(key)%shardCount]
 }
 
-func (s *store) keyShard(h quetzalroad.KeyHash) *shard {
+func (s *Store) keyShard(h quetzalroad.KeyHash) *shard {
 	return &s.shards[h[0]%shardCount]
 }
 
 // Applied implements quetzalroad.Directory.
-func (s *store) Applied() quetzalroad.Offset {
+func (s *Store) Applied() quetzalroad.Offset {
 	return quetzalroad.Offset(s.applied.Load() - 1)
 }
 
-func (s *store) setApplied(o quetzalroad.Offset) {
+// SetApplied states the offset of the last record applied.
+func (s *Store) SetApplied(o quetzalroad.Offset) {
 	s.applied.Store(int64(o) + 1)
 }
 
 // TeamByKey implements quetzalroad.Directory.
-func (s *store) TeamByKey(hash quetzalroad.KeyHash) (quetzalroad.Team, bool) {
+func (s *Store) TeamByKey(hash quetzalroad.KeyHash) (quetzalroad.Team, bool) {
 	sh := s.keyShard(hash)
 	sh.mu.RLock()
 	name, ok := sh.keys[hash]
@@ -72,7 +75,7 @@
 }
 
 // Team implements quetzalroad.Directory.
-func (s *store) Team(name quetzalroad.TeamName) (quetzalroad.Team, bool) {
+func (s *Store) Team(name quetzalroad.TeamName) (quetzalroad.Team, bool) {
 	sh := s.shard(string(name))
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -81,7 +84,7 @@
 }
 
 // Profile implements quetzalroad.Directory.
-func (s *store) Profile(name quetzalroad.ProfileName) (quetzalroad.Profile, bool) {
+func (s *Store) Profile(name quetzalroad.ProfileName) (quetzalroad.Profile, bool) {
 	sh := s.shard(string(name))
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -90,7 +93,7 @@
 }
 
 // Service implements quetzalroad.Directory.
-func (s *store) Service(name quetzalroad.ServiceName) (quetzalroad.Service, bool) {
+func (s *Store) Service(name quetzalroad.ServiceName) (quetzalroad.Service, bool) {
 	sh := s.shard(string(name))
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -99,7 +102,7 @@
 }
 
 // ServiceForModel implements quetzalroad.Directory.
-func (s *store) ServiceForModel(name quetzalroad.ModelName) (quetzalroad.Service, bool) {
+func (s *Store) ServiceForModel(name quetzalroad.ModelName) (quetzalroad.Service, bool) {
 	sh := s.shard(string(name))
 	sh.mu.RLock()
 	service, ok := sh.models[name]
@@ -111,7 +114,7 @@
 }
 
 // Upstream implements quetzalroad.Directory.
-func (s *store) Upstream(name quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
+func (s *Store) Upstream(name quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
 	sh := s.shard(string(name))
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -119,12 +122,12 @@
 	return u, ok
 }
 
-func (s *store) revisionShard(r quetzalroad.Revision) *shard {
+func (s *Store) revisionShard(r quetzalroad.Revision) *shard {
 	return &s.shards[uint64(r)%shardCount]
 }
 
 // UpstreamAt implements quetzalroad.Directory.
-func (s *store) UpstreamAt(r quetzalroad.Revision) (quetzalroad.UpstreamName, bool) {
+func (s *Store) UpstreamAt(r quetzalroad.Revision) (quetzalroad.UpstreamName, bool) {
 	sh := s.revisionShard(r)
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -133,7 +136,7 @@
 }
 
 // TeamAt implements quetzalroad.Directory.
-func (s *store) TeamAt(r quetzalroad.Revision) (quetzalroad.TeamName, bool) {
+func (s *Store) TeamAt(r quetzalroad.Revision) (quetzalroad.TeamName, bool) {
 	sh := s.revisionShard(r)
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -143,7 +146,7 @@
 
 // moveUpstream lets a revision lead to an upstream instead of an older one; a
 // zero revision leads nowhere.
-func (s *store) moveUpstream(name quetzalroad.UpstreamName, from, to quetzalroad.Revision) {
+func (s *Store) moveUpstream(name quetzalroad.UpstreamName, from, to quetzalroad.Revision) {
 	old := s.revisionShard(from)
 	old.mu.Lock()
 	delete(old.upstreamsAt, from)
@@ -162,7 +165,7 @@
 
 // moveTeam lets a revision lead to a team instead of an older one; a zero
 // revision leads nowhere.
-func (s *store) moveTeam(name quetzalroad.TeamName, from, to quetzalroad.Revision) {
+func (s *Store) moveTeam(name quetzalroad.TeamName, from, to quetzalroad.Revision) {
 	old := s.revisionShard(from)
 	old.mu.Lock()
 	delete(old.teamsAt, from)
@@ -180,7 +183,7 @@
 }
 
 // UpstreamsOf implements quetzalroad.Directory.
-func (s *store) UpstreamsOf(service quetzalroad.ServiceName) []quetzalroad.Upstream {
+func (s *Store) UpstreamsOf(service quetzalroad.ServiceName) []quetzalroad.Upstream {
 	sh := s.shard(string(service))
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
@@ -188,7 +191,7 @@
 }
 
 // Teams implements quetzalroad.Directory.
-func (s *store) Teams() []quetzalroad.Team {
+func (s *Store) Teams() []quetzalroad.Team {
 	var all []quetzalroad.Team
 	s.each(func(sh *shard) {
 		for _, t := range sh.teams {
@@ -200,7 +203,7 @@
 }
 
 // Profiles implements quetzalroad.Directory.
-func (s *store) Profiles() []quetzalroad.Profile {
+func (s *Store) Profiles() []quetzalroad.Profile {
 	var all []quetzalroad.Profile
 	s.each(func(sh *shard) {
 		for _, p := range sh.profiles {
@@ -212,7 +215,7 @@
 }
 
 // Services implements quetzalroad.Directory.
-func (s *store) Services() []quetzalroad.Service {
+func (s *Store) Services() []quetzalroad.Service {
 	var all []quetzalroad.Service
 	s.each(func(sh *shard) {
 		for _, v := range sh.services {
@@ -224,7 +227,7 @@
 }
 
 // Upstreams implements quetzalroad.Directory.
-func (s *store) Upstreams() []quetzalroad.Upstream {
+func (s *Store) Upstreams() []quetzalroad.Upstream {
 	var all []quetzalroad.Upstream
 	s.each(func(sh *shard) {
 		for _, u := range sh.upstreams {
@@ -235,7 +238,7 @@
 	return all
 }
 
-func (s *store) each(f func(sh *shard)) {
+func (s *Store) each(f func(sh *shard)) {
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.RLock()
@@ -244,8 +247,8 @@
 	}
 }
 
-// clear empties the store, for a snapshot to fill it.
-func (s *store) clear() {
+// Clear empties the store, for a snapshot to fill it.
+func (s *Store) Clear() {
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.Lock()
@@ -256,8 +259,8 @@
 	}
 }
 
-// revision gives the revision of an object; zero where there is none.
-func (s *store) revision(kind quetzalroad.ObjectKind, name string) quetzalroad.Revision {
+// RevisionOf gives the revision of an object; zero where there is none.
+func (s *Store) RevisionOf(kind quetzalroad.ObjectKind, name string) quetzalroad.Revision {
 	switch kind {
 	case quetzalroad.ObjectProfile:
 		p, _ := s.Profile(quetzalroad.ProfileName(name))
@@ -275,8 +278,8 @@
 	return 0
 }
 
-// put writes an object, or deletes the named one where the object is empty.
-func (s *store) put(kind quetzalroad.ObjectKind, name string, o quetzalroad.Object) {
+// Put writes an object, or deletes the named one where the object is empty.
+func (s *Store) Put(kind quetzalroad.ObjectKind, name string, o quetzalroad.Object) {
 	switch kind {
 	case quetzalroad.ObjectProfile:
 		s.putProfile(quetzalroad.ProfileName(name), o.Profile)
@@ -289,7 +292,7 @@
 	}
 }
 
-func (s *store) putProfile(name quetzalroad.ProfileName, p *quetzalroad.Profile) {
+func (s *Store) putProfile(name quetzalroad.ProfileName, p *quetzalroad.Profile) {
 	sh := s.shard(string(name))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -303,7 +306,7 @@
 	sh.profiles[name] = *p
 }
 
-func (s *store) putTeam(name quetzalroad.TeamName, t *quetzalroad.Team) {
+func (s *Store) putTeam(name quetzalroad.TeamName, t *quetzalroad.Team) {
 	old, _ := s.Team(name)
 	sh := s.shard(string(name))
 	sh.mu.Lock()
@@ -334,7 +337,7 @@
 	}
 }
 
-func (s *store) linkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
+func (s *Store) linkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
 	sh := s.keyShard(h)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -344,7 +347,7 @@
 	sh.keys[h] = name
 }
 
-func (s *store) unlinkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
+func (s *Store) unlinkKey(h quetzalroad.KeyHash, name quetzalroad.TeamName) {
 	sh := s.keyShard(h)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -353,7 +356,7 @@
 	}
 }
 
-func (s *store) putService(name quetzalroad.ServiceName, v *quetzalroad.Service) {
+func (s *Store) putService(name quetzalroad.ServiceName, v *quetzalroad.Service) {
 	old, _ := s.Service(name)
 	sh := s.shard(string(name))
 	sh.mu.Lock()
@@ -379,7 +382,7 @@
 	}
 }
 
-func (s *store) linkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
+func (s *Store) linkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
 	sh := s.shard(string(m))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -389,7 +392,7 @@
 	sh.models[m] = name
 }
 
-func (s *store) unlinkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
+func (s *Store) unlinkModel(m quetzalroad.ModelName, name quetzalroad.ServiceName) {
 	sh := s.shard(string(m))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -398,7 +401,7 @@
 	}
 }
 
-func (s *store) putUpstream(name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
+func (s *Store) putUpstream(name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
 	old, existed := s.Upstream(name)
 	sh := s.shard(string(name))
 	sh.mu.Lock()
@@ -426,7 +429,7 @@
 
 // relist stores a new list of a service's upstreams in which the named one is
 // replaced, added or, where u is nil, left out.
-func (s *store) relist(service quetzalroad.ServiceName, name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
+func (s *Store) relist(service quetzalroad.ServiceName, name quetzalroad.UpstreamName, u *quetzalroad.Upstream) {
 	sh := s.shard(string(service))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/tracker/capacity.go
+++ b/state/tracker/capacity.go
@@ -114,6 +114,9 @@
 // nearest gives the usable upstreams of this data centre, else of the region,
 // else of all.
 func (t *Tracker) nearest(now time.Time, all []quetzalroad.Upstream) []seen {
+	if t.reach == reachAll {
+		return t.ring(now, all, func(quetzalroad.Upstream) bool { return true })
+	}
 	here := t.ring(now, all, func(u quetzalroad.Upstream) bool { return u.DataCentre == t.place })
 	if anySound(here) {
 		return here
@@ -133,7 +136,7 @@
 func (t *Tracker) ring(now time.Time, all []quetzalroad.Upstream, in func(quetzalroad.Upstream) bool) []seen {
 	var some []seen
 	for _, u := range all {
-		if u.Draining || !in(u) || t.drains.Marked(u.Name) {
+		if u.Draining || !in(u) || (t.drains != nil && t.drains.Marked(u.Name)) {
 			continue
 		}
 		if e := t.Estimate(u.Name, now); !e.Leaving {
--- a/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -14,8 +14,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
@@ -124,6 +124,7 @@
 	reportTTL  time.Duration
 	suspectFor time.Duration
 	suspectMax float64
+	reach      string
 	shards     [shardCount]shard
 	views      viewCache
 	// tellers holds a time for each peer that told of its load.
@@ -137,11 +138,18 @@
 func (t *Tracker) Declare(s *configurer.Section) {
 	s.Duration("report-lifetime", &t.reportTTL, 15*time.Second, 100*time.Millisecond, 10*time.Minute, "Age at which a load report counts no more.")
 	s.Duration("suspect-for", &t.suspectFor, 2*time.Second, 10*time.Millisecond, 10*time.Minute, "How long an upstream is set aside after failures in a row; doubled with each further one, up to eightfold.")
-	s.Duration("report-interval", &t.poller.interval, time.Second, 10*time.Millisecond, time.Minute, "How often an upstream is asked for its load.")
+	s.Duration("report-interval", &t.poller.interval, time.Second, 0, time.Minute, "How often an upstream is asked for its load; zero for never.")
 	s.Duration("report-timeout", &t.poller.timeout, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "How long an upstream may take to answer.")
+	s.Choice("reach", &t.reach, reachNearest, []string{reachNearest, reachAll}, "Which upstreams are candidates: those of the nearest place that has sound ones, or all.")
 	s.Float("suspect-share", &t.suspectMax, 0.5, 0, 1, "Largest share of a service's upstreams that may be set aside.")
 }
 
+// How far the candidates may be.
+const (
+	reachNearest = "nearest"
+	reachAll     = "all"
+)
+
 // Build implements kernel.Part.
 func (t *Tracker) Build(n *kernel.Node) error {
 	t.directory = n.Directory
@@ -152,7 +160,9 @@
 	n.Capacity = t
 	t.poller.node = n
 	t.poller.tracker = t
-	n.Go("poll load reports", t.poller.run)
+	if t.poller.interval > 0 {
+		n.Go("poll load reports", t.poller.run)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/state/watcher/follow.go
@@ -0,0 +1,145 @@
+package watcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+// freshness holds the mark of the last confirmation. The zero value was never
+// confirmed.
+type freshness struct {
+	mu sync.Mutex
+	// at is guarded by mu and never goes back.
+	at boottimer.Mark
+}
+
+func (f *freshness) set(at boottimer.Mark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.at) {
+		f.at = at
+	}
+}
+
+func (f *freshness) age() time.Duration {
+	f.mu.Lock()
+	at := f.at
+	f.mu.Unlock()
+	return at.Age()
+}
+
+// follow reads one stream on and on.
+type follow struct {
+	watcher *Watcher
+	stream  quetzalroad.Stream
+	// wait is how long a read waits for a record, and every the pause between
+	// two reads. One of them is zero.
+	wait  time.Duration
+	every time.Duration
+	// apply takes records in order. Whole tells that they hold the newest of
+	// each key, so that a key that is missing is gone.
+	apply func(records []quetzalroad.KeyedRecord, whole bool)
+	// confirmed is told the moment before which all records were read; nil
+	// where nobody asks.
+	confirmed func(at boottimer.Mark)
+
+	// before runs before each read; nil where there is nothing to do.
+	before func()
+
+	// next is the offset to read from; it holds once loaded is set.
+	next   quetzalroad.Offset
+	loaded bool
+	// away is set after a failed read until one succeeds.
+	away bool
+}
+
+func (f *follow) run(ctx context.Context) error {
+	for {
+		if f.before != nil {
+			f.before()
+		}
+		err := f.round(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f.note(err)
+		pause := f.every
+		if err != nil {
+			pause = f.watcher.retryEvery
+		}
+		if err := sleeper.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+// note logs when the log is lost and regained, and tells it to the entries.
+func (f *follow) note(err error) {
+	w := f.watcher
+	switch {
+	case err != nil && !f.away:
+		w.logger.Warn("log lost", "stream", string(f.stream), "next", int64(f.next), "age", w.Age(), "error", err)
+	case err == nil && f.away:
+		w.logger.Info("log regained", "stream", string(f.stream), "next", int64(f.next))
+	}
+	if f.stream == quetzalroad.StreamUpstreams && (err != nil || f.away) {
+		w.entries.disturbed()
+	}
+	f.away = err != nil
+}
+
+func (f *follow) round(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+f.watcher.callTimeout)
+	defer cancel()
+	sent := boottimer.Now()
+	if !f.loaded {
+		return f.load(ctx, sent)
+	}
+	records, bounds, err := f.watcher.log.ReadKeyed(ctx, f.stream, f.next, f.wait)
+	if errors.Is(err, quetzalroad.ErrTrimmed) {
+		f.watcher.logger.Warn("history gone", "stream", string(f.stream), "next", int64(f.next))
+		return f.load(ctx, sent)
+	}
+	if err != nil {
+		return err
+	}
+	f.take(records, false)
+	f.next += quetzalroad.Offset(len(records))
+	if f.next >= bounds.Next {
+		f.confirm(sent)
+	}
+	return nil
+}
+
+// load starts anew from the newest record of each key.
+func (f *follow) load(ctx context.Context, sent boottimer.Mark) error {
+	records, next, err := f.watcher.log.Newest(ctx, f.stream)
+	if err != nil {
+		return err
+	}
+	f.take(records, true)
+	f.next = next
+	f.loaded = true
+	f.confirm(sent)
+	return nil
+}
+
+func (f *follow) take(records []quetzalroad.KeyedRecord, whole bool) {
+	if f.away && f.stream == quetzalroad.StreamUpstreams {
+		f.watcher.entries.disturbed()
+	}
+	f.apply(records, whole)
+}
+
+func (f *follow) confirm(at boottimer.Mark) {
+	if f.confirmed != nil {
+		f.confirmed(at)
+	}
+}
--- /dev/null
+++ b/state/watcher/routes.go
@@ -0,0 +1,101 @@
+package watcher
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// routeShards is the number of shards of the routes.
+const routeShards = 16
+
+// routeShard holds the routes of the hosts that hash to it.
+type routeShard struct {
+	mu sync.RWMutex
+	// hosts is guarded by mu and made on first use. A host's routes are in
+	// order of the prefix's length, the longest first, and never changed once
+	// they are stored.
+	hosts map[string][]quetzalroad.Route
+}
+
+// routeTable finds routes. The zero value has none.
+type routeTable struct {
+	shards [routeShards]routeShard
+	limits atomic.Pointer[quetzalroad.CallerLimits]
+	keyed  atomic.Bool
+}
+
+func (t *routeTable) shard(host string) *routeShard {
+	return &t.shards[xxhash.Sum64String(host)%routeShards]
+}
+
+// hostKey is the form in which hosts are compared.
+func hostKey(host string) string {
+	name, _, found := strings.Cut(host, ":")
+	if found {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Route implements quetzalroad.RouteTable.
+func (t *routeTable) Route(host, path string) (quetzalroad.Route, bool) {
+	host = hostKey(host)
+	sh := t.shard(host)
+	sh.mu.RLock()
+	routes := sh.hosts[host]
+	sh.mu.RUnlock()
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return quetzalroad.Route{}, false
+}
+
+// Limits implements quetzalroad.RouteTable.
+func (t *routeTable) Limits() quetzalroad.CallerLimits {
+	if l := t.limits.Load(); l != nil {
+		return *l
+	}
+	return quetzalroad.CallerLimits{}
+}
+
+// Keyed implements quetzalroad.RouteTable.
+func (t *routeTable) Keyed() bool {
+	return t.keyed.Load()
+}
+
+// replace puts a whole set of routes in the place of the present one.
+func (t *routeTable) replace(routes []quetzalroad.Route) {
+	byHost := make(map[string][]quetzalroad.Route)
+	for _, r := range routes {
+		host := hostKey(r.Host)
+		byHost[host] = append(byHost[host], r)
+	}
+	for host, list := range byHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+		sh := t.shard(host)
+		sh.mu.Lock()
+		if sh.hosts == nil {
+			sh.hosts = make(map[string][]quetzalroad.Route)
+		}
+		sh.hosts[host] = list
+		sh.mu.Unlock()
+	}
+	for i := range t.shards {
+		sh := &t.shards[i]
+		sh.mu.Lock()
+		for host := range sh.hosts {
+			if byHost[host] == nil {
+				delete(sh.hosts, host)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/state/watcher/watcher.go
@@ -0,0 +1,154 @@
+// Package watcher follows the published state where operators write it whole
+// to the platform's log and upstreams write their own entries there.
+//
+// It keeps the moment for which the log last confirmed the view, never goes
+// back to an older version, and holds entries that lapsed while the log was
+// away until their upstreams had time to write them again.
+package watcher
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/state/storer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotState, Name: "watcher",
+		New: func() kernel.Part { return new(Watcher) },
+	})
+}
+
+// Watcher is the part that follows the published state.
+type Watcher struct {
+	logger *slog.Logger
+	codec  quetzalroad.StateCodec
+	log    quetzalroad.KeyedLog
+
+	stateWait     time.Duration
+	entryInterval time.Duration
+	retryEvery    time.Duration
+	callTimeout   time.Duration
+	revokeWithin  time.Duration
+	margin        time.Duration
+	lapseGrace    time.Duration
+	places        string
+
+	regions map[quetzalroad.DataCentre]quetzalroad.Region
+	store   storer.Store
+	routes  routeTable
+	state   published
+	entries entries
+	// version is that of the state in force; zero before the first.
+	version atomic.Int64
+	// confirmed holds the mark of the last confirmation of the state.
+	confirmed freshness
+}
+
+// Declare implements kernel.Part.
+func (w *Watcher) Declare(s *configurer.Section) {
+	s.Duration("state-wait", &w.stateWait, 1500*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
+	s.Duration("entry-interval", &w.entryInterval, time.Second, 10*time.Millisecond, time.Minute, "How often the upstreams' entries are read.")
+	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a read that failed.")
+	s.Duration("call-timeout", &w.callTimeout, 1200*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
+	s.Duration("revoke-within", &w.revokeWithin, 0, 0, time.Hour, "Time within which a key that was taken away must stop working; zero for no bound.")
+	s.Duration("revoke-margin", &w.margin, 300*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
+	s.Duration("lapse-grace", &w.lapseGrace, 2300*time.Millisecond, 0, time.Minute, "How long an entry that vanished while the log was away is held after its return.")
+	s.Text("places", &w.places, "", "Regions of the data centres, as data-centre=region, separated by commas.")
+}
+
+// Build implements kernel.Part.
+func (w *Watcher) Build(n *kernel.Node) error {
+	if n.KeyedLog == nil || n.StateCodec == nil {
+		return errors.New("the watcher needs the slots keyed-log and entries")
+	}
+	if err := w.readPlaces(); err != nil {
+		return err
+	}
+	w.logger = n.Logger
+	w.codec = n.StateCodec
+	w.log = n.KeyedLog
+	n.Directory = &w.store
+	n.Routes = &w.routes
+	n.Freshness = w
+	n.AddReadiness(w)
+	n.Go("follow the published state", w.followState)
+	n.Go("follow the upstreams' entries", w.followEntries)
+	return nil
+}
+
+func (w *Watcher) readPlaces() error {
+	w.regions = make(map[quetzalroad.DataCentre]quetzalroad.Region)
+	for pair := range strings.SplitSeq(w.places, ",") {
+		if pair == "" {
+			continue
+		}
+		place, region, ok := strings.Cut(pair, "=")
+		if !ok {
+			return errors.Newf("state.places: %q is not data-centre=region", pair)
+		}
+		w.regions[quetzalroad.DataCentre(place)] = quetzalroad.Region(region)
+	}
+	return nil
+}
+
+// Version implements quetzalroad.Freshness.
+func (w *Watcher) Version() int64 {
+	return w.version.Load()
+}
+
+// Age implements quetzalroad.Freshness.
+func (w *Watcher) Age() time.Duration {
+	return w.confirmed.age()
+}
+
+// Current implements quetzalroad.Freshness.
+func (w *Watcher) Current() bool {
+	return w.revokeWithin == 0 || w.confirmed.age() < w.revokeWithin-w.margin
+}
+
+var (
+	errNoState = errors.New("no published state yet")
+	errStale   = errors.New("the view of the published state is too old")
+)
+
+// unreadyShare is the part of the bound on revocation after which the node
+// asks for no more callers, so that few meet a refusal.
+const unreadyShare = 0.6
+
+// Ready implements quetzalroad.Readiness.
+func (w *Watcher) Ready() error {
+	switch {
+	case w.version.Load() == 0 || !w.entries.full.Load():
+		return errNoState
+	case w.revokeWithin > 0 && w.routes.Keyed() && w.confirmed.age() > time.Duration(unreadyShare*float64(w.revokeWithin)):
+		return errStale
+	}
+	return nil
+}
+
+// followState follows what operators publish.
+func (w *Watcher) followState(ctx context.Context) error {
+	f := follow{watcher: w, stream: quetzalroad.StreamOperators, wait: w.stateWait, confirmed: w.confirmed.set}
+	f.apply = func(records []quetzalroad.KeyedRecord, _ bool) {
+		for _, r := range records {
+			w.applyState(r)
+		}
+	}
+	return f.run(ctx)
+}
+
+// followEntries follows what upstreams write of themselves.
+func (w *Watcher) followEntries(ctx context.Context) error {
+	f := follow{watcher: w, stream: quetzalroad.StreamUpstreams, every: w.entryInterval, apply: w.applyEntries, before: w.endLapsed}
+	return f.run(ctx)
+}
--- /dev/null
+++ b/support/boottimer/boottimer.go
@@ -0,0 +1,49 @@
+// Package boottimer measures spans that go on while the machine is suspended,
+// which the runtime's steady clock does not count.
+package boottimer
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Mark is a moment. The zero value is long ago.
+type Mark struct {
+	steady time.Time
+	boot   time.Duration
+}
+
+// Now marks the present moment.
+func Now() Mark {
+	return Mark{steady: time.Now(), boot: sinceBoot()}
+}
+
+// IsZero tells that no moment was marked.
+func (m Mark) IsZero() bool {
+	return m.steady.IsZero()
+}
+
+// Age is the time since the mark, with that of a suspended machine. The
+// runtime's clock counts where it is ahead, as tests advance it.
+func (m Mark) Age() time.Duration {
+	steady := time.Since(m.steady)
+	if m.IsZero() {
+		return steady
+	}
+	return max(steady, sinceBoot()-m.boot)
+}
+
+// After tells that the mark is later than another.
+func (m Mark) After(other Mark) bool {
+	return m.steady.After(other.steady)
+}
+
+func sinceBoot() time.Duration {
+	var at unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
+		// Without this clock the steady one has to do.
+		return 0
+	}
+	return time.Duration(at.Nano())
+}
--- a/commander/commander.go
+++ b/support/commander/commander.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 // Streams are a command's input and outputs.
--- a/counter/counter.go
+++ b/support/counter/counter.go
@@ -13,8 +13,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
 
 func init() {
--- a/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -18,10 +18,10 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/chatmapper"
-	"github.com/quetzalroad/quetzalroad/configurer"
+	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/transporter"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/upstreams/transporter"
 )
 
 func init() {
--- a/serviceconnector/connector.go
+++ b/upstreams/serviceconnector/connector.go
@@ -13,9 +13,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/configurer"
 	"github.com/quetzalroad/quetzalroad/kernel"
-	"github.com/quetzalroad/quetzalroad/transporter"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/upstreams/transporter"
 )
 
 func init() {
--- a/transporter/load.go
+++ b/upstreams/transporter/load.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/loadmapper"
+	"github.com/quetzalroad/quetzalroad/codecs/loadmapper"
 )
 
 // maxReportBytes bounds a load report.
