--- /dev/null
+++ b/decisions/balancer/separator/separator.go
@@ -0,0 +1,159 @@
+// Package separator keeps the reading of long prompts away from the engines
+// that generate for short ones, as each chunk of a prompt delays every token of
+// the requests beside it.
+//
+// A share of a service's engines, the readers, takes the long prompts. Among
+// them a request goes where the shared parts of its prompt lie, which all nodes
+// find by the same hash, unless that engine is so busy that reading the parts
+// again elsewhere is sooner done. Short prompts go to the other engines, the
+// nearest first, by their load. Plain services are chosen by distance and load.
+package separator
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotBalancer, Name: "separator",
+		New: func() kernel.Part { return new(Separator) },
+	})
+}
+
+// Separator is the part that chooses.
+type Separator struct {
+	load        quetzalroad.LoadTracker
+	place       quetzalroad.DataCentre
+	region      quetzalroad.Region
+	longPrompt  int
+	readerShare float64
+	requestCost int
+	mixCost     int
+	farCost     int
+	farRunning  float64
+	mixRunning  float64
+}
+
+// Declare implements kernel.Part.
+func (s *Separator) Declare(c *configurer.Section) {
+	c.Int("long-prompt", &s.longPrompt, 2500, 1, 10000000, "Tokens from which a prompt counts as long.")
+	c.Float("reader-share", &s.readerShare, 0.5, 0, 1, "Share of a service's engines that long prompts go to.")
+	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "What a request on a reader counts against a long prompt, in prompt tokens.")
+	c.Int("mix-cost", &s.mixCost, 30000, 0, 10000000, "What a long prompt counts that is read beside short ones, in prompt tokens.")
+	c.Int("far-cost", &s.farCost, 1000, 0, 10000000, "What the way to another region counts against a long prompt, in prompt tokens.")
+	c.Float("far-running", &s.farRunning, 0.06, 0, 10, "What the way to another region counts against other work, as a share of an upstream's slots.")
+	c.Float("mix-running", &s.mixRunning, 0.35, 0, 10, "What a reader counts against a short prompt, as a share of its slots.")
+}
+
+// Build implements kernel.Part.
+func (s *Separator) Build(n *kernel.Node) error {
+	s.load = n.Load
+	s.place = n.DataCentre
+	s.region = n.Region
+	n.Balancer = s
+	return nil
+}
+
+// suspectCost makes a suspect upstream a last resort.
+const suspectCost = 1e9
+
+// Choose implements quetzalroad.Balancer.
+func (s *Separator) Choose(now time.Time, r *quetzalroad.Request, candidates []quetzalroad.Upstream) quetzalroad.Upstream {
+	if len(candidates) == 1 {
+		return candidates[0]
+	}
+	if r.Model == "" {
+		return s.least(candidates, func(u quetzalroad.Upstream) float64 { return s.runningCost(now, u) })
+	}
+	readers := s.readers(candidates)
+	if r.PromptTokens < s.longPrompt {
+		return s.least(candidates, func(u quetzalroad.Upstream) float64 {
+			cost := s.runningCost(now, u)
+			if readers[u.Name] {
+				cost += s.mixRunning
+			}
+			return cost
+		})
+	}
+	home := s.home(r, candidates, readers)
+	return s.least(candidates, func(u quetzalroad.Upstream) float64 {
+		cost := s.readingCost(now, u)
+		if u.Name != home {
+			cost += float64(r.SharedTokens)
+		}
+		if !readers[u.Name] {
+			cost += float64(s.mixCost)
+		}
+		return cost
+	})
+}
+
+// least gives the candidate with the least cost.
+func (s *Separator) least(candidates []quetzalroad.Upstream, cost func(quetzalroad.Upstream) float64) quetzalroad.Upstream {
+	best := candidates[0]
+	least := cost(best)
+	for _, u := range candidates[1:] {
+		if c := cost(u); c < least {
+			best, least = u, c
+		}
+	}
+	return best
+}
+
+// runningCost is an upstream's load as a share of its slots, with the way.
+func (s *Separator) runningCost(now time.Time, u quetzalroad.Upstream) float64 {
+	e := s.load.Estimate(u.Name, now)
+	cost := float64(e.Running) / float64(max(1, u.Slots))
+	if u.Region != s.region {
+		cost += s.farRunning
+	}
+	if e.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// readingCost is what stands before a long prompt, in prompt tokens.
+func (s *Separator) readingCost(now time.Time, u quetzalroad.Upstream) float64 {
+	e := s.load.Estimate(u.Name, now)
+	cost := float64(e.Running * s.requestCost)
+	if u.Region != s.region {
+		cost += float64(s.farCost)
+	}
+	if e.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// home gives the reader where the shared parts of a prompt lie: the one with
+// the highest hash of both, so that an engine's coming or going moves only its
+// own share.
+func (s *Separator) home(r *quetzalroad.Request, candidates []quetzalroad.Upstream, readers map[quetzalroad.UpstreamName]bool) quetzalroad.UpstreamName {
+	var best quetzalroad.UpstreamName
+	var most uint64
+	for _, u := range candidates {
+		if !readers[u.Name] {
+			continue
+		}
+		if h := spread(xxhash.Sum64String(string(u.Name)) ^ r.PrefixHash); best == "" || h > most {
+			best, most = u.Name, h
+		}
+	}
+	return best
+}
+
+// spread mixes the bits of two joined hashes.
+func spread(h uint64) uint64 {
+	const multiplier = 0x9E3779B97F4A7C15
+	h *= multiplier
+	h ^= h >> 32
+	h *= multiplier
+	return h ^ h>>29
+}
--- a/faces/forwardserver/exchange.go
+++ b/faces/forwardserver/exchange.go
@@ -59,7 +59,7 @@
 	}
 	f.Model, f.PromptTokens, f.MaxTokens = head.Model, head.PromptTokens, head.MaxTokens
 	f.Prompt, f.LastEvent, f.Header = head.Prompt, head.LastEvent, head.Header
-	f.PrefixHash = sharedHash(head.Prompt)
+	f.PrefixHash, f.SharedTokens = shared(head.Prompt)
 	f.Method, f.Target, f.Host = x.request.Method, x.request.RequestURI, x.request.Host
 	if err := x.find(); err != nil {
 		return err
--- a/faces/forwardserver/prefix.go
+++ b/faces/forwardserver/prefix.go
@@ -6,11 +6,11 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// sharedHash identifies the parts of a prompt that other requests may share:
-// all but the last. It is zero where there are none.
-func sharedHash(parts []quetzalroad.PromptPart) uint64 {
+// shared gives a hash and the tokens of the parts of a prompt that other
+// requests may share: all but the last. Both are zero where there are none.
+func shared(parts []quetzalroad.PromptPart) (hash uint64, tokens int) {
 	if len(parts) < 2 {
-		return 0
+		return 0, 0
 	}
 	var sum xxhash.Digest
 	sum.Reset()
@@ -18,6 +18,7 @@
 		// A hash takes all that is written to it.
 		_, _ = sum.WriteString(p.ID)
 		_, _ = sum.WriteString("/")
+		tokens += p.Tokens
 	}
-	return max(1, sum.Sum64())
+	return max(1, sum.Sum64()), tokens
 }
--- a/request.go
+++ b/request.go
@@ -22,6 +22,9 @@
 	Due time.Time
 	// PromptTokens is an estimate from the size of the prompt.
 	PromptTokens int
+	// SharedTokens is the length of the parts of the prompt that other requests
+	// may share; zero where none are named.
+	SharedTokens int
 	// MaxTokens bounds the tokens to generate; zero means no stated bound.
 	MaxTokens int
 	// PrefixHash identifies the beginning of the prompt for cache affinity;
