Log each choice and answer as a JSON line, bounded and never blocking

Change: support/logger bounds the lines a second, counts what it drops and writes beside its callers; the dispatcher tells each chosen upstream with what was believed of it, and each answer.

--- a/cmd/quetzalroad/server/server.go
+++ b/cmd/quetzalroad/server/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/commander"
+	"github.com/quetzalroad/quetzalroad/support/logger"
 )
 
 // bootVariable names the settings file where the command line names none.
@@ -105,12 +106,15 @@
 	if err := plan.Read(o.file, data); err != nil {
 		return err
 	}
-	node, err := plan.Build(o.streams.Logger(o.level))
+	log, lines := logger.New(o.streams.Out, o.level)
+	defer func() { _ = lines.Close() }()
+	node, err := plan.Build(log)
 	if err != nil {
+		log.Error("not started", "file", o.file, "error", err)
 		return err
 	}
 	node.Start()
-	node.Logger.Info("started", "data-centre", string(node.DataCentre))
+	node.Logger.Info("started", "file", o.file, "data-centre", string(node.DataCentre), "region", string(node.Region))
 	ended := make(chan error, 1)
 	go func() { ended <- node.Wait() }()
 	for {
@@ -128,16 +132,16 @@
 
 // recheck reads the settings file again and logs what it finds. The running
 // node keeps its settings.
-func recheck(logger *slog.Logger, file string) {
+func recheck(log *slog.Logger, file string) {
 	data, err := os.ReadFile(file)
 	if err == nil {
 		err = kernel.NewPlan().Read(file, data)
 	}
 	if err != nil {
-		logger.Error("settings file has findings, the running settings stay", "file", file, "error", err)
+		log.Error("settings file has findings, the running settings stay", "file", file, "error", err)
 		return
 	}
-	logger.Info("settings file checked, it holds from the next start", "file", file)
+	log.Info("settings file checked, it holds from the next start", "file", file)
 }
 
 // awaitEnd waits for the last answer, and says what is open now and then and
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -73,6 +73,10 @@
 	last int64
 	// pieces counts the events passed on.
 	pieces int
+	// status is that of the answer, and firstAfter the time from the request's
+	// arrival to the first piece; both are zero before.
+	status     int
+	firstAfter time.Duration
 }
 
 func (r *forwardRun) serve(ctx context.Context) error {
@@ -84,8 +88,10 @@
 			return r.settle(noUpstream())
 		}
 		r.tries.count++
+		r.logChoice(u)
 		err := r.attempt(ctx, u)
 		if err == nil {
+			r.logAnswer(u)
 			return nil
 		}
 		var refusal *quetzalroad.Refusal
@@ -98,6 +104,24 @@
 	}
 }
 
+// logChoice tells which upstream was chosen and what was believed of it.
+func (r *forwardRun) logChoice(u quetzalroad.Upstream) {
+	d := r.dispatcher
+	f := r.forwarding
+	e := d.node.Load.Estimate(u.Name, time.Now())
+	d.logger.Info("upstream chosen", "request-id", string(f.ID), "attempt", r.tries.count, "upstream", string(u.Name),
+		"route", string(f.Route.Name), "service", string(f.Service.Name), "team", string(f.Team.Name), "tier", int(f.Profile.Tier),
+		"prompt-tokens", f.PromptTokens, "running", e.Running, "own", e.Own, "report-age", e.ReportAge, "suspect", e.Suspect,
+		"after-event", r.last, "state-version", d.node.Freshness.Version(), "state-age", d.node.Freshness.Age())
+}
+
+// logAnswer tells how a request was answered.
+func (r *forwardRun) logAnswer(u quetzalroad.Upstream) {
+	f := r.forwarding
+	r.dispatcher.logger.Info("request answered", "request-id", string(f.ID), "upstream", string(u.Name), "attempts", r.tries.count,
+		"status", r.status, "first-after", r.firstAfter, "took", time.Since(f.Arrived), "events", r.pieces)
+}
+
 // settle gives a refusal the outcome of all attempts.
 func (r *forwardRun) settle(refusal *quetzalroad.Refusal) *quetzalroad.Refusal {
 	if r.tries.ran {
@@ -257,6 +281,7 @@
 		return
 	}
 	took := now.Sub(r.forwarding.Arrived)
+	r.firstAfter = took
 	d.node.Recorder.FirstToken(p.Class, took, took <= p.FirstTokenTarget)
 }
 
@@ -264,6 +289,7 @@
 func (r *forwardRun) hand(head quetzalroad.AnswerHead, data []byte) error {
 	if !r.begun {
 		r.begun = true
+		r.status = head.Status
 		if err := r.sink.Begin(head); err != nil {
 			return r.callerFailed(err)
 		}
--- a/request.go
+++ b/request.go
@@ -165,6 +165,8 @@
 	// FirstToken is the recent time to a first token; zero where this node
 	// has not seen any lately.
 	FirstToken time.Duration
+	// ReportAge is the age of the upstream's last report; zero before the first.
+	ReportAge time.Duration
 	// Suspect tells that recent attempts failed and new work should go
 	// elsewhere where it can.
 	Suspect bool
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -360,6 +360,9 @@
 	if !b.reported.IsZero() && now.Sub(b.report.Taken) < reportTTL {
 		e.Running += int(max(0, b.unexplained))
 	}
+	if !b.reported.IsZero() {
+		e.ReportAge = now.Sub(b.report.Taken)
+	}
 	if now.Sub(b.tokenAt) < staleAfter || now.Sub(b.heardAt) < staleAfter {
 		e.TokenTime = b.tokenTime
 	}
--- /dev/null
+++ b/support/logger/logger.go
@@ -0,0 +1,152 @@
+// Package logger writes structured log lines without ever holding up whoever
+// logs: lines go through a bounded queue, their number a second is bounded, and
+// what was dropped is counted and told.
+package logger
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	// queued is the number of lines that may wait to be written.
+	queued = 2048
+	// linesPerSecond bounds the lines of one second.
+	linesPerSecond = 600
+	// plainPerSecond bounds those below a warning, so that what explains a
+	// failure finds room.
+	plainPerSecond = 450
+	// closeTimeout bounds the wait for the last lines at the end.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// Writer takes whole lines and writes them beside its callers.
+type Writer struct {
+	out   io.Writer
+	lines chan []byte
+	ended chan struct{}
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. second is the start of the second
+	// that the counts are of; plain is never above all.
+	second     time.Time
+	all, plain int
+	dropped    int
+	closed     bool
+}
+
+// New makes a logger of JSON lines and the writer behind it.
+func New(out io.Writer, level slog.Level) (*slog.Logger, *Writer) {
+	w := &Writer{out: out, lines: make(chan []byte, queued), ended: make(chan struct{})}
+	go w.run()
+	inner := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: readable})
+	return slog.New(&handler{Handler: inner, writer: w}), w
+}
+
+// readable writes spans with their unit.
+func readable(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		a.Value = slog.StringValue(a.Value.Duration().Round(time.Microsecond).String())
+	}
+	return a
+}
+
+func (w *Writer) run() {
+	defer close(w.ended)
+	for line := range w.lines {
+		if _, err := w.out.Write(line); err != nil {
+			// There is no place left to tell it.
+			continue
+		}
+	}
+}
+
+// Write implements io.Writer. It never waits.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped++
+	}
+	return len(line), nil
+}
+
+// Close writes what waits, for a short while, and drops what comes later.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return nil
+	}
+	w.closed = true
+	close(w.lines)
+	w.mu.Unlock()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.ended:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// allow counts a line of a level. It tells whether the line may be written, and
+// how many were dropped before it that were not told yet.
+func (w *Writer) allow(now time.Time, level slog.Level) (allowed bool, dropped int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.second) >= time.Second {
+		w.second, w.all, w.plain = now, 0, 0
+	}
+	if w.all >= linesPerSecond || (level < slog.LevelWarn && w.plain >= plainPerSecond) {
+		w.dropped++
+		return false, 0
+	}
+	w.all++
+	if level < slog.LevelWarn {
+		w.plain++
+	}
+	dropped = w.dropped
+	w.dropped = 0
+	return true, dropped
+}
+
+// handler drops the lines that the writer has no room for.
+type handler struct {
+	slog.Handler
+	writer *Writer
+}
+
+// Handle implements slog.Handler.
+func (h *handler) Handle(ctx context.Context, r slog.Record) error {
+	allowed, dropped := h.writer.allow(r.Time, r.Level)
+	if !allowed {
+		return nil
+	}
+	if dropped > 0 {
+		told := slog.NewRecord(r.Time, slog.LevelWarn, "log lines dropped", 0)
+		told.AddAttrs(slog.Int("lines", dropped))
+		if err := h.Handler.Handle(ctx, told); err != nil {
+			return err
+		}
+	}
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &handler{Handler: h.Handler.WithAttrs(attrs), writer: h.writer}
+}
+
+// WithGroup implements slog.Handler.
+func (h *handler) WithGroup(name string) slog.Handler {
+	return &handler{Handler: h.Handler.WithGroup(name), writer: h.writer}
+}
