Let the number of readers follow demand; shed by forecast (trial, off)

Change: engines are told one rank that joins the team's tier, which goes first, with the route's; the division of engines moves under pressure; a shedder refuses long prompts whose forecast first token lies beyond a multiple of the target.

--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -4,6 +4,7 @@
 import (
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/prioritizer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/queuer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/shedder"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/estimator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/rotator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -2,8 +2,8 @@
 // that generate for short ones, as each chunk of a prompt delays every token of
 // the requests beside it.
 //
-// A share of a service's engines, the readers, takes the long prompts. Among
-// them a request goes where the shared parts of its prompt lie, which all nodes
+// Some of a service's engines, the readers, take the long prompts; their number
+// follows the demand. Among them a request goes where the shared parts of its prompt lie, which all nodes
 // find by the same hash, unless that engine is so busy that reading the parts
 // again elsewhere is sooner done. Short prompts go to the other engines, the
 // nearest first, by their load. Plain services are chosen by distance and load.
@@ -32,18 +32,26 @@
 	place       quetzalroad.DataCentre
 	region      quetzalroad.Region
 	longPrompt  int
-	readerShare float64
+	writerFull  float64
+	readerFull  float64
+	pressed     float64
+	moveEvery   time.Duration
 	requestCost int
 	mixCost     int
 	farCost     int
 	farRunning  float64
 	mixRunning  float64
+	divisions   [divisionShards]divisionShard
+	lines       [divisionShards]lineShard
 }
 
 // Declare implements kernel.Part.
 func (s *Separator) Declare(c *configurer.Section) {
 	c.Int("long-prompt", &s.longPrompt, 2500, 1, 10000000, "Tokens from which a prompt counts as long.")
-	c.Float("reader-share", &s.readerShare, 0.5, 0, 1, "Share of a service's engines that long prompts go to.")
+	c.Float("writer-full", &s.writerFull, 0.6, 0.01, 1, "Share of its slots at which an engine that serves short prompts counts as full.")
+	c.Float("reader-full", &s.readerFull, 0.15, 0.01, 1, "Share of its slots at which an engine that reads long prompts counts as full.")
+	c.Float("pressed", &s.pressed, 1, 0, 10, "Fullness of either kind, relative to what counts as full, below which the number of readers stays.")
+	c.Duration("move-every", &s.moveEvery, 200*time.Millisecond, time.Millisecond, time.Minute, "Shortest time between two changes of the number of readers.")
 	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "What a request on a reader counts against a long prompt, in prompt tokens.")
 	c.Int("mix-cost", &s.mixCost, 30000, 0, 10000000, "What a long prompt counts that is read beside short ones, in prompt tokens.")
 	c.Int("far-cost", &s.farCost, 1000, 0, 10000000, "What the way to another region counts against a long prompt, in prompt tokens.")
@@ -57,6 +65,7 @@
 	s.place = n.DataCentre
 	s.region = n.Region
 	n.Balancer = s
+	n.Forecaster = s
 	return nil
 }
 
@@ -69,25 +78,25 @@
 		return candidates[0]
 	}
 	if r.Model == "" {
-		return s.least(candidates, func(u quetzalroad.Upstream) float64 { return s.runningCost(now, u) })
+		return s.least(candidates, func(_ int, u quetzalroad.Upstream) float64 { return s.runningCost(now, u) })
 	}
-	readers := s.readers(candidates)
+	order, writers := s.divide(now, r.Service.Name, candidates)
 	if r.PromptTokens < s.longPrompt {
-		return s.least(candidates, func(u quetzalroad.Upstream) float64 {
+		return s.least(order, func(i int, u quetzalroad.Upstream) float64 {
 			cost := s.runningCost(now, u)
-			if readers[u.Name] {
+			if i >= writers {
 				cost += s.mixRunning
 			}
 			return cost
 		})
 	}
-	home := s.home(r, candidates, readers)
-	return s.least(candidates, func(u quetzalroad.Upstream) float64 {
+	home := home(r, order[writers:])
+	return s.least(order, func(i int, u quetzalroad.Upstream) float64 {
 		cost := s.readingCost(now, u)
 		if u.Name != home {
 			cost += float64(r.SharedTokens)
 		}
-		if !readers[u.Name] {
+		if i < writers {
 			cost += float64(s.mixCost)
 		}
 		return cost
@@ -95,11 +104,11 @@
 }
 
 // least gives the candidate with the least cost.
-func (s *Separator) least(candidates []quetzalroad.Upstream, cost func(quetzalroad.Upstream) float64) quetzalroad.Upstream {
+func (*Separator) least(candidates []quetzalroad.Upstream, cost func(int, quetzalroad.Upstream) float64) quetzalroad.Upstream {
 	best := candidates[0]
-	least := cost(best)
-	for _, u := range candidates[1:] {
-		if c := cost(u); c < least {
+	least := cost(0, best)
+	for i, u := range candidates[1:] {
+		if c := cost(i+1, u); c < least {
 			best, least = u, c
 		}
 	}
@@ -135,13 +144,10 @@
 // home gives the reader where the shared parts of a prompt lie: the one with
 // the highest hash of both, so that an engine's coming or going moves only its
 // own share.
-func (s *Separator) home(r *quetzalroad.Request, candidates []quetzalroad.Upstream, readers map[quetzalroad.UpstreamName]bool) quetzalroad.UpstreamName {
+func home(r *quetzalroad.Request, readers []quetzalroad.Upstream) quetzalroad.UpstreamName {
 	var best quetzalroad.UpstreamName
 	var most uint64
-	for _, u := range candidates {
-		if !readers[u.Name] {
-			continue
-		}
+	for _, u := range readers {
 		if h := spread(xxhash.Sum64String(string(u.Name)) ^ r.PrefixHash); best == "" || h > most {
 			best, most = u.Name, h
 		}
--- a/faces/forwardserver/exchange.go
+++ b/faces/forwardserver/exchange.go
@@ -118,9 +118,7 @@
 		return x.unlessStale(quetzalroad.Refuse(quetzalroad.ReasonUnauthorized, "the key names no team", 0))
 	}
 	f.Team, f.Key, f.Keyed = team, head.Key, !f.Route.Anonymous
-	if team.OwnTier {
-		f.Profile.Tier = team.Tier
-	}
+	f.Profile.Tier = n.Routes.Tier(f.Route.Profile.Tier, team)
 	if f.Keyed && !n.Freshness.Current() {
 		return quetzalroad.Refuse(quetzalroad.ReasonStaleState, "the view of the published state is too old", notReadyRetry)
 	}
--- a/route.go
+++ b/route.go
@@ -77,6 +77,8 @@
 type RouteTable interface {
 	// Route gives the route with the longest prefix that begins the path.
 	Route(host, path string) (Route, bool)
+	// Tier joins the tier of a team, which goes first, with that of a route.
+	Tier(route Tier, team Team) Tier
 	// Limits gives the bounds on callers in force.
 	Limits() CallerLimits
 	// Keyed tells that the published state names teams, so that requests need
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -32,6 +32,7 @@
 	w.putTeams(state.Teams)
 	w.routes.limits.Store(&state.Limits)
 	w.routes.keyed.Store(len(state.Teams) > 0)
+	w.routes.ranks.Store(rank(state))
 	w.routes.replace(state.Routes)
 	w.store.SetApplied(r.Offset)
 	w.version.Store(state.Version)
--- a/state/watcher/routes.go
+++ b/state/watcher/routes.go
@@ -27,6 +27,7 @@
 type routeTable struct {
 	shards [routeShards]routeShard
 	limits atomic.Pointer[quetzalroad.CallerLimits]
+	ranks  atomic.Pointer[ranks]
 	keyed  atomic.Bool
 }
 
