--- /dev/null
+++ b/proofs/faker/forward.go
@@ -0,0 +1,64 @@
+package faker
+
+import (
+	"log/slog"
+	"strings"
+
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+)
+
+// NodeName is the name of a node that BuildForwardNode makes, in the data
+// centre "west-1" of the region "west".
+const NodeName = "node-1"
+
+// BuildForwardNode builds a node that passes requests on unread, from given
+// parts and the settings of sections, each as JSON. Slots that neither name are
+// empty where they may be.
+func BuildForwardNode(logger *slog.Logger, sections map[string]string, given ...kernel.Given) (*kernel.Node, error) {
+	settings := map[string]string{
+		"node":           `{"name": "` + NodeName + `", "data-centre": "west-1", "region": "west", "balancer-lag": "2s", "stop-timeout": "7s"}`,
+		"state":          `{"plugin": "watcher", "revoke-within": "5s", "places": "east-1=east,west-1=west"}`,
+		"load":           `{"report-interval": "0s", "reach": "all"}`,
+		"balancer":       `{"plugin": "separator"}`,
+		"limiter":        `{"plugin": "passer"}`,
+		"spill":          `{"plugin": "stayer"}`,
+		"retry":          `{"share": 0.2, "reserve": 2, "initial": 2, "attempts": 3, "backoff": "0s", "hedge-after": 0}`,
+		"log":            `{"plugin": "none"}`,
+		"vm-list":        `{"plugin": "none"}`,
+		"drains":         `{"plugin": "none"}`,
+		"claims":         `{"plugin": "none"}`,
+		"engines":        `{"plugin": "none"}`,
+		"services":       `{"plugin": "none"}`,
+		"peer-transport": `{"plugin": "none"}`,
+		"peers":          `{"plugin": "none"}`,
+		"admin":          `{"plugin": "none"}`,
+	}
+	for name, text := range sections {
+		settings[name] = text
+	}
+	if _, chosen := sections["callers"]; !chosen {
+		given = append(given, kernel.Given{Slot: kernel.SlotCallers, Part: nothing{}})
+	}
+	for _, g := range given {
+		delete(settings, string(g.Slot))
+	}
+	var lines []string
+	for name, text := range settings {
+		lines = append(lines, `"`+name+`": `+text)
+	}
+	plan := kernel.NewPlan(given...)
+	if err := plan.Read(NodeName, []byte("{"+strings.Join(lines, ",\n")+"}")); err != nil {
+		return nil, err
+	}
+	return plan.Build(logger)
+}
+
+// nothing fills a slot with nothing.
+type nothing struct{}
+
+// Declare implements kernel.Part.
+func (nothing) Declare(*configurer.Section) {}
+
+// Build implements kernel.Part.
+func (nothing) Build(*kernel.Node) error { return nil }
--- a/proofs/faker/plugins.go
+++ b/proofs/faker/plugins.go
@@ -6,6 +6,7 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/queuer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/estimator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/rotator"
+	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
 	_ "github.com/quetzalroad/quetzalroad/decisions/learner"
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/passer"
@@ -19,5 +20,6 @@
 	_ "github.com/quetzalroad/quetzalroad/state/drainer"
 	_ "github.com/quetzalroad/quetzalroad/state/follower"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
+	_ "github.com/quetzalroad/quetzalroad/state/watcher"
 	_ "github.com/quetzalroad/quetzalroad/support/counter"
 )
--- /dev/null
+++ b/proofs/prover/forward_test.go
@@ -0,0 +1,395 @@
+package prover
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
+)
+
+// forwardFixture is one node before three upstreams that follow a script.
+type forwardFixture struct {
+	faker.KeyedLog
+	faker.Forwards
+	node *kernel.Node
+}
+
+const forwardKey = "team-key"
+
+var forwardUpstreams = []string{"a", "b", "c"}
+
+func forwardState(version int64, keys ...string) quetzalroad.PublishedState {
+	team := quetzalroad.Team{Name: "team"}
+	for _, k := range keys {
+		team.KeyHashes = append(team.KeyHashes, quetzalroad.HashKey(k))
+	}
+	return quetzalroad.PublishedState{
+		Version: version, Teams: []quetzalroad.Team{team}, Services: []quetzalroad.Service{{Name: "service", Kind: quetzalroad.KindPlain}},
+	}
+}
+
+func inForwardBubble(t *testing.T, f func(t *testing.T, x *forwardFixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := new(forwardFixture)
+		node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), nil,
+			kernel.Given{Slot: kernel.SlotKeyedLog, Part: &x.KeyedLog}, kernel.Given{Slot: kernel.SlotForwards, Part: &x.Forwards})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.node = node
+		x.KeyedLog.Put(quetzalroad.StreamOperators, "config", forwardState(1, forwardKey))
+		for i, id := range forwardUpstreams {
+			x.KeyedLog.Put(quetzalroad.StreamUpstreams, id, upstreamEntry(id, i, 1, false))
+		}
+		node.Start()
+		defer func() {
+			node.Kill()
+			if err := node.Wait(); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		f(t, x)
+	})
+}
+
+func upstreamEntry(id string, i int, sequence int64, draining bool) quetzalroad.UpstreamEntry {
+	return quetzalroad.UpstreamEntry{Sequence: sequence, Upstream: quetzalroad.Upstream{
+		Service: "service", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
+		DataCentre: "west-1", Instance: id, Slots: 8, Draining: draining,
+	}}
+}
+
+// request is a call of one kind: safe, once or stream.
+func request(kind string) *quetzalroad.Forwarding {
+	f := &quetzalroad.Forwarding{CallerID: "caller-1", Method: http.MethodPost, Target: "/x/"}
+	f.ID, f.Arrived = "caller-1", time.Now()
+	f.Team = quetzalroad.Team{Name: "team"}
+	f.Key, f.Keyed = quetzalroad.HashKey(forwardKey), true
+	f.Route = quetzalroad.Route{
+		Name: "route", MaxRuns: 2, Shares: []quetzalroad.RouteShare{{Service: "service", Weight: 1}},
+		Profile: quetzalroad.Profile{Name: "route", Class: "class", FirstTokenTarget: time.Second, Timeout: 5 * time.Second, Interactive: true},
+	}
+	switch kind {
+	case "safe":
+		f.Route.Profile.Idempotent = true
+	case "stream":
+		f.Route.Streaming, f.Route.Resumable, f.Route.Profile.Idempotent = true, true, true
+	case "chat":
+		f.Route.Streaming = true
+	}
+	f.Profile, f.Idempotent = f.Route.Profile, f.Route.Profile.Idempotent
+	return f
+}
+
+func (x *forwardFixture) forward(ctx context.Context, f *quetzalroad.Forwarding) (*faker.Sink, *quetzalroad.Refusal) {
+	sink := new(faker.Sink)
+	err := x.node.Forwarder.Forward(ctx, f, sink)
+	var refusal *quetzalroad.Refusal
+	errors.As(err, &refusal)
+	return sink, refusal
+}
+
+func lost(a *quetzalroad.Attempt) error {
+	return &quetzalroad.AttemptError{Upstream: a.Upstream.Name, Kind: quetzalroad.RetryConnectionLost, Cause: errors.New("reset")}
+}
+
+func refusedByUpstream(a *quetzalroad.Attempt) error {
+	return &quetzalroad.AttemptError{Upstream: a.Upstream.Name, NotRun: true, Kind: quetzalroad.RetryNotRun, Cause: errors.New("full")}
+}
+
+func events(from, to int64) []quetzalroad.Piece {
+	var all []quetzalroad.Piece
+	for id := from; id <= to; id++ {
+		all = append(all, quetzalroad.Piece{Data: []byte{byte('0' + id)}, Event: id})
+	}
+	return all
+}
+
+func TestAForwardedRequestThatMayHaveRunIsRepeatedOnlyWhereItMayBe(t *testing.T) {
+	for kind, want := range map[string]struct {
+		sent    int
+		outcome quetzalroad.Outcome
+	}{
+		"once":   {1, quetzalroad.OutcomeUnknown},
+		"chat":   {1, quetzalroad.OutcomeUnknown},
+		"safe":   {2, quetzalroad.OutcomeUnknown},
+		"stream": {2, quetzalroad.OutcomeUnknown},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+				x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) { return nil, lost(a) }
+				_, refusal := x.forward(t.Context(), request(kind))
+				if refusal == nil || refusal.Outcome != want.outcome {
+					t.Fatalf("refusal %v, want outcome %s", refusal, want.outcome)
+				}
+				if got := len(x.Sent()); got != want.sent {
+					t.Errorf("sent %d times, want %d", got, want.sent)
+				}
+			})
+		})
+	}
+}
+
+func TestAForwardedRequestThatSurelyDidNotRunGoesElsewhereAndIsNotRunInTheEnd(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			return nil, refusedByUpstream(a)
+		}
+		_, refusal := x.forward(t.Context(), request("once"))
+		if refusal == nil || refusal.Outcome != quetzalroad.OutcomeNotRun {
+			t.Fatalf("refusal %v, want not-run", refusal)
+		}
+		sent := x.Sent()
+		if len(sent) < 2 {
+			t.Fatalf("sent %d times, want another upstream to be asked", len(sent))
+		}
+		if sent[0].Upstream.Name == sent[1].Upstream.Name {
+			t.Error("the same upstream was asked twice in a row")
+		}
+	})
+}
+
+func TestAStatusThatPromisesNeedsTheUpstreamsWord(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+			x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+				return &faker.ScriptedAnswer{Status: status}, nil
+			}
+			sink, refusal := x.forward(t.Context(), request("once"))
+			if refusal == nil || refusal.Outcome != quetzalroad.OutcomeUnknown || len(sink.Heads) > 0 {
+				t.Errorf("status %d: refusal %v, heads %v; want an unknown outcome and no answer", status, refusal, sink.Heads)
+			}
+		})
+	}
+}
+
+func TestAFailureOfTheUpstreamsOwnIsHandedOnWhereNothingElseMayBeAsked(t *testing.T) {
+	for kind, sent := range map[string]int{"once": 1, "safe": 2} {
+		inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+			x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+				return &faker.ScriptedAnswer{Status: http.StatusInternalServerError, Pieces: []quetzalroad.Piece{{Data: []byte("why")}}}, nil
+			}
+			sink, refusal := x.forward(t.Context(), request(kind))
+			if refusal != nil || len(sink.Heads) != 1 || sink.Heads[0].Status != http.StatusInternalServerError || string(sink.Body) != "why" {
+				t.Errorf("%s: refusal %v, heads %v, body %q", kind, refusal, sink.Heads, sink.Body)
+			}
+			if got := len(x.Sent()); got != sent {
+				t.Errorf("%s: sent %d times, want %d", kind, got, sent)
+			}
+		})
+	}
+}
+
+func TestAnAnswerThatBreaksOffIsNeverBegunAndIsAskedForAgain(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		first := true
+		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			broken := first
+			first = false
+			return &faker.ScriptedAnswer{Pieces: []quetzalroad.Piece{{Data: []byte("ans")}, {Data: []byte("wer")}}, Broken: broken}, nil
+		}
+		sink, refusal := x.forward(t.Context(), request("safe"))
+		if refusal != nil || string(sink.Body) != "answer" || len(sink.Heads) != 1 {
+			t.Errorf("refusal %v, body %q, %d heads", refusal, sink.Body, len(sink.Heads))
+		}
+		if sink.Heads[0].Length != int64(len("answer")) {
+			t.Errorf("length %d", sink.Heads[0].Length)
+		}
+	})
+}
+
+func TestAStreamGoesOnAfterItsLastEventWithItsFirstHead(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			if a.After == 0 {
+				return &faker.ScriptedAnswer{Events: true, Header: http.Header{"Run": {"1"}}, Pieces: events(1, 3), Broken: true}, nil
+			}
+			return &faker.ScriptedAnswer{Events: true, Header: http.Header{"Run": {"2"}}, Pieces: events(a.After, 5)}, nil
+		}
+		sink, refusal := x.forward(t.Context(), request("stream"))
+		if refusal != nil || string(sink.Body) != "12345" {
+			t.Fatalf("refusal %v, body %q", refusal, sink.Body)
+		}
+		if len(sink.Heads) != 1 || sink.Heads[0].Header.Get("Run") != "1" {
+			t.Errorf("heads %v, want the first one only", sink.Heads)
+		}
+		if sent := x.Sent(); len(sent) != 2 || sent[1].After != 3 {
+			t.Errorf("sent %d times, the last after event %d; want 2 and 3", len(sent), sent[len(sent)-1].After)
+		}
+	})
+}
+
+func TestAStreamThatSkipsAnEventNeverLooksWhole(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			return &faker.ScriptedAnswer{Events: true, Pieces: append(events(1, 2), events(4, 5)...)}, nil
+		}
+		sink, refusal := x.forward(t.Context(), request("chat"))
+		if refusal == nil || refusal.Outcome != quetzalroad.OutcomeUnknown || string(sink.Body) != "12" {
+			t.Errorf("refusal %v, body %q", refusal, sink.Body)
+		}
+	})
+}
+
+func TestABegunStreamThatCanNotBeResumedIsNotBegunAgain(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			return &faker.ScriptedAnswer{Events: true, Pieces: events(1, 2), Broken: true}, nil
+		}
+		f := request("chat")
+		f.Idempotent = true
+		_, refusal := x.forward(t.Context(), f)
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonStreamCut || len(x.Sent()) != 1 {
+			t.Errorf("refusal %v after %d attempts", refusal, len(x.Sent()))
+		}
+	})
+}
+
+func TestACallersOwnLastEventIsWhereAStreamGoesOn(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		f := request("stream")
+		f.LastEvent = 7
+		if _, refusal := x.forward(t.Context(), f); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if got := x.Sent()[0].After; got != 7 {
+			t.Errorf("asked for events after %d, want 7", got)
+		}
+	})
+}
+
+func TestAKeyTakenAwayWhileTheRequestWaitsStopsIt(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.KeyedLog.Put(quetzalroad.StreamOperators, "config", forwardState(2, "another-key"))
+		time.Sleep(10 * time.Millisecond)
+		_, refusal := x.forward(t.Context(), request("safe"))
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonUnauthorized || len(x.Sent()) != 0 {
+			t.Errorf("refusal %v, sent %d times", refusal, len(x.Sent()))
+		}
+	})
+}
+
+func TestKeyedWorkStopsTrulyNotRunWhereTheViewIsTooOld(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.SetAway(true)
+		time.Sleep(6 * time.Second)
+		_, refusal := x.forward(t.Context(), request("once"))
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonStaleState || refusal.Outcome != quetzalroad.OutcomeNotRun || len(x.Sent()) != 0 {
+			t.Errorf("refusal %v, sent %d times", refusal, len(x.Sent()))
+		}
+		f := request("once")
+		f.Keyed = false
+		if _, refusal := x.forward(t.Context(), f); refusal != nil {
+			t.Errorf("work without a key was refused: %v", refusal)
+		}
+	})
+}
+
+func TestALeavingUpstreamGetsNothingMore(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		for i, id := range forwardUpstreams[:2] {
+			x.KeyedLog.Put(quetzalroad.StreamUpstreams, id, upstreamEntry(id, i, 2, true))
+		}
+		time.Sleep(2 * time.Second)
+		for range 20 {
+			if _, refusal := x.forward(t.Context(), request("safe")); refusal != nil {
+				t.Fatal(refusal)
+			}
+		}
+		for _, a := range x.Sent() {
+			if a.Upstream.Instance != "c" {
+				t.Fatalf("%s got work after it said that it leaves", a.Upstream.Name)
+			}
+		}
+	})
+}
+
+func TestRetriesOfForwardedRequestsStayWithinTheBudget(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) { return nil, lost(a) }
+		const requests = 200
+		for range requests {
+			x.forward(t.Context(), request("safe"))
+		}
+		// The settings allow a fifth of the first attempts and two at the start.
+		if again := len(x.Sent()) - requests; again > requests/5+2 || again < requests/6 {
+			t.Errorf("%d repeats of %d requests", again, requests)
+		}
+	})
+}
+
+func TestACallerThatLeavesEndsWhatMayBeEnded(t *testing.T) {
+	for kind, ends := range map[string]bool{"safe": true, "stream": true, "chat": true, "once": false} {
+		t.Run(kind, func(t *testing.T) {
+			inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+				ended := false
+				x.Script = func(ctx context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+					select {
+					case <-ctx.Done():
+						ended = true
+						return nil, lost(a)
+					case <-time.After(3 * time.Second):
+						return &faker.ScriptedAnswer{}, nil
+					}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				x.forward(ctx, request(kind))
+				if ended != ends {
+					t.Errorf("the work was ended: %v, want %v", ended, ends)
+				}
+			})
+		})
+	}
+}
+
+func TestACallerThatLeftBeforeSendingCausesNoWork(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		x.forward(ctx, request("once"))
+		if got := len(x.Sent()); got != 0 {
+			t.Errorf("sent %d times", got)
+		}
+	})
+}
+
+func TestTheRoutesTimeoutEndsTheWaitOnTime(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(ctx context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			<-ctx.Done()
+			return nil, lost(a)
+		}
+		began := time.Now()
+		f := request("once")
+		f.Due = began.Add(time.Minute)
+		_, refusal := x.forward(t.Context(), f)
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonTimeout || refusal.Outcome != quetzalroad.OutcomeUnknown {
+			t.Errorf("refusal %v, want a timeout of unknown outcome", refusal)
+		}
+		if took := time.Since(began); took != f.Profile.Timeout {
+			t.Errorf("the answer came after %v, want %v", took, f.Profile.Timeout)
+		}
+	})
+}
+
+func TestNoUpstreamMeansTrulyNotRun(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		f := request("once")
+		f.Route.Shares = []quetzalroad.RouteShare{{Service: "nowhere", Weight: 1}}
+		if _, refusal := x.forward(t.Context(), f); refusal == nil || refusal.Outcome != quetzalroad.OutcomeNotRun {
+			t.Errorf("refusal %v", refusal)
+		}
+	})
+}
--- /dev/null
+++ b/state/watcher/watcher_test.go
@@ -0,0 +1,275 @@
+package watcher_test
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
+)
+
+// revokeWithin is the bound on revocation in these tests.
+const revokeWithin = 5 * time.Second
+
+// fixture is a watcher on a fake log, in a bubble.
+type fixture struct {
+	faker.KeyedLog
+	node *kernel.Node
+}
+
+func inBubble(t *testing.T, f func(t *testing.T, x *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := new(fixture)
+		node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), nil,
+			kernel.Given{Slot: kernel.SlotKeyedLog, Part: &x.KeyedLog})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.node = node
+		x.publish(version(1))
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(1, false))
+		x.node.Start()
+		defer func() {
+			x.node.Kill()
+			if err := x.node.Wait(); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(100 * time.Millisecond)
+		f(t, x)
+	})
+}
+
+func (x *fixture) publish(s quetzalroad.PublishedState) {
+	x.Put(quetzalroad.StreamOperators, "config", s)
+}
+
+// upstreams gives the names in the directory and whether each is draining.
+func (x *fixture) upstreams() map[quetzalroad.UpstreamName]bool {
+	all := make(map[quetzalroad.UpstreamName]bool)
+	for _, u := range x.node.Directory.Upstreams() {
+		all[u.Name] = u.Draining
+	}
+	return all
+}
+
+// version is a state that leads /v/ to a service named after the version.
+func version(v int64) quetzalroad.PublishedState {
+	return quetzalroad.PublishedState{
+		Version:  v,
+		Services: []quetzalroad.Service{{Name: serviceOf(v)}},
+		Teams:    []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("key")}}},
+		Routes: []quetzalroad.Route{
+			{Name: "short", Host: "Host.example", Prefix: "/", Shares: []quetzalroad.RouteShare{{Service: "short", Weight: 1}}},
+			{Name: "long", Host: "host.example", Prefix: "/v/", Shares: []quetzalroad.RouteShare{{Service: serviceOf(v), Weight: 1}}},
+		},
+	}
+}
+
+func serviceOf(v int64) quetzalroad.ServiceName {
+	return quetzalroad.ServiceName("service-" + string(rune('0'+v)))
+}
+
+var born = time.UnixMilli(1_700_000_000_000)
+
+func entry(sequence int64, draining bool) quetzalroad.UpstreamEntry {
+	return quetzalroad.UpstreamEntry{Born: born, Sequence: sequence, Upstream: quetzalroad.Upstream{
+		Service: "service-1", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "west-1", Instance: "a", Slots: 4, Draining: draining,
+	}}
+}
+
+func (x *fixture) routed(t *testing.T, path string) quetzalroad.ServiceName {
+	t.Helper()
+	r, ok := x.node.Routes.Route("HOST.example:8080", path)
+	if !ok {
+		return ""
+	}
+	return r.Shares[0].Service
+}
+
+func TestLongestPrefixLeadsWithoutRegardToTheHostsCase(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		for path, want := range map[string]quetzalroad.ServiceName{"/v/x": "service-1", "/v": "short", "/other": "short"} {
+			if got := x.routed(t, path); got != want {
+				t.Errorf("%s leads to %q, want %q", path, got, want)
+			}
+		}
+		if _, ok := x.node.Routes.Route("elsewhere.example", "/v/x"); ok {
+			t.Error("a host that is not published has a route")
+		}
+	})
+}
+
+func TestAVersionHoldsAtOnceAndNeverGoesBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		x.publish(version(3))
+		time.Sleep(10 * time.Millisecond)
+		x.publish(version(2))
+		x.Put(quetzalroad.StreamOperators, "config", "not a config")
+		time.Sleep(5 * time.Second)
+		if got := x.routed(t, "/v/x"); got != "service-3" {
+			t.Errorf("the route leads to %q after an older version", got)
+		}
+		if got := x.node.Freshness.Version(); got != 3 {
+			t.Errorf("version %d in force, want 3", got)
+		}
+		if _, ok := x.node.Directory.Service("service-1"); ok {
+			t.Error("a service that is no longer published is still there")
+		}
+	})
+}
+
+func TestForgottenHistoryLosesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		x.SetAway(true)
+		time.Sleep(time.Second)
+		x.publish(version(4))
+		x.Put(quetzalroad.StreamUpstreams, "b", entry(1, false))
+		x.Forget(quetzalroad.StreamOperators)
+		x.Forget(quetzalroad.StreamUpstreams)
+		x.SetAway(false)
+		time.Sleep(3 * time.Second)
+		if got := x.node.Freshness.Version(); got != 4 {
+			t.Errorf("version %d in force, want 4", got)
+		}
+		if got := len(x.upstreams()); got != 2 {
+			t.Errorf("%d upstreams, want 2", got)
+		}
+	})
+}
+
+func TestAViewThatIsNotConfirmedEndsKeyedWorkInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		time.Sleep(10 * time.Second)
+		if !x.node.Freshness.Current() || x.node.Ready() != nil {
+			t.Fatal("the view is too old beside a sound log")
+		}
+		x.SetSilent(true)
+		lost := time.Now()
+		for x.node.Freshness.Current() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if after := time.Since(lost); after > revokeWithin {
+			t.Errorf("keyed work went on for %v after the log fell silent", after)
+		}
+		if x.node.Ready() == nil {
+			t.Error("a node whose view is too old says it is ready")
+		}
+		x.SetSilent(false)
+		time.Sleep(4 * time.Second)
+		if !x.node.Freshness.Current() || x.node.Ready() != nil {
+			t.Error("the view is still too old after the log's return")
+		}
+	})
+}
+
+func TestALeavingUpstreamNeverComesBackInTheSameLife(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(5, true))
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(4, false))
+		time.Sleep(3 * time.Second)
+		for name, draining := range x.upstreams() {
+			if !draining {
+				t.Errorf("%s gets work after it said that it leaves", name)
+			}
+		}
+		x.Put(quetzalroad.StreamUpstreams, "a", nil)
+		time.Sleep(3 * time.Second)
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(5, false))
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff(map[quetzalroad.UpstreamName]bool{}, x.upstreams()); diff != "" {
+			t.Errorf("an old entry brought a gone upstream back (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestAnEntryThatGoesBesideASoundLogIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		time.Sleep(4 * time.Second)
+		x.Put(quetzalroad.StreamUpstreams, "a", nil)
+		time.Sleep(2 * time.Second)
+		if got := x.upstreams(); len(got) != 0 {
+			t.Errorf("%v is still there", got)
+		}
+	})
+}
+
+func TestAnEntryThatLapsesWhileTheLogIsAwayIsHeldForAWhile(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		x.Put(quetzalroad.StreamUpstreams, "b", entry(1, false))
+		time.Sleep(2 * time.Second)
+		x.SetAway(true)
+		time.Sleep(4 * time.Second)
+		x.Put(quetzalroad.StreamUpstreams, "a", nil)
+		x.Put(quetzalroad.StreamUpstreams, "b", nil)
+		x.SetAway(false)
+		time.Sleep(1500 * time.Millisecond)
+		if got := len(x.upstreams()); got != 2 {
+			t.Fatalf("%d upstreams right after the log's return, want 2", got)
+		}
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(2, false))
+		time.Sleep(4 * time.Second)
+		if got := x.upstreams(); len(got) != 1 {
+			t.Errorf("%v, want only the upstream that was written again", got)
+		}
+	})
+}
+
+func TestANewLifeUnderTheSameKeyHasANewName(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		before := x.upstreams()
+		again := entry(1, false)
+		again.Born = born.Add(time.Minute)
+		x.Put(quetzalroad.StreamUpstreams, "a", again)
+		x.Put(quetzalroad.StreamUpstreams, "a", entry(9, false))
+		time.Sleep(3 * time.Second)
+		after := x.upstreams()
+		if len(after) != 1 {
+			t.Fatalf("%v, want one upstream", after)
+		}
+		for name := range after {
+			if _, same := before[name]; same {
+				t.Errorf("the new life is taken for %s", name)
+			}
+			if u, _ := x.node.Directory.Upstream(name); u.Region != "west" || u.Instance != "a" {
+				t.Errorf("region %q and instance %q, want west and a", u.Region, u.Instance)
+			}
+		}
+	})
+}
+
+func TestAnUnreadableEntryStopsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		x.Put(quetzalroad.StreamUpstreams, "junk", "not an entry")
+		x.Put(quetzalroad.StreamUpstreams, "b", entry(1, false))
+		time.Sleep(3 * time.Second)
+		if got := len(x.upstreams()); got != 2 {
+			t.Errorf("%d upstreams, want 2", got)
+		}
+	})
+}
+
+func TestTeamsRankBeforeRoutes(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		s := version(2)
+		s.Routes[0].Profile.Tier, s.Routes[1].Profile.Tier = 2, 1
+		urgent := quetzalroad.Team{Name: "urgent", OwnTier: true, Tier: 0}
+		usual := quetzalroad.Team{Name: "usual", OwnTier: true, Tier: 3}
+		s.Teams = append(s.Teams, urgent, usual)
+		x.publish(s)
+		time.Sleep(10 * time.Millisecond)
+		order := []quetzalroad.Tier{
+			x.node.Routes.Tier(1, urgent), x.node.Routes.Tier(2, urgent), x.node.Routes.Tier(1, usual), x.node.Routes.Tier(2, usual),
+		}
+		if diff := cmp.Diff([]quetzalroad.Tier{0, 1, 2, 3}, order); diff != "" {
+			t.Errorf("ranks (-want +got):\n%s", diff)
+		}
+	})
+}
