--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -2,9 +2,9 @@
 
 // The plug-ins of the node. A new one is added here and nowhere else.
 import (
+	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/passer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/prioritizer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/queuer"
-	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/shedder"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/estimator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/rotator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -42,7 +42,6 @@
 	farRunning  float64
 	mixRunning  float64
 	divisions   [divisionShards]divisionShard
-	lines       [divisionShards]lineShard
 }
 
 // Declare implements kernel.Part.
@@ -65,7 +64,6 @@
 	s.place = n.DataCentre
 	s.region = n.Region
 	n.Balancer = s
-	n.Forecaster = s
 	return nil
 }
 
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -71,8 +71,6 @@
 	begun bool
 	// last is the id of the last event that the caller has.
 	last int64
-	// running is what was believed to run on the upstream when it was chosen.
-	running int
 	// pieces counts the events passed on.
 	pieces int
 	// status is that of the answer, and firstAfter the time from the request's
@@ -111,7 +109,6 @@
 	d := r.dispatcher
 	f := r.forwarding
 	e := d.node.Load.Estimate(u.Name, time.Now())
-	r.running = e.Running
 	d.logger.Info("upstream chosen", "request-id", string(f.ID), "attempt", r.tries.count, "upstream", string(u.Name),
 		"route", string(f.Route.Name), "service", string(f.Service.Name), "team", string(f.Team.Name), "tier", int(f.Profile.Tier),
 		"prompt-tokens", f.PromptTokens, "running", e.Running, "own", e.Own, "report-age", e.ReportAge, "suspect", e.Suspect,
@@ -283,9 +280,6 @@
 	if r.begun {
 		return
 	}
-	if d.node.Forecaster != nil {
-		d.node.Forecaster.Observe(&r.forwarding.Request, r.running, now.Sub(began))
-	}
 	took := now.Sub(r.forwarding.Arrived)
 	r.firstAfter = took
 	d.node.Recorder.FirstToken(p.Class, took, took <= p.FirstTokenTarget)
--- a/faces/forwardserver/exchange.go
+++ b/faces/forwardserver/exchange.go
@@ -22,6 +22,8 @@
 	request    *http.Request
 	control    *http.ResponseController
 	forwarding quetzalroad.Forwarding
+	// bodyRead tells that nothing of the request is left to be read.
+	bodyRead bool
 	// began tells that a part of the answer was sent.
 	began bool
 	// length is what the head stated; negative where it stated none.
@@ -135,6 +137,7 @@
 		return quetzalroad.Refuse(quetzalroad.ReasonTooLarge, "the body is longer than "+strconv.Itoa(limit)+" bytes", 0)
 	}
 	if x.request.ContentLength == 0 {
+		x.bodyRead = true
 		return nil
 	}
 	if err := x.control.SetReadDeadline(time.Now().Add(x.server.bodyTimeout)); err != nil {
@@ -157,6 +160,7 @@
 		refusal.Cause = err
 		return refusal
 	}
+	x.bodyRead = true
 	return x.control.SetReadDeadline(time.Time{})
 }
 
@@ -180,10 +184,11 @@
 	return nil
 }
 
-// announceEnd tells the caller of a node that is stopping to use another
-// connection from now on.
+// announceEnd tells the caller to use another connection from now on, where the
+// node is stopping or the rest of a body would stand in the way: the server
+// would wait for it before it answers.
 func (x *exchange) announceEnd() {
-	if x.server.node.Stopping() {
+	if x.server.node.Stopping() || (!x.bodyRead && x.request.ContentLength != 0) {
 		x.response.Header().Set("Connection", "close")
 	}
 }
--- /dev/null
+++ b/faces/forwardserver/server_test.go
@@ -0,0 +1,281 @@
+package forwardserver_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	_ "github.com/quetzalroad/quetzalroad/faces/forwardserver"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
+)
+
+// fixture is a node that listens on loopback before scripted upstreams.
+type fixture struct {
+	faker.KeyedLog
+	faker.Forwards
+	node         *kernel.Node
+	front, ready netip.AddrPort
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func state(version int64) quetzalroad.PublishedState {
+	profile := quetzalroad.Profile{Class: "class", FirstTokenTarget: time.Second, Timeout: 20 * time.Second, Interactive: true}
+	shares := []quetzalroad.RouteShare{{Service: "service", Weight: 1}}
+	return quetzalroad.PublishedState{
+		Version: version, Services: []quetzalroad.Service{{Name: "service"}},
+		Teams:  []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("secret")}}},
+		Limits: quetzalroad.CallerLimits{HeaderBytes: 16 << 10, BodyBytes: 1000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 20 * time.Second},
+		Routes: []quetzalroad.Route{
+			{Name: "keyed", Host: "h.example", Prefix: "/keyed/", Profile: profile, MaxRuns: 1, Shares: shares},
+			{Name: "open", Host: "h.example", Prefix: "/open/", Profile: profile, MaxRuns: 1, Anonymous: true, Shares: shares},
+			{Name: "stream", Host: "h.example", Prefix: "/stream/", Profile: profile, MaxRuns: 1, Anonymous: true, Streaming: true, Shares: shares},
+		},
+	}
+}
+
+func newFixture(t *testing.T, published bool) *fixture {
+	t.Helper()
+	x := &fixture{front: freeAddress(t), ready: freeAddress(t)}
+	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
+		"callers":       `{"plugin": "forward", "address": "` + x.front.String() + `", "ready-address": "` + x.ready.String() + `"}`,
+		"caller-fields": `{"plugin": "platform"}`,
+	}, kernel.Given{Slot: kernel.SlotKeyedLog, Part: &x.KeyedLog}, kernel.Given{Slot: kernel.SlotForwards, Part: &x.Forwards})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.node = node
+	if published {
+		x.KeyedLog.Put(quetzalroad.StreamOperators, "config", state(1))
+		x.KeyedLog.Put(quetzalroad.StreamUpstreams, "a", quetzalroad.UpstreamEntry{Upstream: quetzalroad.Upstream{
+			Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "west-1", Instance: "a", Slots: 4,
+		}})
+	}
+	node.Start()
+	t.Cleanup(func() {
+		node.Stop(canceled())
+		if err := node.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	for published && node.Ready() != nil {
+		time.Sleep(time.Millisecond)
+	}
+	return x
+}
+
+// canceled cuts a planned stop short.
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// raw sends text on a new connection and gives the answers' reader.
+func (x *fixture) raw(t *testing.T, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", x.front.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+func (x *fixture) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	_, r := x.raw(t, text)
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func TestWhatIsNotForTheUpstreamsGetsItsStatus(t *testing.T) {
+	x := newFixture(t, true)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+		sent   int
+	}{
+		"no route":       {"GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 404, 0},
+		"no key":         {"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 401, 0},
+		"unknown key":    {"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer wrong\r\n\r\n", 401, 0},
+		"right key":      {"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\n\r\n", 200, 1},
+		"no key needed":  {"GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 200, 1},
+		"too long":       {"POST /open/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2000\r\n\r\n", 413, 0},
+		"bad count":      {"GET /open/ HTTP/1.1\r\nHost: h.example\r\nToken-Usage: many\r\n\r\n", 400, 0},
+		"two lengths":    {"POST /open/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, 0},
+		"space in name":  {"GET /open/ HTTP/1.1\r\nHost: h.example\r\nTenant : x\r\n\r\n", 400, 0},
+		"folded header":  {"GET /open/ HTTP/1.1\r\nHost: h.example\r\n Tenant: x\r\n\r\n", 400, 0},
+		"strange coding": {"POST /open/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(x.Sent())
+			response, body := x.ask(t, c.text)
+			if response.StatusCode != c.status {
+				t.Errorf("status %d (%s), want %d", response.StatusCode, body, c.status)
+			}
+			if got := len(x.Sent()) - before; got != c.sent {
+				t.Errorf("%d requests went to upstreams, want %d", got, c.sent)
+			}
+		})
+	}
+}
+
+func TestReservedFieldsNeverPass(t *testing.T) {
+	x := newFixture(t, true)
+	x.ask(t, "GET /keyed/a?b=%20c HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\nRequest-Attempt-Id: id-1\r\n"+
+		"tENANT: evil\r\nRequest-Priority: 0\r\nHold: 1\r\nPin-Duration: 9\r\nKv_From: x\r\nKv-Backup: y\r\nExpected-Instance: z\r\n"+
+		"Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n")
+	sent := x.Sent()
+	if len(sent) != 1 {
+		t.Fatalf("%d requests", len(sent))
+	}
+	f := sent[0].Forwarding
+	for name := range f.Header {
+		if name != "X-Kept" && name != "Request-Attempt-Id" {
+			t.Errorf("%s was passed on", name)
+		}
+	}
+	if f.Target != "/keyed/a?b=%20c" || f.CallerID != "id-1" || f.Team.Name != "team" {
+		t.Errorf("target %q, id %q, team %q", f.Target, f.CallerID, f.Team.Name)
+	}
+}
+
+func TestAChunkedBodyIsPassedOnWhole(t *testing.T) {
+	x := newFixture(t, true)
+	x.ask(t, "POST /open/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	if sent := x.Sent(); len(sent) != 1 || string(sent[0].Forwarding.Body) != "abcde" {
+		t.Errorf("%d requests", len(sent))
+	}
+}
+
+func TestANodeThatKnowsNothingPromisesThatNothingRan(t *testing.T) {
+	x := newFixture(t, false)
+	response, _ := x.ask(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
+	}
+	ready, err := http.Get("http://" + x.ready.String() + "/readiness")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ready.Body.Close(); err != nil || ready.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("readiness %d, %v", ready.StatusCode, err)
+	}
+}
+
+func TestAStreamThatBreaksOffNeverLooksWhole(t *testing.T) {
+	x := newFixture(t, true)
+	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+		return &faker.ScriptedAnswer{Events: true, Pieces: []quetzalroad.Piece{{Data: []byte("id: 1\n\n"), Event: 1}}, Broken: true}, nil
+	}
+	_, r := x.raw(t, "GET /stream/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err == nil || string(body) != "id: 1\n\n" {
+		t.Errorf("body %q, error %v; want the event and a cut", body, err)
+	}
+}
+
+func TestAnAnswerLostAtTheUpstreamPromisesNothing(t *testing.T) {
+	x := newFixture(t, true)
+	x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+		return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, Kind: quetzalroad.RetryConnectionLost, Cause: errors.New("reset")}
+	}
+	if response, _ := x.ask(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n"); response.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
+func TestTheUpstreamsAnswerComesUnchanged(t *testing.T) {
+	x := newFixture(t, true)
+	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+		return &faker.ScriptedAnswer{
+			Status: 418, Header: http.Header{"Response-Seal": {"s"}, "Request-Attempt-Id": {"id-1"}}, Pieces: []quetzalroad.Piece{{Data: []byte("pot")}},
+		}, nil
+	}
+	response, body := x.ask(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	if response.StatusCode != 418 || response.Header.Get("Response-Seal") != "s" || body != "pot" {
+		t.Errorf("status %d, header %v, body %q", response.StatusCode, response.Header, body)
+	}
+	if _, ok := response.Header["Content-Type"]; ok {
+		t.Error("a content type was made up")
+	}
+}
+
+func TestHalfAHeadIsGivenUpAndHarmsNobody(t *testing.T) {
+	x := newFixture(t, true)
+	c, r := x.raw(t, "GET /open/ HTTP/1.1\r\nHost: h.exa")
+	if response, _ := x.ask(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n"); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d beside half a head", response.StatusCode)
+	}
+	if _, err := r.ReadByte(); err == nil {
+		t.Error("half a head was answered")
+	}
+	_ = c
+}
+
+func TestAStoppingNodeAnswersWhatComesAndAnnouncesItsEnd(t *testing.T) {
+	x := newFixture(t, true)
+	c, r := x.raw(t, "")
+	go x.node.Stop(context.Background())
+	for !x.node.Stopping() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := io.WriteString(c, "GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("status %d, connection header %q", response.StatusCode, response.Header.Get("Connection"))
+	}
+	if x.node.Ready() == nil {
+		t.Error("a stopping node says it is ready")
+	}
+}
+
+func TestUnderscoresDoNotSmuggleReservedNames(t *testing.T) {
+	x := newFixture(t, true)
+	x.ask(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\nKv_Backup: y\r\nX_Other: z\r\n\r\n")
+	for name := range x.Sent()[0].Forwarding.Header {
+		if strings.HasPrefix(name, "Kv") {
+			t.Errorf("%s was passed on", name)
+		}
+	}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -147,16 +147,6 @@
 	Unexplained int
 }
 
-// Forecaster tells how soon a request would get its first token.
-type Forecaster interface {
-	// Observe takes the time to the first token of a request, with the number
-	// of requests believed to run on its upstream when it was sent.
-	Observe(r *Request, running int, took time.Duration)
-	// Forecast gives the expected time to the first token on the candidate that
-	// would be chosen; false where too little was observed.
-	Forecast(now time.Time, r *Request, candidates []Upstream) (time.Duration, bool)
-}
-
 // CapacityEstimator tells the room of a service as this node sees it.
 type CapacityEstimator interface {
 	Capacity(now time.Time, s ServiceName) Capacity
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -43,7 +43,6 @@
 	Capacity    quetzalroad.CapacityEstimator
 	Lengths     quetzalroad.LengthEstimator
 	Balancer    quetzalroad.Balancer
-	Forecaster  quetzalroad.Forecaster
 	Limiter     quetzalroad.Limiter
 	Admitter    quetzalroad.Admitter
 	Spiller     quetzalroad.Spiller
--- a/proofs/faker/forward.go
+++ b/proofs/faker/forward.go
@@ -20,6 +20,7 @@
 		"node":           `{"name": "` + NodeName + `", "data-centre": "west-1", "region": "west", "balancer-lag": "2s", "stop-timeout": "7s"}`,
 		"state":          `{"plugin": "watcher", "revoke-within": "5s", "places": "east-1=east,west-1=west"}`,
 		"load":           `{"report-interval": "0s", "reach": "all"}`,
+		"admitter":       `{"plugin": "passer"}`,
 		"balancer":       `{"plugin": "separator"}`,
 		"limiter":        `{"plugin": "passer"}`,
 		"spill":          `{"plugin": "stayer"}`,
--- a/refusal.go
+++ b/refusal.go
@@ -39,7 +39,6 @@
 	ReasonStreamCut          Reason = "stream-cut"
 	ReasonUnknownRoute       Reason = "unknown-route"
 	ReasonStaleState         Reason = "stale-state"
-	ReasonOverloaded         Reason = "overloaded"
 )
 
 // Refusal is the error that ends a request which the router does not answer.
