Hand on the upstream's own failure where the budget allows no repeat; expose metrics

Change: the policy is asked while the answer is still at hand. Counters and histograms are served as text on the metrics address. Test: TestWithTheBudgetSpentTheUpstreamsOwnFailureIsHandedOn failed before.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -186,6 +186,8 @@
 	// ran tells that some of it may have been run, by an ended attempt or by
 	// the current one.
 	ran bool
+	// granted tells that the retry policy allowed the next attempt already.
+	granted bool
 	// runs counts the ended attempts that may have been run.
 	runs int
 }
@@ -224,7 +226,11 @@
 	if t.ran && !r.Idempotent {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and its answer was lost", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
-	pause, ok := d.node.Retry.Retry(time.Now(), r.Service.Name, t.count)
+	pause, ok := time.Duration(0), t.granted
+	t.granted = false
+	if !ok {
+		pause, ok = d.node.Retry.Retry(time.Now(), r.Service.Name, t.count)
+	}
 	if !ok {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: "the attempts on the service's upstreams failed", RetryAfter: time.Second, Outcome: t.outcome(), Cause: failure}
 	}
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -182,7 +182,7 @@
 	if promises(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d without the word that the request was not run", head.Status)}
 	}
-	if head.Status >= http.StatusInternalServerError && r.repeatable() {
+	if head.Status >= http.StatusInternalServerError && r.repeats() {
 		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d", head.Status)}
 	}
 	if head.Events {
@@ -207,10 +207,15 @@
 	return false
 }
 
-// repeatable tells that another upstream may be asked in place of an answer
-// that tells of a failure.
-func (r *forwardRun) repeatable() bool {
-	return r.forwarding.Idempotent && !r.begun && r.tries.runs+1 < r.forwarding.Route.MaxRuns
+// repeats tells that another upstream is asked in place of an answer that tells
+// of a failure: the request may be repeated and the retry policy grants it.
+func (r *forwardRun) repeats() bool {
+	f := r.forwarding
+	if !f.Idempotent || r.begun || r.tries.runs+1 >= f.Route.MaxRuns {
+		return false
+	}
+	_, r.tries.granted = r.dispatcher.node.Retry.Retry(time.Now(), f.Service.Name, r.tries.count)
+	return r.tries.granted
 }
 
 var (
--- a/proofs/prover/forward_test.go
+++ b/proofs/prover/forward_test.go
@@ -329,6 +329,20 @@
 	})
 }
 
+func TestWithTheBudgetSpentTheUpstreamsOwnFailureIsHandedOn(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			return &faker.ScriptedAnswer{Status: http.StatusInternalServerError, Pieces: []quetzalroad.Piece{{Data: []byte("why")}}}, nil
+		}
+		for range 20 {
+			sink, refusal := x.forward(t.Context(), request("safe"))
+			if refusal != nil || len(sink.Heads) != 1 || string(sink.Body) != "why" {
+				t.Fatalf("refusal %v, body %q after %d attempts", refusal, sink.Body, len(x.Sent()))
+			}
+		}
+	})
+}
+
 func TestACallerThatLeavesEndsWhatMayBeEnded(t *testing.T) {
 	for kind, ends := range map[string]bool{"safe": true, "stream": true, "chat": true, "once": false} {
 		t.Run(kind, func(t *testing.T) {
--- a/support/counter/counter.go
+++ b/support/counter/counter.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -27,7 +28,8 @@
 // Counter is the part that counts. The zero value is ready for use and counts
 // into maps of its own.
 type Counter struct {
-	logger *slog.Logger
+	logger    *slog.Logger
+	addresses []netip.AddrPort
 
 	refusals  expvar.Map
 	retries   expvar.Map
@@ -45,7 +47,9 @@
 }
 
 // Declare implements kernel.Part.
-func (c *Counter) Declare(*configurer.Section) {}
+func (c *Counter) Declare(s *configurer.Section) {
+	s.Addresses("metrics-addresses", &c.addresses, "Where to serve all counters and histograms as text.")
+}
 
 // Build implements kernel.Part.
 func (c *Counter) Build(n *kernel.Node) error {
@@ -65,6 +69,11 @@
 	n.Vars.Set("first-tokens", &c.firsts)
 	n.Vars.Set("first-tokens-in-target", &c.inTarget)
 	n.Vars.Set("process-cpu-seconds", expvar.Func(processorTime))
+	for _, a := range c.addresses {
+		if err := expose(n, a); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
