Read the store as seldom as the bounds allow

Change: the pause between reads of the entries follows from the bound on leaving (1.65 s at 3 s); the long poll of the state waits 1.8 s; after a failure it asks at once.

--- a/state/watcher/follow.go
+++ b/state/watcher/follow.go
@@ -102,7 +102,12 @@
 	if !f.loaded {
 		return f.load(ctx, sent)
 	}
-	records, bounds, err := f.watcher.log.ReadKeyed(ctx, f.stream, f.next, f.wait)
+	wait := f.wait
+	if f.away {
+		// Whether the view still holds is wanted at once.
+		wait = 0
+	}
+	records, bounds, err := f.watcher.log.ReadKeyed(ctx, f.stream, f.next, wait)
 	if errors.Is(err, quetzalroad.ErrTrimmed) {
 		f.watcher.logger.Warn("history gone", "stream", string(f.stream), "next", int64(f.next))
 		return f.load(ctx, sent)
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -35,7 +35,7 @@
 	log    quetzalroad.KeyedLog
 
 	stateWait     time.Duration
-	entryInterval time.Duration
+	leaveWithin   time.Duration
 	retryEvery    time.Duration
 	callTimeout   time.Duration
 	revokeWithin  time.Duration
@@ -56,10 +56,10 @@
 
 // Declare implements kernel.Part.
 func (w *Watcher) Declare(s *configurer.Section) {
-	s.Duration("state-wait", &w.stateWait, 1500*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
-	s.Duration("entry-interval", &w.entryInterval, time.Second, 10*time.Millisecond, time.Minute, "How often the upstreams' entries are read.")
+	s.Duration("state-wait", &w.stateWait, 1800*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
+	s.Duration("leave-within", &w.leaveWithin, 3*time.Second, 100*time.Millisecond, time.Hour, "Time within which an upstream that leaves must get no more work. The entries are read as seldom as it allows with one failed read.")
 	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a read that failed.")
-	s.Duration("call-timeout", &w.callTimeout, 1200*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
+	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
 	s.Duration("revoke-within", &w.revokeWithin, 0, 0, time.Hour, "Time within which a key that was taken away must stop working; zero for no bound.")
 	s.Duration("revoke-margin", &w.margin, 300*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
 	s.Duration("lapse-grace", &w.lapseGrace, 2300*time.Millisecond, 0, time.Minute, "How long an entry that vanished while the log was away is held after its return.")
@@ -147,8 +147,17 @@
 	return f.run(ctx)
 }
 
+// applyMargin is kept of the time in which an upstream's leaving must take hold,
+// for the read that tells it.
+const applyMargin = 300 * time.Millisecond
+
+// entryInterval is the pause between two reads of the entries.
+func (w *Watcher) entryInterval() time.Duration {
+	return max(w.leaveWithin-w.callTimeout-w.retryEvery-applyMargin, w.retryEvery)
+}
+
 // followEntries follows what upstreams write of themselves.
 func (w *Watcher) followEntries(ctx context.Context) error {
-	f := follow{watcher: w, stream: quetzalroad.StreamUpstreams, every: w.entryInterval, apply: w.applyEntries, before: w.endLapsed}
+	f := follow{watcher: w, stream: quetzalroad.StreamUpstreams, every: w.entryInterval(), apply: w.applyEntries, before: w.endLapsed}
 	return f.run(ctx)
 }
