--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -56,12 +56,12 @@
 
 // Declare implements kernel.Part.
 func (w *Watcher) Declare(s *configurer.Section) {
-	s.Duration("state-wait", &w.stateWait, 1800*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
+	s.Duration("state-wait", &w.stateWait, 1600*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
 	s.Duration("leave-within", &w.leaveWithin, 3*time.Second, 100*time.Millisecond, time.Hour, "Time within which an upstream that leaves must get no more work. The entries are read as seldom as it allows with one failed read.")
 	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a read that failed.")
 	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
 	s.Duration("revoke-within", &w.revokeWithin, 0, 0, time.Hour, "Time within which a key that was taken away must stop working; zero for no bound.")
-	s.Duration("revoke-margin", &w.margin, 300*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
+	s.Duration("revoke-margin", &w.margin, 200*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
 	s.Duration("lapse-grace", &w.lapseGrace, 2300*time.Millisecond, 0, time.Minute, "How long an entry that vanished while the log was away is held after its return.")
 	s.Text("places", &w.places, "", "Regions of the data centres, as data-centre=region, separated by commas.")
 }
--- a/support/boottimer/boottimer.go
+++ b/support/boottimer/boottimer.go
@@ -3,6 +3,7 @@
 package boottimer
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -24,14 +25,16 @@
 	return m.steady.IsZero()
 }
 
+// Never is the age of a mark that was never set.
+const Never = time.Duration(math.MaxInt64)
+
 // Age is the time since the mark, with that of a suspended machine. The
 // runtime's clock counts where it is ahead, as tests advance it.
 func (m Mark) Age() time.Duration {
-	steady := time.Since(m.steady)
 	if m.IsZero() {
-		return steady
+		return Never
 	}
-	return max(steady, sinceBoot()-m.boot)
+	return max(time.Since(m.steady), sinceBoot()-m.boot)
 }
 
 // After tells that the mark is later than another.
--- a/support/logger/logger.go
+++ b/support/logger/logger.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 )
 
 const (
@@ -49,7 +51,11 @@
 // readable writes spans with their unit.
 func readable(_ []string, a slog.Attr) slog.Attr {
 	if a.Value.Kind() == slog.KindDuration {
-		a.Value = slog.StringValue(a.Value.Duration().Round(time.Microsecond).String())
+		text := "never"
+		if d := a.Value.Duration(); d != boottimer.Never {
+			text = d.Round(time.Microsecond).String()
+		}
+		a.Value = slog.StringValue(text)
 	}
 	return a
 }
