--- a/cmd/quetzalemu/demonstrator/demonstrator.go
+++ b/cmd/quetzalemu/demonstrator/demonstrator.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/platformer"
 	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
@@ -21,6 +22,7 @@
 type options struct {
 	streams   commander.Streams
 	once      bool
+	platform  bool
 	addresses string
 	logLevel  string
 }
@@ -42,10 +44,11 @@
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return `demo [-once] [-addresses FILE] [-log-level LEVEL]:
+	return `demo [-platform] [-once] [-addresses FILE] [-log-level LEVEL]:
   Starts the log, the VM list, engines, a plain service and three nodes in two
   data centres, prints their addresses and a curl line for each kind of
-  request, and goes on until interrupted.
+  request, and goes on until interrupted. With -platform the nodes talk to the
+  users' platform: its store, servers and callers.
 
   quetzalemu demo
   quetzalemu demo -once
@@ -56,6 +59,7 @@
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.options.once, "once", false, "send the requests, print the answers, and exit 0 only if all is as promised")
+	f.BoolVar(&c.options.platform, "platform", false, "run the nodes as the users' platform does")
 	f.StringVar(&c.options.addresses, "addresses", "", "write the addresses as JSON to this file once all is ready")
 	f.StringVar(&c.options.logLevel, "log-level", "error", "debug, info, warn or error")
 }
@@ -77,6 +81,9 @@
 	}
 	interrupted, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if o.platform {
+		return platformer.Demonstrate(interrupted, o.streams, o.streams.Logger(level), o.once)
+	}
 	standIns, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d, err := plan(o.streams.Logger(level))
--- /dev/null
+++ b/cmd/quetzalemu/platformer/demonstrator.go
@@ -0,0 +1,78 @@
+package platformer
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad/support/commander"
+)
+
+// Demonstrate brings a deployment up, prints lines to try and goes on until the
+// context ends; with once it sends them itself and fails unless all is as
+// promised.
+func Demonstrate(ctx context.Context, streams commander.Streams, logger *slog.Logger, once bool) error {
+	standIns, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d := &deployment{logger: logger, revokeWithin: 5 * time.Second}
+	defer d.group.Wait()
+	defer cancel()
+	if err := d.start(standIns, 2); err != nil {
+		return err
+	}
+	err := d.print(streams)
+	switch {
+	case err != nil:
+	case once:
+		err = d.once(ctx, streams)
+	default:
+		<-ctx.Done()
+	}
+	return errors.CombineErrors(err, d.stop(context.WithoutCancel(ctx)))
+}
+
+func (d *deployment) print(s commander.Streams) error {
+	text := fmt.Sprintf("store    %s\n", d.address)
+	for _, one := range d.servers {
+		text += fmt.Sprintf("server   %s %s %s\n", one.Address, one.ID, one.Service)
+	}
+	for _, n := range d.nodes {
+		text += fmt.Sprintf("node     %s %s, ready at %s\n", n.front, n.Name, n.ready)
+	}
+	common := fmt.Sprintf("-H 'Host: %s' -H 'Authorization: Bearer %s' -H 'Deadline-Remaining: 15000'", host, key)
+	text += fmt.Sprintf("\n# a streamed chat\ncurl -sN http://%s/chat/ %s -H 'Request-Attempt-Id: a1' -H 'Model: m' -H 'Token-Usage: 30,10' -H 'Prompt-Prefix: aa:10,bb:20' -d hello\n", d.nodes[0].front, common)
+	text += fmt.Sprintf("\n# a booking\ncurl -si http://%s/booking/ %s -H 'Request-Attempt-Id: a2' -d visit\n\n", d.nodes[1].front, common)
+	_, err := fmt.Fprint(s.Out, text)
+	return err
+}
+
+// once sends one request of each kind.
+func (d *deployment) once(ctx context.Context, s commander.Streams) error {
+	const events = 10
+	chat, err := ask(ctx, d.nodes[0], request{method: http.MethodPost, path: "/chat/", id: "a1", key: key, body: "hello", events: events})
+	if err != nil {
+		return err
+	}
+	if err := chat.whole(events); err != nil {
+		return errors.Wrap(err, "chat")
+	}
+	booking, err := ask(ctx, d.nodes[1], request{method: http.MethodPost, path: "/booking/", id: "a2", key: key, body: "visit"})
+	if err != nil {
+		return err
+	}
+	if booking.status != http.StatusOK || booking.body != "ran POST /booking/ visit" {
+		return errors.Newf("booking: status %d, body %q", booking.status, booking.body)
+	}
+	stranger, err := ask(ctx, d.nodes[0], request{method: http.MethodPost, path: "/booking/", id: "a3", body: "visit"})
+	if err != nil {
+		return err
+	}
+	if stranger.status != http.StatusUnauthorized {
+		return errors.Newf("without a key: status %d", stranger.status)
+	}
+	_, err = fmt.Fprintln(s.Out, "a chat, a booking and a refusal are as promised")
+	return err
+}
--- /dev/null
+++ b/cmd/quetzalemu/platformer/plugins.go
@@ -0,0 +1,21 @@
+package platformer
+
+// The plug-ins of the nodes.
+import (
+	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/passer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
+	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
+	_ "github.com/quetzalroad/quetzalroad/decisions/learner"
+	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/passer"
+	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
+	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/stayer"
+	_ "github.com/quetzalroad/quetzalroad/faces/forwardserver"
+	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
+	_ "github.com/quetzalroad/quetzalroad/platform/entrymapper"
+	_ "github.com/quetzalroad/quetzalroad/platform/storeclient"
+	_ "github.com/quetzalroad/quetzalroad/platform/upstreammapper"
+	_ "github.com/quetzalroad/quetzalroad/state/tracker"
+	_ "github.com/quetzalroad/quetzalroad/state/watcher"
+	_ "github.com/quetzalroad/quetzalroad/support/counter"
+	_ "github.com/quetzalroad/quetzalroad/upstreams/relayer"
+)
