Explain a request from logs alone: quetzalctl explain

Cause: an on-call engineer has logs and metrics only. Change: explain reads the nodes' JSON lines, tells the story of one id with what its nodes believed, and names the cause; a failed attempt is always logged, with the load that the upstream told. Tests: for want of room, an answer lost, a view too old: the lines alone name the cause.

--- /dev/null
+++ b/cmd/quetzalctl/explainer/explainer.go
@@ -0,0 +1,91 @@
+// Package explainer is the command that tells what became of one request, from
+// the logs of the nodes.
+package explainer
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+
+	"github.com/quetzalroad/quetzalroad/support/commander"
+)
+
+// options are what the command depends on.
+type options struct {
+	streams commander.Streams
+	// in is read where no files are named.
+	in    io.Reader
+	id    string
+	files []string
+}
+
+// Command is "explain".
+type Command struct {
+	// Streams are the command's.
+	Streams commander.Streams
+	// Run tells the story; nil stands for the real one.
+	Run func(ctx context.Context, o *options) error
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "tell from logs what became of a request" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `explain ID [FILE...]:
+  Reads the nodes' logs from the files, or from standard input, and tells what
+  was decided on the request with the id, with what its nodes believed, and the
+  cause of its end.
+
+  quetzalctl explain 9c41d07be2a35f68 node-1.log node-2.log
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*Command) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return c.Streams.Exit("explain", &commander.UsageError{Problem: "a request's id is needed"})
+	}
+	run := c.Run
+	if run == nil {
+		run = runExplain
+	}
+	return c.Streams.Exit("explain", run(ctx, &options{streams: c.Streams, in: os.Stdin, id: f.Arg(0), files: f.Args()[1:]}))
+}
+
+func runExplain(_ context.Context, o *options) error {
+	s := &story{id: o.id}
+	if len(o.files) == 0 {
+		if err := read(o.in, s.take); err != nil {
+			return errors.Wrap(err, "standard input")
+		}
+	}
+	for _, name := range o.files {
+		if err := readFile(name, s.take); err != nil {
+			return err
+		}
+	}
+	if len(s.events) == 0 {
+		return errors.Newf("no line names request %s: it reached none of these nodes, or its lines were dropped", o.id)
+	}
+	return s.write(o.streams.Out)
+}
+
+func readFile(name string, take func(event)) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Wrap(read(file, take), name)
+}
--- /dev/null
+++ b/cmd/quetzalctl/explainer/explainer_test.go
@@ -0,0 +1,121 @@
+package explainer
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
+	"github.com/quetzalroad/quetzalroad/support/commander"
+	"github.com/quetzalroad/quetzalroad/support/logger"
+)
+
+// logsOf runs a request on a node and gives what the node logged.
+func logsOf(t *testing.T, prepare func(log *faker.KeyedLog, forwards *faker.Forwards)) string {
+	t.Helper()
+	var out bytes.Buffer
+	synctest.Test(t, func(t *testing.T) {
+		log, lines := logger.New(&out, slog.LevelInfo)
+		var keyed faker.KeyedLog
+		var forwards faker.Forwards
+		node, err := faker.BuildForwardNode(log, nil,
+			kernel.Given{Slot: kernel.SlotKeyedLog, Part: &keyed}, kernel.Given{Slot: kernel.SlotForwards, Part: &forwards})
+		if err != nil {
+			t.Fatal(err)
+		}
+		keyed.Put(quetzalroad.StreamOperators, "config", quetzalroad.PublishedState{
+			Version: 1, Services: []quetzalroad.Service{{Name: "service"}},
+			Teams: []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("key")}}},
+		})
+		keyed.Put(quetzalroad.StreamUpstreams, "a", quetzalroad.UpstreamEntry{Upstream: quetzalroad.Upstream{
+			Service: "service", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "west-1", Instance: "a", Slots: 4,
+		}})
+		node.Start()
+		time.Sleep(time.Second)
+		prepare(&keyed, &forwards)
+		f := &quetzalroad.Forwarding{Key: quetzalroad.HashKey("key"), Keyed: true}
+		f.ID, f.Arrived, f.Team = "request-1", time.Now(), quetzalroad.Team{Name: "team"}
+		f.Route = quetzalroad.Route{Name: "route", MaxRuns: 1, Shares: []quetzalroad.RouteShare{{Service: "service", Weight: 1}}}
+		f.Profile = quetzalroad.Profile{Class: "class", Timeout: 5 * time.Second, FirstTokenTarget: time.Second}
+		err = node.Forwarder.Forward(t.Context(), f, new(faker.Sink))
+		var refusal *quetzalroad.Refusal
+		if !errors.As(err, &refusal) {
+			t.Fatalf("error %v, want a refusal", err)
+		}
+		// The face logs what it answers.
+		node.Logger.Info("request refused", "request-id", "request-1", "reason", string(refusal.Reason), "outcome", string(refusal.Outcome), "error", refusal.Cause)
+		node.Kill()
+		if err := node.Wait(); err != nil {
+			t.Error(err)
+		}
+		if err := lines.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return out.String()
+}
+
+func explain(t *testing.T, logs, id string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	err := runExplain(t.Context(), &options{streams: commander.Streams{Out: &out}, in: strings.NewReader(logs), id: id})
+	return out.String(), err
+}
+
+func TestTheLinesAloneNameTheCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*faker.KeyedLog, *faker.Forwards)
+		want    []string
+	}{
+		"no room": {func(_ *faker.KeyedLog, f *faker.Forwards) {
+			f.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+				return nil, &quetzalroad.AttemptError{
+					Upstream: a.Upstream.Name, NotRun: true, Kind: quetzalroad.RetryNotRun, Cause: errors.New("full"), Load: &quetzalroad.LoadReport{Running: 4, Waiting: 9},
+				}
+			}
+		}, []string{"upstream chosen", "cause: refused (upstream-failed, not-run)", "4 running and 9 waiting"}},
+		"answer lost": {func(_ *faker.KeyedLog, f *faker.Forwards) {
+			f.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+				return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, Kind: quetzalroad.RetryConnectionLost, Cause: errors.New("reset by peer")}
+			}
+		}, []string{"cause: refused (upstream-answer-lost, unknown)", "failed as connection-lost (not run: false)", "reset by peer"}},
+		"view too old": {func(l *faker.KeyedLog, _ *faker.Forwards) {
+			l.SetAway(true)
+			time.Sleep(6 * time.Second)
+		}, []string{"log lost", "cause: refused (stale-state, not-run)"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			told, err := explain(t, logsOf(t, c.prepare), "request-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(told, want) {
+					t.Errorf("%q is missing in\n%s", want, told)
+				}
+			}
+		})
+	}
+}
+
+func TestARequestThatNoLineNamesIsAnError(t *testing.T) {
+	if _, err := explain(t, "no json\n{broken\n{\"request-id\":\"other\"}\n", "request-1"); err == nil {
+		t.Error("a request that no line names was explained")
+	}
+}
+
+func TestWhatStandsBeforeALineIsPassedOver(t *testing.T) {
+	told, err := explain(t, `   3.079 node-1 {"time":"2026-12-04T11:00:00Z","msg":"request answered","request-id":"x","upstream":"u","status":200,"took":"12ms"}`, "x")
+	if err != nil || !strings.Contains(told, "cause: answered with status 200 by u after 12ms") {
+		t.Errorf("%v\n%s", err, told)
+	}
+}
--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/deleter"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/drainer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/editor"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/explainer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/grouper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/noder"
@@ -51,6 +52,7 @@
 		commands.Register(g, "")
 	}
 	commands.Register(&applier.Command{Streams: s}, "")
+	commands.Register(&explainer.Command{Streams: s}, "")
 	commands.Register(&statuser.Command{Streams: s}, "")
 	commands.Register(&statuser.Command{Streams: s, Top: true}, "")
 	flag.Parse()
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -212,6 +212,7 @@
 		refusal.Outcome = t.outcome()
 		return refusal
 	}
+	d.logFailure(r, failure)
 	if !failure.NotRun {
 		t.runs++
 		if t.runs > 1 && !r.Idempotent {
@@ -222,7 +223,6 @@
 	if ctx.Err() != nil {
 		return ended(ctx, t.outcome())
 	}
-	d.logger.Warn("attempt failed", "request-id", string(r.ID), "upstream", string(failure.Upstream), "reason", string(failure.Kind), "not-run", failure.NotRun, "error", failure.Cause)
 	if t.ran && !r.Idempotent {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and its answer was lost", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
@@ -239,6 +239,17 @@
 	return d.pause(ctx, pause, t.outcome())
 }
 
+// logFailure tells how an attempt failed, with the load that the upstream told.
+func (d *Dispatcher) logFailure(r *quetzalroad.Request, failure *quetzalroad.AttemptError) {
+	attributes := []any{
+		"request-id", string(r.ID), "upstream", string(failure.Upstream), "reason", string(failure.Kind), "not-run", failure.NotRun, "error", failure.Cause,
+	}
+	if failure.Load != nil {
+		attributes = append(attributes, "told-running", failure.Load.Running, "told-waiting", failure.Load.Waiting)
+	}
+	d.logger.Warn("attempt failed", attributes...)
+}
+
 func (d *Dispatcher) pause(ctx context.Context, pause time.Duration, outcome quetzalroad.Outcome) error {
 	if sleeper.Sleep(ctx, pause) != nil {
 		return ended(ctx, outcome)
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -136,10 +136,12 @@
 func (r *forwardRun) again(ctx context.Context, failure *quetzalroad.AttemptError) error {
 	if r.begun && !r.forwarding.Route.Resumable {
 		r.tries.ran = true
+		r.dispatcher.logFailure(&r.forwarding.Request, failure)
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonStreamCut, Message: "the answer broke off and can't be taken up again", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
-	if !failure.NotRun && r.tries.runs+1 >= r.forwarding.Route.MaxRuns {
+	if !failure.NotRun && r.tries.runs+1 >= r.forwarding.Route.MaxRuns && ctx.Err() == nil {
 		r.tries.ran = true
+		r.dispatcher.logFailure(&r.forwarding.Request, failure)
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and no other may", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
 	return r.dispatcher.again(ctx, &r.forwarding.Request, &r.tries, failure)
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -34,14 +34,14 @@
 	codec  quetzalroad.StateCodec
 	log    quetzalroad.KeyedLog
 
-	stateWait     time.Duration
-	leaveWithin   time.Duration
-	retryEvery    time.Duration
-	callTimeout   time.Duration
-	revokeWithin  time.Duration
-	margin        time.Duration
-	lapseGrace    time.Duration
-	places        string
+	stateWait    time.Duration
+	leaveWithin  time.Duration
+	retryEvery   time.Duration
+	callTimeout  time.Duration
+	revokeWithin time.Duration
+	margin       time.Duration
+	lapseGrace   time.Duration
+	places       string
 
 	regions map[quetzalroad.DataCentre]quetzalroad.Region
 	store   storer.Store
