--- a/cmd/quetzalemu/platformer/plugins.go
+++ b/cmd/quetzalemu/platformer/plugins.go
@@ -1,7 +1,7 @@
 package platformer
 
-// The plug-ins of the nodes.
 import (
+	// The nodes of the deployment are built from these.
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/passer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
