Never take a failure for the rest of a stream

Change: once an answer has begun, only a stream with the same status goes on with it. Test: TestAFailureInPlaceOfAStreamsRestNeverLooksWhole failed before.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -184,6 +184,9 @@
 	if promises(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d without the word that the request was not run", head.Status)}
 	}
+	if r.begun && (!head.Events || head.Status != r.status) {
+		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d in place of the rest of a stream", head.Status)}
+	}
 	if head.Status >= http.StatusInternalServerError && r.repeats() {
 		return &quetzalroad.AttemptError{Upstream: u.Name, Kind: quetzalroad.RetryStatus, Cause: errors.Newf("status %d", head.Status)}
 	}
--- a/proofs/prover/forward_test.go
+++ b/proofs/prover/forward_test.go
@@ -230,6 +230,21 @@
 	})
 }
 
+func TestAFailureInPlaceOfAStreamsRestNeverLooksWhole(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			if a.After == 0 {
+				return &faker.ScriptedAnswer{Events: true, Pieces: events(1, 2), Broken: true}, nil
+			}
+			return &faker.ScriptedAnswer{Status: http.StatusInternalServerError, Pieces: []quetzalroad.Piece{{Data: []byte("why")}}}, nil
+		}
+		sink, refusal := x.forward(t.Context(), request("stream"))
+		if refusal == nil || refusal.Outcome != quetzalroad.OutcomeUnknown || string(sink.Body) != "12" {
+			t.Errorf("refusal %v, body %q", refusal, sink.Body)
+		}
+	})
+}
+
 func TestAStreamThatSkipsAnEventNeverLooksWhole(t *testing.T) {
 	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
 		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
