--- /dev/null
+++ b/support/logger/logger_test.go
@@ -0,0 +1,101 @@
+package logger
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
+)
+
+func lines(t *testing.T, text string) []map[string]any {
+	t.Helper()
+	var all []map[string]any
+	for line := range strings.Lines(text) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		all = append(all, fields)
+	}
+	return all
+}
+
+func TestSpansAreReadable(t *testing.T) {
+	var out bytes.Buffer
+	log, w := New(&out, slog.LevelInfo)
+	log.With("node", "n").Info("said", "took", 1500*time.Microsecond, "age", boottimer.Never)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	got := lines(t, out.String())
+	if len(got) != 1 || got[0]["took"] != "1.5ms" || got[0]["age"] != "never" || got[0]["node"] != "n" {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestTheLinesOfASecondAreBoundedAndWhatExplainsFailuresFindsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log, w := New(&out, slog.LevelInfo)
+		for range 2 * linesPerSecond {
+			log.Info("usual")
+		}
+		log.Warn("failure")
+		time.Sleep(time.Second)
+		log.Info("later")
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		counts := make(map[string]int)
+		dropped := 0.0
+		for _, l := range lines(t, out.String()) {
+			counts[l["msg"].(string)]++
+			if n, ok := l["lines"].(float64); ok {
+				dropped += n
+			}
+		}
+		if counts["usual"] != plainPerSecond || counts["failure"] != 1 || counts["later"] != 1 {
+			t.Errorf("%v", counts)
+		}
+		if int(dropped) != 2*linesPerSecond-plainPerSecond {
+			t.Errorf("%v lines are told as dropped", dropped)
+		}
+	})
+}
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestAStuckOutputHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		log, w := New(out, slog.LevelInfo)
+		began := time.Now()
+		for range 10 {
+			for range linesPerSecond {
+				log.Warn("line")
+			}
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(began); took != 10*time.Second {
+			t.Errorf("logging took %v beside the pauses", took-10*time.Second)
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		close(out.release)
+		synctest.Wait()
+	})
+}
