Spend no budget on what reached no upstream

Change: an attempt of which nothing reached its upstream is followed by up to three others without the budget; a dial lasts 0.3 s (0.5 before). Test: TestWhatNeverReachedAnUpstreamSpendsNoBudget failed before.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -226,7 +226,7 @@
 	if t.ran && !r.Idempotent {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonAnswerLost, Message: "the upstream may have run the request, and its answer was lost", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
-	pause, ok := time.Duration(0), t.granted
+	pause, ok := time.Duration(0), t.granted || (failure.Unsent && t.count < maxUnsent)
 	t.granted = false
 	if !ok {
 		pause, ok = d.node.Retry.Retry(time.Now(), r.Service.Name, t.count)
@@ -257,6 +257,10 @@
 	return nil
 }
 
+// maxUnsent bounds the attempts of a request after failures that reached no
+// upstream and so spend no budget.
+const maxUnsent = 4
+
 // attemptError gives the failure of an attempt in its own type.
 func attemptError(u quetzalroad.UpstreamName, err error) *quetzalroad.AttemptError {
 	var failure *quetzalroad.AttemptError
--- a/proofs/prover/forward_test.go
+++ b/proofs/prover/forward_test.go
@@ -344,6 +344,29 @@
 	})
 }
 
+func TestWhatNeverReachedAnUpstreamSpendsNoBudget(t *testing.T) {
+	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
+			if a.Upstream.Instance == "c" {
+				return &faker.ScriptedAnswer{}, nil
+			}
+			return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, NotRun: true, Unsent: true, Kind: quetzalroad.RetryDialFailed, Cause: errors.New("no route to host")}
+		}
+		for i := range 50 {
+			if _, refusal := x.forward(t.Context(), request("once")); refusal != nil {
+				t.Fatalf("request %d: %v", i, refusal)
+			}
+		}
+		// The budget is whole for what does reach an upstream.
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) { return nil, lost(a) }
+		before := len(x.Sent())
+		x.forward(t.Context(), request("safe"))
+		if got := len(x.Sent()) - before; got != 2 {
+			t.Errorf("sent %d times, want a repeat", got)
+		}
+	})
+}
+
 func TestWithTheBudgetSpentTheUpstreamsOwnFailureIsHandedOn(t *testing.T) {
 	inForwardBubble(t, func(t *testing.T, x *forwardFixture) {
 		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
--- a/refusal.go
+++ b/refusal.go
@@ -80,6 +80,9 @@
 	// NotRun tells that the request surely did not run: no byte of it was
 	// written, or the upstream said so.
 	NotRun bool
+	// Unsent tells that nothing reached the upstream, so that another attempt
+	// adds nothing to what upstreams get. It is set together with NotRun only.
+	Unsent bool
 	// Kind is the kebab-case reason under which a retry is counted.
 	Kind RetryReason
 	// Load is what the upstream told of its load; nil where it told nothing.
--- a/upstreams/relayer/exchange.go
+++ b/upstreams/relayer/exchange.go
@@ -250,7 +250,8 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = errors.WithSecondaryError(cause, err)
 	}
-	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, NotRun: !x.written.Load(), Kind: kind, Cause: err}
+	unsent := !x.written.Load()
+	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, NotRun: unsent, Unsent: unsent, Kind: kind, Cause: err}
 }
 
 func kindOf(err error) quetzalroad.RetryReason {
--- a/upstreams/relayer/relayer.go
+++ b/upstreams/relayer/relayer.go
@@ -41,7 +41,7 @@
 
 // Declare implements kernel.Part.
 func (r *Relayer) Declare(s *configurer.Section) {
-	s.Duration("dial-timeout", &r.dialTimeout, 500*time.Millisecond, time.Millisecond, time.Minute, "How long a connection to an upstream may take.")
+	s.Duration("dial-timeout", &r.dialTimeout, 300*time.Millisecond, time.Millisecond, time.Minute, "How long a connection to an upstream may take.")
 	s.Duration("ack-timeout", &r.ackTimeout, 1500*time.Millisecond, 100*time.Millisecond, time.Minute, "How long an upstream's machine may leave sent bytes or probes unacknowledged.")
 	s.Duration("idle", &r.idle, 8*time.Second, 0, time.Hour, "How long an unused connection is kept.")
 	s.Duration("once-idle", &r.onceIdle, 2*time.Second, 0, time.Hour, "How long an unused connection may carry a request that can't be repeated.")
@@ -66,7 +66,7 @@
 func (r *Relayer) Send(ctx context.Context, a *quetzalroad.Attempt) (quetzalroad.ForwardAnswer, error) {
 	c, err := r.connection(ctx, a)
 	if err != nil {
-		return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, NotRun: true, Kind: quetzalroad.RetryDialFailed, Cause: err}
+		return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, NotRun: true, Unsent: true, Kind: quetzalroad.RetryDialFailed, Cause: err}
 	}
 	x := &exchange{relayer: r, attempt: a, conn: c}
 	x.stopWatch = context.AfterFunc(ctx, c.abort)
