Break ties between engines by chance

Cause: nodes that know nothing of an engine's load all chose the first of the equal ones (200 of 200 in a test). Change: up to one request is added to an engine's load by chance. Test: TestNodesThatSeeTheSameDoNotAllChooseTheSame failed before.

--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -10,6 +10,7 @@
 package separator
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -113,10 +114,12 @@
 	return best
 }
 
-// runningCost is an upstream's load as a share of its slots, with the way.
+// runningCost is an upstream's load as a share of its slots, with the way. Up to
+// one request is added by chance, so that nodes which all see the same do not
+// all choose the same.
 func (s *Separator) runningCost(now time.Time, u quetzalroad.Upstream) float64 {
 	e := s.load.Estimate(u.Name, now)
-	cost := float64(e.Running) / float64(max(1, u.Slots))
+	cost := (float64(e.Running) + rand.Float64()) / float64(max(1, u.Slots))
 	if u.Region != s.region {
 		cost += s.farRunning
 	}
@@ -126,10 +129,11 @@
 	return cost
 }
 
-// readingCost is what stands before a long prompt, in prompt tokens.
+// readingCost is what stands before a long prompt, in prompt tokens, with up to
+// one request by chance.
 func (s *Separator) readingCost(now time.Time, u quetzalroad.Upstream) float64 {
 	e := s.load.Estimate(u.Name, now)
-	cost := float64(e.Running * s.requestCost)
+	cost := (float64(e.Running) + rand.Float64()) * float64(s.requestCost)
 	if u.Region != s.region {
 		cost += float64(s.farCost)
 	}
--- a/decisions/balancer/separator/separator_test.go
+++ b/decisions/balancer/separator/separator_test.go
@@ -125,6 +125,22 @@
 	}
 }
 
+func TestNodesThatSeeTheSameDoNotAllChooseTheSame(t *testing.T) {
+	l := newLoads()
+	all := engines(10)
+	chosen := make(map[quetzalroad.UpstreamName]int)
+	const nodes = 200
+	for range nodes {
+		s := newSeparator(t, l)
+		chosen[s.Choose(time.Unix(1000, 0), prompt(800, 1), all).Name]++
+	}
+	for name, n := range chosen {
+		if n > nodes*3/4 {
+			t.Errorf("%d of %d nodes chose %s", n, nodes, name)
+		}
+	}
+}
+
 func TestASuspectIsTheLastResort(t *testing.T) {
 	l := newLoads()
 	s := newSeparator(t, l)
