--- a/faces/forwardserver/server_test.go
+++ b/faces/forwardserver/server_test.go
@@ -60,6 +60,7 @@
 	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
 		"callers":       `{"plugin": "forward", "address": "` + x.front.String() + `", "ready-address": "` + x.ready.String() + `"}`,
 		"caller-fields": `{"plugin": "platform"}`,
+		"state":         `{"plugin": "watcher", "revoke-within": "2s", "state-wait": "200ms", "call-timeout": "200ms", "places": "west-1=west"}`,
 	}, kernel.Given{Slot: kernel.SlotKeyedLog, Part: &x.KeyedLog}, kernel.Given{Slot: kernel.SlotForwards, Part: &x.Forwards})
 	if err != nil {
 		t.Fatal(err)
@@ -166,8 +167,8 @@
 			t.Errorf("%s was passed on", name)
 		}
 	}
-	if f.Target != "/keyed/a?b=%20c" || f.CallerID != "id-1" || f.Team.Name != "team" {
-		t.Errorf("target %q, id %q, team %q", f.Target, f.CallerID, f.Team.Name)
+	if f.Target != "/keyed/a?b=%20c" || f.CallerID != "id-1" || f.Team.Name != "team" || !f.Keyed {
+		t.Errorf("target %q, id %q, team %q, keyed %v", f.Target, f.CallerID, f.Team.Name, f.Keyed)
 	}
 }
 
@@ -194,6 +195,25 @@
 	}
 }
 
+func TestANodeWhoseViewIsTooOldDeniesNothing(t *testing.T) {
+	x := newFixture(t, true)
+	x.SetAway(true)
+	for x.node.Freshness.Current() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for text, want := range map[string]int{
+		"GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n":                               http.StatusServiceUnavailable,
+		"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\n\r\n":                                 http.StatusServiceUnavailable,
+		"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer wrong\r\n\r\n":  http.StatusServiceUnavailable,
+		"GET /keyed/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\n\r\n": http.StatusServiceUnavailable,
+		"GET /open/ HTTP/1.1\r\nHost: h.example\r\n\r\n":                                  http.StatusOK,
+	} {
+		if response, body := x.ask(t, text); response.StatusCode != want {
+			t.Errorf("%q: status %d (%s), want %d", text, response.StatusCode, body, want)
+		}
+	}
+}
+
 func TestAStreamThatBreaksOffNeverLooksWhole(t *testing.T) {
 	x := newFixture(t, true)
 	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedAnswer, error) {
--- a/state/watcher/watcher_test.go
+++ b/state/watcher/watcher_test.go
@@ -159,6 +159,9 @@
 		if after := time.Since(lost); after > revokeWithin {
 			t.Errorf("keyed work went on for %v after the log fell silent", after)
 		}
+		if age := x.node.Freshness.Age(); age >= revokeWithin {
+			t.Errorf("keyed work went on until the view was %v old", age)
+		}
 		if x.node.Ready() == nil {
 			t.Error("a node whose view is too old says it is ready")
 		}
@@ -202,6 +205,59 @@
 	})
 }
 
+func TestALeavingTakesHoldInTimeWheneverItComes(t *testing.T) {
+	const leaveWithin = 3 * time.Second
+	for phase := time.Duration(0); phase < leaveWithin; phase += 300 * time.Millisecond {
+		inBubble(t, func(t *testing.T, x *fixture) {
+			time.Sleep(phase)
+			x.Put(quetzalroad.StreamUpstreams, "a", entry(2, true))
+			time.Sleep(leaveWithin)
+			for name, draining := range x.upstreams() {
+				if !draining {
+					t.Errorf("phase %v: %s still gets work", phase, name)
+				}
+			}
+		})
+	}
+}
+
+func TestALeavingTakesHoldInTimeWithOneReadLost(t *testing.T) {
+	const leaveWithin = 3 * time.Second
+	for phase := time.Duration(0); phase < leaveWithin; phase += 300 * time.Millisecond {
+		inBubble(t, func(t *testing.T, x *fixture) {
+			time.Sleep(phase)
+			x.Put(quetzalroad.StreamUpstreams, "a", entry(2, true))
+			reads := x.Reads()
+			x.SetSilent(true)
+			time.Sleep(600 * time.Millisecond)
+			x.SetSilent(false)
+			time.Sleep(leaveWithin - 600*time.Millisecond)
+			if x.Reads() == reads {
+				t.Fatalf("phase %v: the log was not read at all", phase)
+			}
+			for name, draining := range x.upstreams() {
+				if !draining {
+					t.Errorf("phase %v: %s still gets work", phase, name)
+				}
+			}
+		})
+	}
+}
+
+func TestAnEntryThatLapsesInASilentOutageIsHeldFromTheLogsReturn(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		time.Sleep(2 * time.Second)
+		x.SetSilent(true)
+		time.Sleep(4 * time.Second)
+		x.Put(quetzalroad.StreamUpstreams, "a", nil)
+		x.SetSilent(false)
+		time.Sleep(2100 * time.Millisecond)
+		if got := len(x.upstreams()); got != 1 {
+			t.Errorf("%d upstreams two seconds after the log's return, want 1", got)
+		}
+	})
+}
+
 func TestAnEntryThatLapsesWhileTheLogIsAwayIsHeldForAWhile(t *testing.T) {
 	inBubble(t, func(t *testing.T, x *fixture) {
 		x.Put(quetzalroad.StreamUpstreams, "b", entry(1, false))
