Ask a store that is away ever more seldom

Change: the pause after a failed read doubles from 0.25 s to 1 s, less up to a quarter by chance. Test: TestALogThatIsAwayIsAskedEverMoreSeldomAndFoundSoonAfterItsReturn failed before (307 calls in 20 s as the fake counted them).

--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -24,6 +24,7 @@
 	away    bool
 	silent  bool
 	reads   int
+	refused int
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -132,6 +133,13 @@
 	return l.reads
 }
 
+// Refused counts the calls that found the log away.
+func (l *KeyedLog) Refused() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused
+}
+
 // answer waits until the log answers and runs f under its lock.
 func (l *KeyedLog) answer(ctx context.Context, f func() (done bool)) error {
 	for {
@@ -142,6 +150,7 @@
 		changed := l.changed
 		switch {
 		case l.away:
+			l.refused++
 			l.mu.Unlock()
 			return ErrAway
 		case !l.silent && f():
@@ -187,7 +196,7 @@
 		return true
 	}
 	err = l.answer(waited, read)
-	if err != nil && ctx.Err() == nil && waited.Err() != nil {
+	if err != nil && !errors.Is(err, ErrAway) && ctx.Err() == nil {
 		err = l.answer(ctx, read)
 	}
 	if err == nil && trimmed {
--- a/state/watcher/follow.go
+++ b/state/watcher/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 	// next is the offset to read from; it holds once loaded is set.
 	next   quetzalroad.Offset
 	loaded bool
+	// failures counts the failed reads in a row.
+	failures int
 	// away is set after a failed read until one succeeds.
 	away bool
 }
@@ -72,7 +75,7 @@
 		f.note(err)
 		pause := f.every
 		if err != nil {
-			pause = f.watcher.retryEvery
+			pause = f.backoff()
 		}
 		if err := sleeper.Sleep(ctx, pause); err != nil {
 			return err
@@ -93,6 +96,23 @@
 		w.entries.disturbed()
 	}
 	f.away = err != nil
+	if err == nil {
+		f.failures = 0
+	} else {
+		f.failures++
+	}
+}
+
+// backoff is the pause after a failed read: a doubling one, less up to a quarter
+// by chance, so that the nodes don't all ask at once.
+func (f *follow) backoff() time.Duration {
+	w := f.watcher
+	pause := w.retryEvery
+	for i := 1; i < f.failures && pause < w.retryMost; i++ {
+		pause *= 2
+	}
+	pause = min(pause, max(w.retryMost, w.retryEvery))
+	return pause - rand.N(pause/4+1)
 }
 
 func (f *follow) round(ctx context.Context) error {
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -37,6 +37,7 @@
 	stateWait    time.Duration
 	leaveWithin  time.Duration
 	retryEvery   time.Duration
+	retryMost    time.Duration
 	callTimeout  time.Duration
 	revokeWithin time.Duration
 	margin       time.Duration
@@ -58,7 +59,8 @@
 func (w *Watcher) Declare(s *configurer.Section) {
 	s.Duration("state-wait", &w.stateWait, 1600*time.Millisecond, time.Millisecond, 30*time.Second, "How long a read of the published state waits for a change.")
 	s.Duration("leave-within", &w.leaveWithin, 3*time.Second, 100*time.Millisecond, time.Hour, "Time within which an upstream that leaves must get no more work. The entries are read as seldom as it allows with one failed read.")
-	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after a read that failed.")
+	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after the first read that failed; it doubles with each further one.")
+	s.Duration("retry-most", &w.retryMost, time.Second, time.Millisecond, time.Minute, "Longest pause after a read that failed.")
 	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
 	s.Duration("revoke-within", &w.revokeWithin, 0, 0, time.Hour, "Time within which a key that was taken away must stop working; zero for no bound.")
 	s.Duration("revoke-margin", &w.margin, 200*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
--- a/state/watcher/watcher_test.go
+++ b/state/watcher/watcher_test.go
@@ -173,6 +173,23 @@
 	})
 }
 
+func TestALogThatIsAwayIsAskedEverMoreSeldomAndFoundSoonAfterItsReturn(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fixture) {
+		const outage = 20 * time.Second
+		x.SetAway(true)
+		time.Sleep(outage)
+		if got := x.Refused(); got > 50 {
+			t.Errorf("%d calls in %v without an answer", got, outage)
+		}
+		x.publish(version(5))
+		x.SetAway(false)
+		time.Sleep(2 * time.Second)
+		if got := x.node.Freshness.Version(); got != 5 {
+			t.Errorf("version %d in force two seconds after the log's return", got)
+		}
+	})
+}
+
 func TestALeavingUpstreamNeverComesBackInTheSameLife(t *testing.T) {
 	inBubble(t, func(t *testing.T, x *fixture) {
 		x.Put(quetzalroad.StreamUpstreams, "a", entry(5, true))
