--- a/cmd/quetzalemu/platformer/deployment.go
+++ b/cmd/quetzalemu/platformer/deployment.go
@@ -100,7 +100,10 @@
 		}
 	}
 	d.publish(1, key)
-	d.group.Go(func() { d.beat(ctx) })
+	// Nodes that start find all servers in the store.
+	born := time.Now()
+	d.writeEntries(1, born)
+	d.group.Go(func() { d.beat(ctx, born) })
 	for i := range nodes {
 		n := node{front: ports[standIns+2*i], ready: ports[standIns+2*i+1]}
 		if n.Node, err = d.build(fmt.Sprintf("node-%d", i+1), n); err != nil {
@@ -113,26 +116,30 @@
 }
 
 // beat writes the servers' entries now and then.
-func (d *deployment) beat(ctx context.Context) {
-	born := time.Now()
+func (d *deployment) beat(ctx context.Context, born time.Time) {
 	ticker := time.NewTicker(beatEvery)
 	defer ticker.Stop()
-	for sequence := 1; ; sequence++ {
-		d.mu.Lock()
-		for _, s := range d.servers {
-			if state, ok := d.states[s.ID]; ok {
-				d.store.Put("keyed.servers", s.ID, s.Entry(state, sequence, born))
-			}
-		}
-		d.mu.Unlock()
+	for sequence := 2; ; sequence++ {
 		select {
 		case <-ticker.C:
+			d.writeEntries(sequence, born)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// writeEntries writes what each server says of itself.
+func (d *deployment) writeEntries(sequence int, born time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		if state, ok := d.states[s.ID]; ok {
+			d.store.Put("keyed.servers", s.ID, s.Entry(state, sequence, born))
+		}
+	}
+}
+
 // set changes what a server says of itself.
 func (d *deployment) set(id, state string) {
 	d.mu.Lock()
