Join what the change had written again: end-to-end fields, refusals, away

Change: support/trimmer.EndToEnd, quetzalroad.AsRefusal, follow.away derived; a field name that nothing used is gone. One list drops Proxy-Authenticate everywhere, as it concerns one connection; an error of the dispatcher that is no refusal has its text in the cause only. No check, bound or test changed.

--- a/decisions/dispatcher/call.go
+++ b/decisions/dispatcher/call.go
@@ -6,8 +6,6 @@
 	"encoding/binary"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/quetzalroad/quetzalroad"
 )
 
@@ -51,7 +49,7 @@
 		d.node.Claimer.Finish(key, c.ID, answer)
 		return answer, nil
 	}
-	if refusal := asRefusal(err); refusal.Outcome == quetzalroad.OutcomeNotRun {
+	if refusal := quetzalroad.AsRefusal(err); refusal.Outcome == quetzalroad.OutcomeNotRun {
 		d.node.Claimer.Release(key, c.ID)
 	} else {
 		d.node.Claimer.Finish(key, c.ID, nil)
@@ -124,12 +122,3 @@
 	d.node.Recorder.FirstToken(c.Profile.Class, took, took <= c.Profile.FirstTokenTarget)
 	return answer, nil
 }
-
-// asRefusal gives an error as a refusal. One that is not is of unknown outcome.
-func asRefusal(err error) *quetzalroad.Refusal {
-	var refusal *quetzalroad.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: err.Error(), Outcome: quetzalroad.OutcomeUnknown, Cause: err}
-}
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -71,12 +71,12 @@
 		}
 		if errors.Is(err, errPaused) {
 			if err := r.resume(ctx); err != nil {
-				return r.cut(asRefusal(err))
+				return r.cut(quetzalroad.AsRefusal(err))
 			}
 			continue
 		}
 		if err := r.failed(ctx, attemptError(u.Name, err)); err != nil {
-			return r.cut(asRefusal(err))
+			return r.cut(quetzalroad.AsRefusal(err))
 		}
 	}
 }
@@ -87,7 +87,7 @@
 	r.tries.ran = true
 	r.tries.count--
 	if err := r.place.admission.Resume(ctx); err != nil {
-		refusal := asRefusal(err)
+		refusal := quetzalroad.AsRefusal(err)
 		refusal.Outcome = quetzalroad.OutcomeUnknown
 		return refusal
 	}
--- a/faces/callerserver/chat.go
+++ b/faces/callerserver/chat.go
@@ -119,7 +119,7 @@
 	outcome := quetzalroad.OutcomeCompleted
 	var failed error
 	if err != nil {
-		refusal := x.refusal(err)
+		refusal := quetzalroad.AsRefusal(err)
 		outcome = refusal.Outcome
 		failed = x.event(eventError, x.refusalBody(refusal))
 	} else {
--- a/faces/callerserver/exchange.go
+++ b/faces/callerserver/exchange.go
@@ -200,7 +200,7 @@
 func (x *exchange) end(err error) {
 	outcome := quetzalroad.OutcomeCompleted
 	if err != nil {
-		refusal := x.refusal(err)
+		refusal := quetzalroad.AsRefusal(err)
 		outcome = refusal.Outcome
 		x.server.node.Recorder.Refused(refusal.Reason)
 		x.log(refusal)
@@ -213,14 +213,6 @@
 	}
 }
 
-func (x *exchange) refusal(err error) *quetzalroad.Refusal {
-	var refusal *quetzalroad.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: "the request failed", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
-}
-
 func (x *exchange) log(r *quetzalroad.Refusal) {
 	x.server.logger.Info("request refused", "request-id", string(x.id), "team", string(x.team.Name), "class", string(x.class),
 		"reason", string(r.Reason), "outcome", string(r.Outcome), "error", r.Cause)
--- a/faces/forwardserver/exchange.go
+++ b/faces/forwardserver/exchange.go
@@ -216,7 +216,7 @@
 		s.node.Recorder.Ended(class, quetzalroad.OutcomeCompleted)
 		return
 	}
-	refusal := asRefusal(err)
+	refusal := quetzalroad.AsRefusal(err)
 	s.node.Recorder.Refused(refusal.Reason)
 	s.node.Recorder.Ended(class, refusal.Outcome)
 	x.log(refusal)
@@ -244,14 +244,6 @@
 	Outcome string `json:"outcome"`
 }
 
-func asRefusal(err error) *quetzalroad.Refusal {
-	var refusal *quetzalroad.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamFailed, Message: "the request failed", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
-}
-
 func (x *exchange) log(r *quetzalroad.Refusal) {
 	f := &x.forwarding
 	n := x.server.node
--- a/refusal.go
+++ b/refusal.go
@@ -1,6 +1,7 @@
 package quetzalroad
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -73,6 +74,15 @@
 	return &Refusal{Reason: reason, Message: message, RetryAfter: retryAfter, Outcome: OutcomeNotRun}
 }
 
+// AsRefusal gives an error as a refusal. One that is not is of unknown outcome.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &Refusal{Reason: ReasonUpstreamFailed, Message: "the request failed", Outcome: OutcomeUnknown, Cause: err}
+}
+
 // AttemptError is the failure of one attempt on an upstream.
 type AttemptError struct {
 	// Upstream is where the attempt went.
--- a/state/watcher/follow.go
+++ b/state/watcher/follow.go
@@ -59,8 +59,6 @@
 	loaded bool
 	// failures counts the failed reads in a row.
 	failures int
-	// away is set after a failed read until one succeeds.
-	away bool
 }
 
 func (f *follow) run(ctx context.Context) error {
@@ -83,19 +81,23 @@
 	}
 }
 
+// away tells that the last read failed.
+func (f *follow) away() bool {
+	return f.failures > 0
+}
+
 // note logs when the log is lost and regained, and tells it to the entries.
 func (f *follow) note(err error) {
 	w := f.watcher
 	switch {
-	case err != nil && !f.away:
+	case err != nil && !f.away():
 		w.logger.Warn("log lost", "stream", string(f.stream), "next", int64(f.next), "age", w.Age(), "error", err)
-	case err == nil && f.away:
+	case err == nil && f.away():
 		w.logger.Info("log regained", "stream", string(f.stream), "next", int64(f.next))
 	}
-	if f.stream == quetzalroad.StreamUpstreams && (err != nil || f.away) {
+	if f.stream == quetzalroad.StreamUpstreams && (err != nil || f.away()) {
 		w.entries.disturbed()
 	}
-	f.away = err != nil
 	if err == nil {
 		f.failures = 0
 	} else {
@@ -123,7 +125,7 @@
 		return f.load(ctx, sent)
 	}
 	wait := f.wait
-	if f.away {
+	if f.away() {
 		// Whether the view still holds is wanted at once.
 		wait = 0
 	}
@@ -157,7 +159,7 @@
 }
 
 func (f *follow) take(records []quetzalroad.KeyedRecord, whole bool) {
-	if f.away && f.stream == quetzalroad.StreamUpstreams {
+	if f.away() && f.stream == quetzalroad.StreamUpstreams {
 		f.watcher.entries.disturbed()
 	}
 	f.apply(records, whole)
--- a/upstreams/relayer/exchange.go
+++ b/upstreams/relayer/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/trimmer"
 )
 
 // exchange is one request and its answer. It implements
@@ -154,7 +155,7 @@
 	}
 	kind, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
 	x.head = quetzalroad.AnswerHead{
-		Status: x.response.StatusCode, Header: endToEnd(x.response.Header), Length: x.response.ContentLength,
+		Status: x.response.StatusCode, Header: trimmer.EndToEnd(x.response.Header, "Content-Length"), Length: x.response.ContentLength,
 		Events: strings.EqualFold(strings.TrimSpace(kind), "text/event-stream"), Load: x.word.Load,
 	}
 	if x.head.Events {
@@ -170,21 +171,6 @@
 	x.whole = err == nil && n < maxPassedOver
 }
 
-// hop lists the fields of an answer that concern one connection only.
-var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-
-func endToEnd(header http.Header) http.Header {
-	for _, line := range header.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hop {
-		header.Del(name)
-	}
-	return header
-}
-
 // Head implements quetzalroad.ForwardAnswer.
 func (x *exchange) Head() quetzalroad.AnswerHead {
 	return x.head
--- a/upstreams/serviceconnector/connector.go
+++ b/upstreams/serviceconnector/connector.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/trimmer"
 	"github.com/quetzalroad/quetzalroad/upstreams/transporter"
 )
 
@@ -57,24 +57,13 @@
 	return nil
 }
 
-// hopByHop lists the header fields that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // EndToEnd gives the header fields that are handed on: without those of one
 // connection and without those whose names begin with a prefix of the router.
 func EndToEnd(h http.Header) http.Header {
-	drop := slices.Clone(hopByHop)
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			drop = append(drop, http.CanonicalHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	kept := make(http.Header, len(h))
-	for name, values := range h {
-		if !slices.Contains(drop, name) && !strings.HasPrefix(name, "Quetzalroad-") {
-			kept[name] = values
+	kept := trimmer.EndToEnd(h)
+	for name := range kept {
+		if strings.HasPrefix(name, "Quetzalroad-") {
+			delete(kept, name)
 		}
 	}
 	return kept
