--- a/decisions/admitter/prioritizer/room.go
+++ b/decisions/admitter/prioritizer/room.go
@@ -102,8 +102,12 @@
 	return sum
 }
 
+// swings is how many standard deviations of the demand of the tiers above are
+// left free, where the number of their requests scatters like its square root.
+const swings = 2
+
 // reserveLocked is the room that a tier leaves to those above it: enough for
-// the usual swing of their recent demand, and for work that can't be paused
+// the usual swings of their recent demand, and for work that can't be paused
 // also what their recent peak would take beyond what they run.
 func (q *queue) reserveLocked(now time.Time, w *waiter, r room) int {
 	bound := int(q.owner.policy.reserveShare * float64(r.slots))
@@ -111,7 +115,7 @@
 	for i := quetzalroad.Tier(0); i < w.tier(); i++ {
 		t := &q.tiers[i]
 		peak := t.peakNow(now)
-		need := int(math.Ceil(math.Sqrt(peak)))
+		need := int(math.Ceil(swings * math.Sqrt(peak)))
 		if !w.request.Profile.Preemptible {
 			need = max(need, int(peak)-t.running)
 		}
