Divide engines by the mix of what comes

Change: each node divides by the work of long and short prompts that came to it in the last 20 s, in steps of a tenth and with slack, so that nodes divide mostly alike.

--- a/decisions/balancer/separator/readers.go
+++ b/decisions/balancer/separator/readers.go
@@ -1,6 +1,7 @@
 package separator
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,13 +21,33 @@
 	divisions map[quetzalroad.ServiceName]*division
 }
 
-// division is how many of a service's engines are left to short prompts. In
+// division is which part of a service's engines is left to short prompts. In
 // the engines' common order these are the first ones.
 type division struct {
-	// writers is at least one and less than the number of engines.
+	// share is the part of the engines left to short prompts, and writers their
+	// number, at least one and less than all.
+	share   float64
 	writers int
-	// moved is when it last changed.
-	moved time.Time
+	// reading and writing are the work that came lately with long and short
+	// prompts, in prompt tokens, fading with time. Neither is negative.
+	reading, writing float64
+	// seen counts the requests in them, fading alike.
+	seen float64
+	// at is when they were brought up to date.
+	at time.Time
+}
+
+// fade brings the work up to a time.
+func (d *division) fade(now time.Time, memory time.Duration) {
+	age := now.Sub(d.at)
+	if age <= 0 {
+		return
+	}
+	left := math.Exp(-age.Seconds() / memory.Seconds())
+	d.reading *= left
+	d.writing *= left
+	d.seen *= left
+	d.at = now
 }
 
 // ranked gives the engines in an order that all nodes that know the same
@@ -72,14 +93,34 @@
 }
 
 // divide gives the engines in their order and how many of them, from the first
-// on, are left to short prompts. The number follows the demand, so that both
-// kinds are equally full by their own measure.
+// on, are left to short prompts. All nodes see like demand, so that they divide
+// the engines alike without telling each other.
 func (s *Separator) divide(now time.Time, service quetzalroad.ServiceName, candidates []quetzalroad.Upstream) ([]quetzalroad.Upstream, int) {
 	order := ranked(candidates)
-	running := make([]float64, len(order))
-	for i, u := range order {
-		running[i] = float64(s.load.Estimate(u.Name, now).Running) / float64(max(1, u.Slots))
-	}
+	writers := 0
+	s.with(service, func(d *division) {
+		d.fade(now, s.memory)
+		d.follow(len(order), s.readingWeight)
+		writers = d.writers
+	})
+	return order, writers
+}
+
+// observe notes a request that came.
+func (s *Separator) observe(now time.Time, r *quetzalroad.Request) {
+	work := float64(max(0, r.PromptTokens-r.SharedTokens) + s.tokenCost*r.MaxTokens)
+	s.with(r.Service.Name, func(d *division) {
+		d.fade(now, s.memory)
+		d.seen++
+		if r.PromptTokens < s.longPrompt {
+			d.writing += work
+		} else {
+			d.reading += work
+		}
+	})
+}
+
+func (s *Separator) with(service quetzalroad.ServiceName, f func(d *division)) {
 	sh := &s.divisions[xxhash.Sum64String(string(service))%divisionShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -88,43 +129,36 @@
 	}
 	d := sh.divisions[service]
 	if d == nil {
-		d = &division{writers: len(order) / 2}
+		d = new(division)
 		sh.divisions[service] = d
 	}
-	s.adjust(now, d, running)
-	return order, d.writers
+	f(d)
 }
 
-// adjust moves a division by one engine towards the one that demand asks for.
-func (s *Separator) adjust(now time.Time, d *division, running []float64) {
-	n := len(running)
-	d.writers = min(max(1, d.writers), n-1)
-	if now.Sub(d.moved) < s.moveEvery {
-		return
-	}
-	var writing, reading float64
-	for i, r := range running {
-		if i < d.writers {
-			writing += r
-		} else {
-			reading += r
-		}
-	}
-	fullness := func(writers int) float64 {
-		return max(writing/(s.writerFull*float64(writers)), reading/(s.readerFull*float64(n-writers)))
-	}
-	here := fullness(d.writers)
-	if here < s.pressed {
-		return
+const (
+	// leastSeen is how many requests must have come lately for their mix to
+	// tell anything.
+	leastSeen = 10
+	// step is the part of the engines by which the division is moved at a time,
+	// and slack how far demand must be from it before it is: nodes that see
+	// the same demand a little differently mostly divide the engines alike.
+	step  = 0.1
+	slack = 0.12
+	// firstWriters is the part left to short prompts before demand is known.
+	firstWriters = 0.4
+)
+
+// follow moves a division of n engines to what demand asks for.
+func (d *division) follow(n int, readingWeight float64) {
+	if d.share == 0 {
+		d.share = firstWriters
 	}
-	for _, other := range []int{d.writers - 1, d.writers + 1} {
-		if other >= 1 && other < n && fullness(other) < here*moveGain {
-			d.writers = other
-			d.moved = now
-			return
+	if reading := readingWeight * d.reading; d.seen >= leastSeen {
+		wanted := d.writing / (d.writing + reading)
+		if math.Abs(wanted-d.share) > slack {
+			d.share = min(max(step, step*math.Round(wanted/step)), 1-step)
 		}
 	}
+	d.writers = int(math.Round(d.share * float64(n)))
+	d.writers = min(max(1, d.writers), n-1)
 }
-
-// moveGain is how much less full a division must be to be worth a move.
-const moveGain = 0.85
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -29,29 +29,27 @@
 
 // Separator is the part that chooses.
 type Separator struct {
-	load        quetzalroad.LoadTracker
-	place       quetzalroad.DataCentre
-	region      quetzalroad.Region
-	longPrompt  int
-	writerFull  float64
-	readerFull  float64
-	pressed     float64
-	moveEvery   time.Duration
-	requestCost int
-	mixCost     int
-	farCost     int
-	farRunning  float64
-	mixRunning  float64
-	divisions   [divisionShards]divisionShard
+	load          quetzalroad.LoadTracker
+	place         quetzalroad.DataCentre
+	region        quetzalroad.Region
+	longPrompt    int
+	memory        time.Duration
+	tokenCost     int
+	readingWeight float64
+	requestCost   int
+	mixCost       int
+	farCost       int
+	farRunning    float64
+	mixRunning    float64
+	divisions     [divisionShards]divisionShard
 }
 
 // Declare implements kernel.Part.
 func (s *Separator) Declare(c *configurer.Section) {
 	c.Int("long-prompt", &s.longPrompt, 2500, 1, 10000000, "Tokens from which a prompt counts as long.")
-	c.Float("writer-full", &s.writerFull, 0.6, 0.01, 1, "Share of its slots at which an engine that serves short prompts counts as full.")
-	c.Float("reader-full", &s.readerFull, 0.15, 0.01, 1, "Share of its slots at which an engine that reads long prompts counts as full.")
-	c.Float("pressed", &s.pressed, 1, 0, 10, "Fullness of either kind, relative to what counts as full, below which the number of readers stays.")
-	c.Duration("move-every", &s.moveEvery, 200*time.Millisecond, time.Millisecond, time.Minute, "Shortest time between two changes of the number of readers.")
+	c.Duration("memory", &s.memory, 20*time.Second, 100*time.Millisecond, time.Hour, "How long the mix of long and short prompts that came is remembered, by which the engines are divided.")
+	c.Int("token-cost", &s.tokenCost, 7, 0, 10000, "What a token to be generated counts as work, in prompt tokens.")
+	c.Float("reading-weight", &s.readingWeight, 2, 0.01, 100, "How much more room the work of long prompts gets than that of short ones.")
 	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "What a request on a reader counts against a long prompt, in prompt tokens.")
 	c.Int("mix-cost", &s.mixCost, 30000, 0, 10000000, "What a long prompt counts that is read beside short ones, in prompt tokens.")
 	c.Int("far-cost", &s.farCost, 1000, 0, 10000000, "What the way to another region counts against a long prompt, in prompt tokens.")
@@ -79,6 +77,7 @@
 	if r.Model == "" {
 		return s.least(candidates, func(_ int, u quetzalroad.Upstream) float64 { return s.runningCost(now, u) })
 	}
+	s.observe(now, r)
 	order, writers := s.divide(now, r.Service.Name, candidates)
 	if r.PromptTokens < s.longPrompt {
 		return s.least(order, func(i int, u quetzalroad.Upstream) float64 {
