Let a node of each data centre read the store for the others

Cause: every node read all servers' entries itself. Change: state/distributor between the store and those that follow it. Nodes tell of themselves on a topic of their own; those of a data centre with four or more rank each other alike, one in 16 reads, the others ask it by drpc. An answer says how old it is and holds only what changed; who gets none, or one too old, asks the store itself. peers/linker is the part of peerconnector that both transports share.

--- a/cmd/quetzalemu/storekeeper/store.go
+++ b/cmd/quetzalemu/storekeeper/store.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -139,11 +140,45 @@
 		s.answerNewest(w, name, r.URL.Query().Get("after"))
 	case "GET /log-read":
 		s.answerRead(w, r, name)
+	case "POST /log-append":
+		s.answerAppend(w, r, name)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+// maxCallBytes bounds the records of one call.
+const maxCallBytes = 2 << 20
+
+// answerAppend takes records, each with its length before it, unless they are
+// in a topic of the operator's or the servers'.
+func (s *Store) answerAppend(w http.ResponseWriter, r *http.Request, name string) {
+	if name == "keyed.op" || name == "keyed.servers" {
+		writeJSON(w, http.StatusForbidden, map[string]any{"error": "the topic is not the system's"})
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, map[string]any{"error": err.Error()})
+		return
+	}
+	for len(data) >= 4 {
+		length := binary.BigEndian.Uint32(data)
+		one := data[4:]
+		if length == 0 || uint64(length) > uint64(len(one)) || int(one[0]) >= int(length) {
+			writeJSON(w, http.StatusBadRequest, map[string]any{"error": "a record is cut"})
+			return
+		}
+		key := 1 + int(one[0])
+		s.Put(name, string(one[1:key]), string(one[key:length]))
+		data = one[length:]
+	}
+	s.mu.Lock()
+	end := s.topicLocked(name).first + uint64(len(s.topicLocked(name).records))
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"offset": end - 1, "endOffset": end})
+}
+
 // pageItems bounds the records of a page.
 const pageItems = 500
 
--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -18,10 +19,12 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/stayer"
 	_ "github.com/quetzalroad/quetzalroad/faces/forwardserver"
+	_ "github.com/quetzalroad/quetzalroad/peers/readconnector"
 	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
 	_ "github.com/quetzalroad/quetzalroad/platform/entrymapper"
 	_ "github.com/quetzalroad/quetzalroad/platform/storeclient"
 	_ "github.com/quetzalroad/quetzalroad/platform/upstreammapper"
+	_ "github.com/quetzalroad/quetzalroad/state/distributor"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
 	_ "github.com/quetzalroad/quetzalroad/support/counter"
@@ -34,7 +37,7 @@
  "zones": {"zone-a": "region-a", "zone-b": "region-b"},
  "listen": {"front": "10.1.0.19:8740", "ready": "10.1.0.19:8749"},
  "bounds": {"enforceRevocation": true, "revokeMs": 5000, "drainMs": 3000, "retryBudgetRatio": 0.2},
- "platform": {"address": "10.200.1.7:8742"}
+ "platform": {"address": "10.200.1.7:8742"}, "internalPortRange": [7200, 7215], "limits": {"linkMbps": 1000.0}
 }`
 
 var (
@@ -45,8 +48,16 @@
 func lookUp(fields map[string]any, path string) any {
 	var at any = fields
 	for name := range strings.SplitSeq(path, ".") {
-		table, _ := at.(map[string]any)
-		at = table[name]
+		switch v := at.(type) {
+		case map[string]any:
+			at = v[name]
+		case []any:
+			i, err := strconv.Atoi(name)
+			if err != nil || i >= len(v) {
+				return nil
+			}
+			at = v[i]
+		}
 	}
 	return at
 }
--- a/forward.go
+++ b/forward.go
@@ -186,12 +186,12 @@
 // KeyedLog reads streams of the platform's log that keep the newest record of
 // each key.
 type KeyedLog interface {
-	// Newest gives the newest record of each key, and the offset from which to
-	// read on. Records that came meanwhile may be among them.
-	Newest(ctx context.Context, s Stream) ([]KeyedRecord, Offset, error)
-	// ReadKeyed gives records from an offset on, one for each offset, waiting
-	// up to wait for the first. The error is ErrTrimmed where records from the
-	// offset on are gone.
+	// Newest gives the newest record of each key. Records that came meanwhile
+	// may be among them.
+	Newest(ctx context.Context, s Stream) ([]KeyedRecord, Bounds, error)
+	// ReadKeyed gives records from an offset on in their order, waiting up to
+	// wait for the first. The error is ErrTrimmed where records from the offset
+	// on are gone.
 	ReadKeyed(ctx context.Context, s Stream, from Offset, wait time.Duration) ([]KeyedRecord, Bounds, error)
 }
 
@@ -199,8 +199,16 @@
 const (
 	StreamOperators Stream = "operators"
 	StreamUpstreams Stream = "upstreams"
+	// StreamNodes is where the nodes of the router tell of themselves.
+	StreamNodes Stream = "nodes"
 )
 
+// KeyedWriter writes to the streams of the router's own.
+type KeyedWriter interface {
+	// PutKeyed makes a value the newest of a key; nil drops the key.
+	PutKeyed(ctx context.Context, s Stream, key string, value []byte) error
+}
+
 // StateCodec reads what operators and upstreams write to the platform.
 type StateCodec interface {
 	// DecodeState reads a published state; false where the record holds
--- a/interfaces.go
+++ b/interfaces.go
@@ -49,6 +49,16 @@
 	Earliest Offset
 	// Next is the offset that the next append gets.
 	Next Offset
+	// Through is the offset from which to read on: all records below it that
+	// matter were given.
+	Through Offset
+	// Age is the time between the last moment for which the log itself
+	// confirmed this and the call; zero for an answer of the log.
+	Age time.Duration
+	// Hops counts the steps from the log to the last node that follows this
+	// answer: one where only this node does. The time within which a change
+	// must be known is shared out among them.
+	Hops int
 }
 
 // Stream names a stream of the platform's log.
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -55,6 +55,8 @@
 	Peers       quetzalroad.Peers
 
 	KeyedLog      quetzalroad.KeyedLog
+	KeyedWriter   quetzalroad.KeyedWriter
+	Reads         quetzalroad.ReadTransport
 	StateCodec    quetzalroad.StateCodec
 	Routes        quetzalroad.RouteTable
 	Freshness     quetzalroad.Freshness
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -23,6 +23,8 @@
 	SlotVMList     Slot = "vm-list"
 	SlotKeyedLog   Slot = "keyed-log"
 	SlotEntries    Slot = "entries"
+	SlotReads      Slot = "read-transport"
+	SlotSharing    Slot = "log-sharing"
 	SlotState      Slot = "state"
 	SlotDrains     Slot = "drains"
 	SlotClaims     Slot = "claims"
@@ -57,6 +59,8 @@
 	{slot: SlotVMList, doc: "The platform's lagging list of VMs.", optional: true},
 	{slot: SlotKeyedLog, doc: "The platform's log where it keeps the newest record of each key.", optional: true},
 	{slot: SlotEntries, doc: "How operators' and upstreams' entries on the platform are read.", optional: true},
+	{slot: SlotReads, doc: "The connections over which nodes read the platform's log for each other.", optional: true},
+	{slot: SlotSharing, doc: "Which nodes read the platform's log for others.", optional: true},
 	{slot: SlotState, doc: "The published state: following the log and publishing to it."},
 	{slot: SlotDrains, doc: "Drains that take hold before the log knows of them.", optional: true},
 	{slot: SlotClaims, doc: "Claims of idempotency keys.", optional: true},
--- a/peers/peerconnector/proof_test.go
+++ b/peers/linker/proof_test.go
@@ -1,4 +1,4 @@
-package peerconnector
+package linker
 
 import (
 	"errors"
--- a/peers/peerconnector/connector.go
+++ b/peers/peerconnector/connector.go
@@ -1,26 +1,20 @@
-// Package peerconnector carries messages between nodes by drpc over TCP. Both
-// ends prove that they hold the deployment's key before a message is taken;
-// to anybody else a node says nothing.
+// Package peerconnector carries messages between nodes by drpc.
 package peerconnector
 
 import (
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/peermapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/peers/linker"
 	"github.com/quetzalroad/quetzalroad/peers/peerwire"
 	"github.com/quetzalroad/quetzalroad/support/configurer"
 )
@@ -35,40 +29,25 @@
 const (
 	// minKeyLength bounds the shared key from below, in characters.
 	minKeyLength = 16
-	// maxMessageBytes bounds one message; a snapshot is the largest.
-	maxMessageBytes = 64 << 20
 	// maxAnswerBytes bounds the records given in one answer.
 	maxAnswerBytes = 4 << 20
 )
 
 // Connector is the part that carries messages.
 type Connector struct {
-	address     netip.AddrPort
-	key         string
-	dialTimeout time.Duration
-	silence     time.Duration
-	recorder    quetzalroad.Recorder
-	mapper      peermapper.Mapper
-	listener    net.Listener
-	mu          sync.Mutex
-	// conns holds at most one open connection to each peer and is guarded by
-	// mu.
-	conns map[netip.AddrPort]*link
-}
-
-// link is the connection to one peer.
-type link struct {
-	mu sync.Mutex
-	// conn is guarded by mu and nil while there is no connection.
-	conn *drpcconn.Conn
+	address  netip.AddrPort
+	links    linker.Linker
+	recorder quetzalroad.Recorder
+	mapper   peermapper.Mapper
+	listener net.Listener
 }
 
 // Declare implements kernel.Part.
 func (c *Connector) Declare(s *configurer.Section) {
 	s.Address("address", &c.address, "127.0.0.1:7082", "Where to listen to peers.")
-	s.Secret("key", &c.key, minKeyLength, "The key that all nodes of the deployment share.")
-	s.Duration("dial-timeout", &c.dialTimeout, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a connection and its handshake may take.")
-	s.Duration("silence", &c.silence, 30*time.Second, time.Second, time.Hour, "Time without a message after which a peer's connection is dropped.")
+	s.Secret("key", &c.links.Key, minKeyLength, "The key that all nodes of the deployment share.")
+	s.Duration("dial-timeout", &c.links.DialTimeout, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a connection and its handshake may take.")
+	s.Duration("silence", &c.links.Silence, 30*time.Second, time.Second, time.Hour, "Time without a message after which a peer's connection is dropped.")
 }
 
 // Build implements kernel.Part.
@@ -95,42 +74,7 @@
 	if err := peerwire.DRPCRegisterPeer(mux, &server{connector: c, handler: h}); err != nil {
 		return err
 	}
-	options := drpcserver.Options{Manager: c.manager()}
-	rpc := drpcserver.NewWithOptions(mux, options)
-	stop := context.AfterFunc(ctx, func() {
-		// Serving ends either way; what is open is closed by the context.
-		_ = c.listener.Close()
-		c.closeAll()
-	})
-	defer stop()
-	var serving sync.WaitGroup
-	defer serving.Wait()
-	for {
-		conn, err := c.listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			return err
-		}
-		serving.Go(func() { c.serveOne(ctx, rpc, conn) })
-	}
-}
-
-func (c *Connector) manager() drpcmanager.Options {
-	return drpcmanager.Options{
-		InactivityTimeout: c.silence,
-		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-	}
-}
-
-func (c *Connector) serveOne(ctx context.Context, rpc *drpcserver.Server, conn net.Conn) {
-	defer conn.Close()
-	if err := acceptProof(conn, []byte(c.key), c.dialTimeout); err != nil {
-		return
-	}
-	// The peer's going away is no news here: its heartbeats tell.
-	_ = rpc.ServeOne(ctx, conn)
+	return c.links.Serve(ctx, c.listener, mux)
 }
 
 // server answers the calls of peers.
@@ -183,92 +127,9 @@
 	c.recorder.Received(kind, proto.Size(m))
 }
 
-// with runs a call on the connection to a peer, which carries one call at a
-// time. After a failure the connection is closed, as it may have gone silent,
-// and the next call makes a new one.
+// with runs a call on the connection to a peer.
 func (c *Connector) with(ctx context.Context, to netip.AddrPort, call func(peerwire.DRPCPeerClient) error) error {
-	l := c.link(to)
-	conn := l.open()
-	if conn == nil {
-		fresh, err := c.dial(ctx, to)
-		if err != nil {
-			return err
-		}
-		conn = l.set(fresh)
-	}
-	err := call(peerwire.NewDRPCPeerClient(conn))
-	if err != nil {
-		l.drop(conn)
-	}
-	return err
-}
-
-// open gives the connection, if there is one.
-func (l *link) open() *drpcconn.Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.conn
-}
-
-// set keeps a new connection, unless another call made one meanwhile.
-func (l *link) set(fresh *drpcconn.Conn) *drpcconn.Conn {
-	l.mu.Lock()
-	have := l.conn
-	if have == nil {
-		l.conn = fresh
-	}
-	l.mu.Unlock()
-	if have == nil {
-		return fresh
-	}
-	// The spare connection was never used.
-	_ = fresh.Close()
-	return have
-}
-
-// drop closes a connection; nil stands for whichever there is.
-func (l *link) drop(conn *drpcconn.Conn) {
-	l.mu.Lock()
-	have := l.conn
-	if conn == nil || have == conn {
-		l.conn = nil
-	}
-	l.mu.Unlock()
-	if conn == nil {
-		conn = have
-	}
-	if conn != nil {
-		// A connection that fails to close is gone all the same.
-		_ = conn.Close()
-	}
-}
-
-func (c *Connector) link(to netip.AddrPort) *link {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[netip.AddrPort]*link)
-	}
-	l := c.conns[to]
-	if l == nil {
-		l = &link{}
-		c.conns[to] = l
-	}
-	return l
-}
-
-func (c *Connector) dial(ctx context.Context, to netip.AddrPort) (*drpcconn.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
-	if err != nil {
-		return nil, err
-	}
-	if err := giveProof(conn, []byte(c.key), c.dialTimeout); err != nil {
-		return nil, errors.CombineErrors(err, conn.Close())
-	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: c.manager()}), nil
+	return c.links.With(ctx, to, func(conn drpc.Conn) error { return call(peerwire.NewDRPCPeerClient(conn)) })
 }
 
 // Beat implements quetzalroad.PeerTransport.
@@ -321,21 +182,5 @@
 
 // Drop implements quetzalroad.PeerTransport.
 func (c *Connector) Drop(to netip.AddrPort) {
-	c.mu.Lock()
-	l := c.conns[to]
-	delete(c.conns, to)
-	c.mu.Unlock()
-	if l != nil {
-		l.drop(nil)
-	}
-}
-
-func (c *Connector) closeAll() {
-	c.mu.Lock()
-	links := c.conns
-	c.conns = nil
-	c.mu.Unlock()
-	for _, l := range links {
-		l.drop(nil)
-	}
+	c.links.Drop(to)
 }
--- /dev/null
+++ b/peers/readconnector/connector.go
@@ -0,0 +1,90 @@
+// Package readconnector carries reads of the platform's log between nodes by
+// drpc.
+package readconnector
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/peers/linker"
+	"github.com/quetzalroad/quetzalroad/peers/peerwire"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotReads, Name: "drpc",
+		New: func() kernel.Part { return new(Connector) },
+	})
+}
+
+// Connector is the part that carries reads.
+type Connector struct {
+	address  netip.AddrPort
+	links    linker.Linker
+	listener net.Listener
+}
+
+// Declare implements kernel.Part.
+func (c *Connector) Declare(s *configurer.Section) {
+	s.Address("address", &c.address, "", "Where to answer the reads of other nodes.")
+	s.Duration("dial-timeout", &c.links.DialTimeout, 200*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a connection to another node may take.")
+	s.Duration("silence", &c.links.Silence, 10*time.Second, time.Second, time.Hour, "Time without a read after which a connection is dropped.")
+}
+
+// Build implements kernel.Part.
+func (c *Connector) Build(n *kernel.Node) error {
+	listener, err := net.Listen("tcp", c.address.String())
+	if err != nil {
+		return err
+	}
+	c.listener = listener
+	n.Reads = c
+	return nil
+}
+
+// Address implements quetzalroad.ReadTransport.
+func (c *Connector) Address() netip.AddrPort {
+	return c.address
+}
+
+// Serve implements quetzalroad.ReadTransport.
+func (c *Connector) Serve(ctx context.Context, h quetzalroad.ReadHandler) error {
+	mux := drpcmux.New()
+	if err := peerwire.DRPCRegisterLogReads(mux, &server{handler: h}); err != nil {
+		return err
+	}
+	return c.links.Serve(ctx, c.listener, mux)
+}
+
+// server answers the reads of others.
+type server struct {
+	handler quetzalroad.ReadHandler
+}
+
+// Read implements the LogReads service.
+func (s *server) Read(_ context.Context, in *peerwire.ReadRequest) (*peerwire.ReadAnswer, error) {
+	return nodemapper.EncodeRecords(s.handler.Read(nodemapper.DecodeRead(in))), nil
+}
+
+// Read implements quetzalroad.ReadTransport.
+func (c *Connector) Read(ctx context.Context, to netip.AddrPort, q quetzalroad.SharedRead) (quetzalroad.SharedRecords, error) {
+	var records quetzalroad.SharedRecords
+	err := c.links.With(ctx, to, func(conn drpc.Conn) error {
+		out, err := peerwire.NewDRPCLogReadsClient(conn).Read(ctx, nodemapper.EncodeRead(q))
+		if err != nil {
+			return err
+		}
+		records, err = nodemapper.DecodeRecords(out)
+		return err
+	})
+	return records, err
+}
--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -43,6 +43,7 @@
 // Build implements kernel.Part.
 func (l *KeyedLog) Build(n *kernel.Node) error {
 	n.KeyedLog = l
+	n.KeyedWriter = l
 	n.StateCodec = l
 	return nil
 }
@@ -79,6 +80,15 @@
 	l.changeLocked()
 }
 
+// PutKeyed implements quetzalroad.KeyedWriter.
+func (l *KeyedLog) PutKeyed(ctx context.Context, s quetzalroad.Stream, key string, value []byte) error {
+	return l.answer(ctx, func() bool {
+		one := l.streamLocked(s)
+		one.records = append(one.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: one.earliest + quetzalroad.Offset(len(one.records))})
+		return true
+	})
+}
+
 // SetAway makes the log refuse every call, or answer again.
 func (l *KeyedLog) SetAway(away bool) {
 	l.mu.Lock()
@@ -168,16 +178,17 @@
 }
 
 // Newest implements quetzalroad.KeyedLog.
-func (l *KeyedLog) Newest(ctx context.Context, s quetzalroad.Stream) (records []quetzalroad.KeyedRecord, next quetzalroad.Offset, err error) {
+func (l *KeyedLog) Newest(ctx context.Context, s quetzalroad.Stream) (records []quetzalroad.KeyedRecord, bounds quetzalroad.Bounds, err error) {
 	err = l.answer(ctx, func() bool {
 		one := l.streamLocked(s)
 		all := keyedStream{records: append([]quetzalroad.KeyedRecord(nil), l.streamLocked("newest/"+s).records...)}
 		all.records = append(all.records, one.records...)
 		records = newestLocked(&all)
-		next = one.earliest + quetzalroad.Offset(len(one.records))
+		next := one.earliest + quetzalroad.Offset(len(one.records))
+		bounds = quetzalroad.Bounds{Next: next, Through: next, Hops: 1}
 		return true
 	})
-	return records, next, err
+	return records, bounds, err
 }
 
 // ReadKeyed implements quetzalroad.KeyedLog.
@@ -187,12 +198,13 @@
 	trimmed := false
 	read := func() bool {
 		one := l.streamLocked(s)
-		bounds = quetzalroad.Bounds{Earliest: one.earliest, Next: one.earliest + quetzalroad.Offset(len(one.records))}
+		bounds = quetzalroad.Bounds{Earliest: one.earliest, Next: one.earliest + quetzalroad.Offset(len(one.records)), Through: from, Hops: 1}
 		trimmed = from < one.earliest
 		if trimmed || from >= bounds.Next {
 			return trimmed || waited.Err() != nil
 		}
 		records = append([]quetzalroad.KeyedRecord(nil), one.records[from-one.earliest:]...)
+		bounds.Through = bounds.Next
 		return true
 	}
 	err = l.answer(waited, read)
--- /dev/null
+++ b/state/distributor/distributor.go
@@ -0,0 +1,230 @@
+// Package distributor lets a few nodes of a data centre read the platform's log
+// for the others, so that neither the calls to the platform nor the bytes that
+// it sends grow with the number of nodes.
+//
+// Nodes tell of themselves on a stream of the log. All rank those of their data
+// centre alike; the first ones read the log, and each of the others asks one of
+// them. An answer says how old it is, so that what depends on a fresh view stays
+// exact. A node whose reader fails, is too old or refuses asks the log itself.
+package distributor
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
+	"github.com/quetzalroad/quetzalroad/support/configurer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotSharing, Name: "distributor",
+		New: func() kernel.Part { return new(Distributor) },
+	})
+}
+
+// Distributor is the part between the platform's log and those that follow it.
+type Distributor struct {
+	log       quetzalroad.KeyedLog
+	writer    quetzalroad.KeyedWriter
+	codec     quetzalroad.StateCodec
+	transport quetzalroad.ReadTransport
+	logger    *slog.Logger
+	self      quetzalroad.NodeEntry
+
+	leastNodes  int
+	fanOut      int
+	readerWait  time.Duration
+	askEvery    time.Duration
+	askTimeout  time.Duration
+	oldest      time.Duration
+	avoidFor    time.Duration
+	listEvery   time.Duration
+	lifetime    time.Duration
+	settle      time.Duration
+	callTimeout time.Duration
+
+	members members
+	// listed is closed when the other nodes were looked for once.
+	listed   chan struct{}
+	listOnce sync.Once
+	feeds    map[quetzalroad.Stream]*feed
+}
+
+// Declare implements kernel.Part.
+func (d *Distributor) Declare(s *configurer.Section) {
+	s.Int("least-nodes", &d.leastNodes, 4, 2, 1000000, "Nodes of a data centre from which on some read the log for the others.")
+	s.Int("fan-out", &d.fanOut, 16, 1, 10000, "Nodes for which one reads the log, itself included.")
+	s.Float("capacity", &d.self.Capacity, 0, 0, 1e12, "How much this node can hand on, relative to others; those with most read for the others.")
+	s.Duration("reader-wait", &d.readerWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a read for others waits at the log.")
+	s.Duration("ask-every", &d.askEvery, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Pause between two questions to the node that reads.")
+	s.Duration("ask-timeout", &d.askTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "How long the node that reads may take to answer.")
+	s.Duration("oldest", &d.oldest, 2*time.Second, 10*time.Millisecond, time.Hour, "Age from which on an answer of the node that reads is no longer taken.")
+	s.Duration("avoid-for", &d.avoidFor, 10*time.Second, 10*time.Millisecond, time.Hour, "How long a node that failed to answer is not asked.")
+	s.Duration("list-every", &d.listEvery, 20*time.Second, 10*time.Millisecond, time.Hour, "Pause between two looks for other nodes.")
+	s.Duration("lifetime", &d.lifetime, 3*time.Minute, time.Second, 24*time.Hour, "Age from which on what a node told of itself no longer counts; it is written three times as often.")
+	s.Duration("settle", &d.settle, 400*time.Millisecond, 0, time.Minute, "Pause between the first two looks for other nodes, as several may start together.")
+	s.Duration("call-timeout", &d.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a call to the log may take that tells or looks for nodes.")
+}
+
+// Build implements kernel.Part.
+func (d *Distributor) Build(n *kernel.Node) error {
+	if n.KeyedLog == nil || n.KeyedWriter == nil || n.StateCodec == nil || n.Reads == nil {
+		return errors.New("sharing the log needs the slots keyed-log, entries and read-transport")
+	}
+	d.log, d.writer, d.codec, d.transport = n.KeyedLog, n.KeyedWriter, n.StateCodec, n.Reads
+	d.logger = n.Logger
+	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.Reads.Address()
+	d.listed = make(chan struct{})
+	d.feeds = map[quetzalroad.Stream]*feed{
+		quetzalroad.StreamOperators: new(feed),
+		quetzalroad.StreamUpstreams: {alike: d.alike},
+	}
+	n.KeyedLog = d
+	n.Go("answer reads of others", func(ctx context.Context) error { return d.transport.Serve(ctx, d) })
+	n.Go("look for other nodes", d.follow)
+	n.OnStop(d.leave)
+	return nil
+}
+
+// alike tells that two records of an upstream say the same but for their
+// sequence.
+func (d *Distributor) alike(a, b quetzalroad.KeyedRecord) bool {
+	one, err := d.codec.DecodeEntry(a)
+	if err != nil {
+		return false
+	}
+	other, err := d.codec.DecodeEntry(b)
+	return err == nil && one.Upstream == other.Upstream && one.Born.Equal(other.Born)
+}
+
+// Newest implements quetzalroad.KeyedLog.
+func (d *Distributor) Newest(ctx context.Context, s quetzalroad.Stream) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, error) {
+	select {
+	case <-d.listed:
+	case <-ctx.Done():
+		return nil, quetzalroad.Bounds{}, ctx.Err()
+	}
+	if records, bounds, ok := d.askOften(ctx, quetzalroad.SharedRead{Stream: s, From: quetzalroad.NoOffset}); ok {
+		return records, bounds, nil
+	}
+	sent := boottimer.Now()
+	records, bounds, err := d.log.Newest(ctx, s)
+	if err != nil {
+		return nil, bounds, err
+	}
+	d.feeds[s].load(records, bounds.Through, sent)
+	bounds.Hops = d.hops()
+	return records, bounds, nil
+}
+
+// ReadKeyed implements quetzalroad.KeyedLog.
+func (d *Distributor) ReadKeyed(ctx context.Context, s quetzalroad.Stream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, error) {
+	role := d.members.role(d.self, d.leastNodes, d.fanOut)
+	if role.follows() {
+		if wait > 0 {
+			if err := sleeper.Sleep(ctx, min(wait, d.askEvery)); err != nil {
+				return nil, quetzalroad.Bounds{}, err
+			}
+		}
+		records, bounds, err := d.ask(ctx, role.reader, quetzalroad.SharedRead{Stream: s, From: from})
+		if err == nil || errors.Is(err, quetzalroad.ErrTrimmed) {
+			return records, bounds, err
+		}
+		// Whether the view still holds is wanted at once.
+		wait = 0
+	}
+	f := d.feeds[s]
+	if role.reads {
+		if !f.joins(from) {
+			// What others need of the past is missing: all is read anew.
+			return nil, quetzalroad.Bounds{}, quetzalroad.ErrTrimmed
+		}
+		wait = min(wait, d.readerWait)
+	}
+	sent := boottimer.Now()
+	records, bounds, err := d.log.ReadKeyed(ctx, s, from, wait)
+	if err != nil {
+		return nil, bounds, err
+	}
+	f.add(from, records, bounds, sent)
+	bounds.Hops = role.hops()
+	return records, bounds, nil
+}
+
+func (d *Distributor) hops() int {
+	return d.members.role(d.self, d.leastNodes, d.fanOut).hops()
+}
+
+const (
+	// askTries is how often the node that reads is asked by a node that starts,
+	// as both may start together.
+	askTries = 5
+	// askPause lies between two of these.
+	askPause = 150 * time.Millisecond
+)
+
+// askOften asks the node that reads until it has read itself.
+func (d *Distributor) askOften(ctx context.Context, q quetzalroad.SharedRead) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, bool) {
+	for range askTries {
+		role := d.members.role(d.self, d.leastNodes, d.fanOut)
+		if !role.follows() {
+			return nil, quetzalroad.Bounds{}, false
+		}
+		records, bounds, err := d.ask(ctx, role.reader, q)
+		if err == nil {
+			return records, bounds, true
+		}
+		if !errors.Is(err, errRefused) {
+			continue
+		}
+		if sleeper.Sleep(ctx, askPause) != nil {
+			return nil, quetzalroad.Bounds{}, false
+		}
+	}
+	return nil, quetzalroad.Bounds{}, false
+}
+
+var (
+	errRefused = errors.New("the node does not read for others")
+	errOld     = errors.New("the node's view is too old")
+)
+
+// ask asks a node for what it read.
+func (d *Distributor) ask(ctx context.Context, reader quetzalroad.NodeEntry, q quetzalroad.SharedRead) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.askTimeout)
+	defer cancel()
+	answer, err := d.transport.Read(ctx, reader.Address, q)
+	switch {
+	case err != nil:
+		d.members.avoid(reader.Name, time.Now().Add(d.avoidFor))
+	case answer.State == quetzalroad.SharedTrimmed:
+		return nil, quetzalroad.Bounds{}, quetzalroad.ErrTrimmed
+	case answer.State != quetzalroad.SharedGiven:
+		err = errRefused
+	case answer.Age > d.oldest:
+		err = errOld
+	}
+	if err != nil {
+		d.logger.Info("reader passed by", "reader", string(reader.Name), "stream", string(q.Stream), "from", int64(q.From), "age", answer.Age, "error", err)
+		return nil, quetzalroad.Bounds{}, err
+	}
+	bounds := quetzalroad.Bounds{Next: answer.Through, Through: max(q.From, answer.Through), Age: answer.Age, Hops: readHops}
+	return answer.Records, bounds, nil
+}
+
+// Read implements quetzalroad.ReadHandler.
+func (d *Distributor) Read(q quetzalroad.SharedRead) quetzalroad.SharedRecords {
+	f := d.feeds[q.Stream]
+	if f == nil || !d.members.role(d.self, d.leastNodes, d.fanOut).reads {
+		return quetzalroad.SharedRecords{}
+	}
+	return f.read(q.From)
+}
--- a/state/watcher/follow.go
+++ b/state/watcher/follow.go
@@ -57,6 +57,9 @@
 	// next is the offset to read from; it holds once loaded is set.
 	next   quetzalroad.Offset
 	loaded bool
+	// hops counts the steps from the log to the last node that follows the
+	// last answer; zero before the first.
+	hops int
 	// failures counts the failed reads in a row.
 	failures int
 }
@@ -71,7 +74,7 @@
 			return ctx.Err()
 		}
 		f.note(err)
-		pause := f.every
+		pause := f.every / time.Duration(max(1, f.hops))
 		if err != nil {
 			pause = f.backoff()
 		}
@@ -138,23 +141,25 @@
 		return err
 	}
 	f.take(records, false)
-	f.next += quetzalroad.Offset(len(records))
+	f.next = bounds.Through
+	f.hops = bounds.Hops
 	if f.next >= bounds.Next {
-		f.confirm(sent)
+		f.confirm(sent.Before(bounds.Age))
 	}
 	return nil
 }
 
 // load starts anew from the newest record of each key.
 func (f *follow) load(ctx context.Context, sent boottimer.Mark) error {
-	records, next, err := f.watcher.log.Newest(ctx, f.stream)
+	records, bounds, err := f.watcher.log.Newest(ctx, f.stream)
 	if err != nil {
 		return err
 	}
 	f.take(records, true)
-	f.next = next
+	f.next = bounds.Through
+	f.hops = bounds.Hops
 	f.loaded = true
-	f.confirm(sent)
+	f.confirm(sent.Before(bounds.Age))
 	return nil
 }
 
--- a/support/boottimer/boottimer.go
+++ b/support/boottimer/boottimer.go
@@ -50,3 +50,11 @@
 	}
 	return time.Duration(at.Nano())
 }
+
+// Before gives the moment a span earlier; never where that is the span.
+func (m Mark) Before(d time.Duration) Mark {
+	if m.IsZero() || d == Never {
+		return Mark{}
+	}
+	return Mark{steady: m.steady.Add(-d), boot: m.boot - d}
+}
