Soak nodes as processes under faults drawn from a seed

The judge checks from what callers sent and got and what reached servers: at most once, true refusals, whose answer, order, forged fields, revocation, leaving, versions, time-outs, planned stops, the budget, recovery, ends of its own. One node in 64 reads the store, for bytes.

--- a/cmd/quetzalemu/backender/server.go
+++ b/cmd/quetzalemu/backender/server.go
@@ -26,6 +26,17 @@
 	Full bool
 }
 
+// Arrival is a request that reached a server.
+type Arrival struct {
+	Server *Server
+	// ID is the caller's id of the request.
+	ID      string
+	Request *http.Request
+	Body    []byte
+	// Ran tells that the server ran it.
+	Ran bool
+}
+
 // Server is one server. Its fields but Faults are set before its first use.
 type Server struct {
 	ID      string
@@ -35,6 +46,10 @@
 	Slots   int
 	// Pause lies between two events of a stream.
 	Pause time.Duration
+	// Work is how long a plain request runs.
+	Work time.Duration
+	// Observe is told of each request for this server; nil where nobody asks.
+	Observe func(Arrival)
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. runs counts how often each request
@@ -129,6 +144,9 @@
 		return
 	}
 	faults, ok := s.begin(id, r.Header)
+	if s.Observe != nil {
+		s.Observe(Arrival{Server: s, ID: id, Request: r, Body: body, Ran: ok})
+	}
 	h.Set("Request-Attempt-Id", id)
 	if !ok {
 		h.Set("Not-Executed", "1")
@@ -149,6 +167,7 @@
 		s.stream(w, r, faults)
 		return
 	}
+	time.Sleep(s.Work)
 	// A caller that is gone doesn't miss the answer.
 	_, _ = w.Write(append([]byte("ran "+r.Method+" "+r.RequestURI+" "), body...))
 }
--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -3,13 +3,10 @@
 import (
 	"encoding/json"
 	"os"
-	"regexp"
-	"slices"
-	"strconv"
-	"strings"
 	"testing"
 
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/templater"
 
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/passer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/separator"
@@ -40,85 +37,6 @@
  "platform": {"address": "10.200.1.7:8742"}, "internalPortRange": [7200, 7215], "limits": {"linkMbps": 1000.0}
 }`
 
-var (
-	section = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
-	value   = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
-)
-
-func lookUp(fields map[string]any, path string) any {
-	var at any = fields
-	for name := range strings.SplitSeq(path, ".") {
-		switch v := at.(type) {
-		case map[string]any:
-			at = v[name]
-		case []any:
-			i, err := strconv.Atoi(name)
-			if err != nil || i >= len(v) {
-				return nil
-			}
-			at = v[i]
-		}
-	}
-	return at
-}
-
-func plain(v any) string {
-	if text, ok := v.(string); ok {
-		return text
-	}
-	data, _ := json.Marshal(v)
-	return string(data)
-}
-
-// render fills a template in as the platform's page says, as far as ours goes.
-func render(t *testing.T, template string, fields map[string]any) string {
-	t.Helper()
-	template = section.ReplaceAllStringFunc(template, func(text string) string {
-		m := section.FindStringSubmatch(text)
-		v := lookUp(fields, m[2])
-		if m[2] != m[4] {
-			t.Errorf("section %s ends as %s", m[2], m[4])
-		}
-		there := v != nil && v != false
-		if (m[1] == "^") == there {
-			return ""
-		}
-		table, ok := v.(map[string]any)
-		if !ok {
-			return m[3]
-		}
-		var keys []string
-		for key := range table {
-			keys = append(keys, key)
-		}
-		slices.Sort(keys)
-		var all strings.Builder
-		for i, key := range keys {
-			comma := ","
-			if i == len(keys)-1 {
-				comma = ""
-			}
-			all.WriteString(strings.NewReplacer("{{@}}", key, "{{.}}", plain(table[key]), "{{,}}", comma).Replace(m[3]))
-		}
-		return all.String()
-	})
-	return value.ReplaceAllStringFunc(template, func(text string) string {
-		m := value.FindStringSubmatch(text)
-		v := lookUp(fields, m[1])
-		if v == nil {
-			t.Errorf("%s has no value", m[1])
-		}
-		if m[2] != "" {
-			data, err := json.Marshal(v)
-			if err != nil {
-				t.Error(err)
-			}
-			return string(data)
-		}
-		return plain(v)
-	})
-}
-
 func TestTheDeployTemplateGivesSettingsWithoutFindings(t *testing.T) {
 	template, err := os.ReadFile("../../../deploy/node.hujson")
 	if err != nil {
@@ -130,7 +48,10 @@
 			t.Fatal(err)
 		}
 		fields["bounds"].(map[string]any)["enforceRevocation"] = enforced
-		settings := render(t, string(template), fields)
+		settings, err := templater.Render(string(template), fields)
+		if err != nil {
+			t.Error(err)
+		}
 		if err := kernel.NewPlan().Read("node.hujson", []byte(settings)); err != nil {
 			t.Errorf("%v\n%s", err, settings)
 		}
--- /dev/null
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -0,0 +1,373 @@
+// Package deployer brings up a deployment on loopback: the platform's store and
+// servers as stand-ins, nodes as processes of their own with the settings that
+// the deploy template gives them, and a proxy on each link.
+package deployer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/backender"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/storekeeper"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/judge"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/proxier"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/supervisor"
+	"github.com/quetzalroad/quetzalroad/support/templater"
+)
+
+// The nets of the parts within the deployment's own loopback net.
+const (
+	netNodes = iota + 1
+	netFronts
+	netStores
+	netServers
+	netServerLinks
+)
+
+// The ports of all parts.
+const (
+	portFront = 7000 + iota
+	portReady
+	portPeers
+	portStore
+	portServer
+)
+
+// The services. The plain class is led to the second or the third one in turn.
+const (
+	Engines           = "engines"
+	Application       = "application"
+	SecondApplication = "application-2"
+)
+
+// Host is the host of all routes.
+const Host = "soak.example"
+
+// Bounds are those of the users' deployments.
+var Bounds = judge.Bounds{
+	Leave: 3 * time.Second, Apply: 3 * time.Second, Revoke: 5 * time.Second, Stable: 4 * time.Second, Late: time.Second,
+	Grace: 8 * time.Second, Slack: 200 * time.Millisecond, BudgetShare: 0.2, BudgetExtra: 54, BudgetWindow: 10 * time.Second,
+}
+
+// Node is a node with the proxies on its links.
+type Node struct {
+	supervisor.Node
+	// Front is the proxy that callers go through, and Store that to the store.
+	Front, Store *proxier.Proxy
+	// FrontAddress is where callers go, and ReadyAddress where readiness is told.
+	FrontAddress, ReadyAddress netip.AddrPort
+}
+
+// Server is a server with the proxy that nodes go through.
+type Server struct {
+	backender.Server
+	Link *proxier.Proxy
+	// link is where nodes reach it.
+	link netip.AddrPort
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. born begins a life, state is what it
+	// says of itself, empty while it says nothing, and left is when the store
+	// took its word that it leaves.
+	born     time.Time
+	state    string
+	sequence int
+	left     time.Time
+}
+
+// Left is when the server's leaving was acknowledged; zero while it stays.
+func (s *Server) Left() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
+// Deployment is all that runs.
+type Deployment struct {
+	Store   storekeeper.Store
+	Nodes   []*Node
+	Servers []*Server
+	Judge   *judge.Judge
+
+	directory string
+	place     byte
+	logger    *slog.Logger
+	group     sync.WaitGroup
+
+	mu sync.Mutex
+	// The fields below are guarded by mu: the config in force, with the service
+	// of the plain class, the keys that hold, and when others were taken away.
+	version int
+	service string
+	keys    []string
+	taken   map[string]time.Time
+}
+
+// Options say what to bring up.
+type Options struct {
+	// Program is the node's program, Template the settings template.
+	Program, Template string
+	// Directory takes settings and logs.
+	Directory string
+	Nodes     int
+	Logger    *slog.Logger
+}
+
+func (d *Deployment) address(part, number, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.place, byte(part), byte(number + 1)}), uint16(port))
+}
+
+// The range of the nets on loopback.
+const firstPlace, lastPlace = 10, 250
+
+// findPlace takes a net on loopback that nobody uses.
+func (d *Deployment) findPlace() (net.Listener, error) {
+	var last error
+	for place := firstPlace; place <= lastPlace; place++ {
+		d.place = byte(place)
+		listener, err := net.Listen("tcp", d.address(netStores, 0, portStore).String())
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+	}
+	return nil, errors.Wrap(last, "no free net on loopback")
+}
+
+// Start brings all up and waits until each node is ready.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	d := &Deployment{directory: o.Directory, logger: o.Logger, Judge: &judge.Judge{Bounds: Bounds}, service: Application, taken: make(map[string]time.Time)}
+	store, err := d.findPlace()
+	if err != nil {
+		return nil, err
+	}
+	d.serve(ctx, store, &d.Store)
+	for i, service := range []string{Engines, Engines, Engines, Application, Application, SecondApplication, SecondApplication} {
+		if err := d.startServer(ctx, i, service); err != nil {
+			return d, err
+		}
+	}
+	d.keys = []string{"key-0", "key-1", "key-2"}
+	d.publish()
+	d.writeEntries()
+	d.group.Go(func() { d.beat(ctx) })
+	for i := range o.Nodes {
+		if err := d.startNode(ctx, i, store.Addr().(*net.TCPAddr).AddrPort(), o); err != nil {
+			return d, err
+		}
+	}
+	return d, d.awaitReady(ctx)
+}
+
+func (d *Deployment) serve(ctx context.Context, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug)}
+	d.group.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("stand-in ended", "address", listener.Addr().String(), "error", err)
+		}
+	})
+	d.group.Go(func() {
+		<-ctx.Done()
+		// What is open is of no use any more.
+		_ = server.Close()
+	})
+}
+
+// proxy runs a proxy at an address before a target.
+func (d *Deployment) proxy(ctx context.Context, at, target netip.AddrPort) (*proxier.Proxy, error) {
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, err
+	}
+	p := &proxier.Proxy{Target: target}
+	d.group.Go(func() { p.Serve(ctx, listener) })
+	return p, nil
+}
+
+const (
+	serverSlots = 64
+	eventPause  = 15 * time.Millisecond
+	plainWork   = 15 * time.Millisecond
+)
+
+func (d *Deployment) startServer(ctx context.Context, i int, service string) error {
+	at := d.address(netServers, i, portServer)
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return err
+	}
+	s := &Server{link: d.address(netServerLinks, i, portServer), born: time.Now(), state: "ready"}
+	s.Server = backender.Server{ID: fmt.Sprintf("i-%d", i), Service: service, Address: s.link, Zone: "zone-1", Slots: serverSlots, Pause: eventPause, Work: plainWork}
+	s.Observe = func(a backender.Arrival) { d.observe(s, a) }
+	if s.Link, err = d.proxy(ctx, s.link, at); err != nil {
+		return err
+	}
+	d.serve(ctx, listener, &s.Server)
+	d.Servers = append(d.Servers, s)
+	return nil
+}
+
+// observe tells the judge of a request at a server.
+func (d *Deployment) observe(s *Server, a backender.Arrival) {
+	h := a.Request.Header
+	d.Judge.Arrive(judge.Arrived{
+		ID: a.ID, Server: s.ID, Service: s.Service, At: time.Now(), Ran: a.Ran, Left: s.Left(),
+		Team: h.Get("Tenant"), HasKey: h.Get("Authorization") != "", Line: a.Request.Method + " " + a.Request.RequestURI, Body: string(a.Body),
+	})
+}
+
+// startNode writes a node's settings and starts its process.
+func (d *Deployment) startNode(ctx context.Context, i int, store netip.AddrPort, o Options) error {
+	template, err := os.ReadFile(o.Template)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("node-%d", i)
+	front := d.address(netNodes, i, portFront)
+	n := &Node{FrontAddress: d.address(netFronts, i, portFront), ReadyAddress: d.address(netNodes, i, portReady)}
+	if n.Front, err = d.proxy(ctx, n.FrontAddress, front); err != nil {
+		return err
+	}
+	storeLink := d.address(netStores, i+1, portStore)
+	if n.Store, err = d.proxy(ctx, storeLink, store); err != nil {
+		return err
+	}
+	settings, err := templater.Render(string(template), map[string]any{
+		"node": name, "zone": "zone-1", "region": "region-1", "ipAddress": front.Addr().String(),
+		"zones":             map[string]any{"zone-1": "region-1"},
+		"listen":            map[string]any{"front": front.String(), "ready": n.ReadyAddress.String()},
+		"bounds":            map[string]any{"enforceRevocation": true, "revokeMs": Bounds.Revoke.Milliseconds(), "drainMs": Bounds.Leave.Milliseconds(), "retryBudgetRatio": Bounds.BudgetShare},
+		"platform":          map[string]any{"address": storeLink.String()},
+		"internalPortRange": []any{float64(portPeers), float64(portPeers)},
+		"limits":            map[string]any{"linkMbps": 1000.0},
+	})
+	if err != nil {
+		return err
+	}
+	n.Program, n.Settings, n.Log = o.Program, filepath.Join(d.directory, name+".hujson"), filepath.Join(d.directory, name+".log")
+	if err := os.WriteFile(n.Settings, []byte(settings), 0o644); err != nil {
+		return err
+	}
+	n.Ended = func(err error) {
+		d.Judge.Find(judge.Finding{Rule: "own-end", What: fmt.Sprintf("%s ended by itself: %v", name, err)})
+	}
+	d.Nodes = append(d.Nodes, n)
+	return n.Start()
+}
+
+const (
+	// readyTimeout bounds the wait until all is up, and readyPoll lies between
+	// two looks.
+	readyTimeout = 30 * time.Second
+	readyPoll    = 50 * time.Millisecond
+)
+
+func (d *Deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, n := range d.Nodes {
+		for !n.Ready(ctx) {
+			select {
+			case <-time.After(readyPoll):
+			case <-ctx.Done():
+				return errors.Newf("%s is not ready, see %s", n.Settings, n.Log)
+			}
+		}
+	}
+	return nil
+}
+
+// Ready asks whether the node wants callers.
+func (n *Node) Ready(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ReadyAddress.String()+"/readiness", http.NoBody)
+	if err != nil {
+		return false
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	// Only the status tells.
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Close ends the nodes and, once the context of Start has ended, waits for the
+// rest.
+func (d *Deployment) Close() {
+	for _, n := range d.Nodes {
+		n.Close()
+	}
+	d.group.Wait()
+}
+
+// configJSON is the config as operators write it, as far as the soak needs it.
+func (d *Deployment) publish() {
+	d.version += 3
+	tenants := make([]map[string]any, 0, len(d.keys))
+	for _, k := range d.keys {
+		tenants = append(tenants, map[string]any{"name": TeamOf(k), "apiKeys": []string{k}, "priority": 1})
+	}
+	route := func(name, kind, service string, timeout time.Duration, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": timeout.Milliseconds(),
+			"targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	routes := make([]map[string]any, 0, len(Classes))
+	for _, c := range Classes {
+		service := Engines
+		if c.Events == 0 {
+			service = d.service
+		}
+		routes = append(routes, route(c.Name, c.kind, service, c.Timeout, c.more))
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": d.version, "routes": routes, "tenants": tenants,
+		"services": []map[string]any{{"name": Engines, "connectionLimit": 300}, {"name": Application, "connectionLimit": 100}, {"name": SecondApplication, "connectionLimit": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	if err != nil {
+		d.logger.Error("config not written", "error", err)
+		return
+	}
+	d.Store.Put("keyed.op", "config", string(data))
+}
+
+// TeamOf names the team of a key.
+func TeamOf(key string) string { return "team-of-" + key }
+
+// Class is a kind of request of the soak.
+type Class struct {
+	judge.Class
+	Method string
+	Events int
+	kind   string
+	more   map[string]any
+}
+
+// Classes lists the kinds of requests.
+var Classes = []Class{
+	{Class: judge.Class{Name: "draft", Repeatable: true, Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 20, kind: "streaming", more: map[string]any{"stickySessions": true, "resumeStreams": true, "gapTargetMs": 400}},
+	{Class: judge.Class{Name: "chat", Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 12, kind: "streaming", more: map[string]any{"stickySessions": true, "gapTargetMs": 250}},
+	{Class: judge.Class{Name: "booking", Timeout: 2 * time.Second}, Method: http.MethodPost, kind: "unsafe"},
+	{Class: judge.Class{Name: "list", Repeatable: true, Timeout: 2 * time.Second}, Method: http.MethodGet, kind: "safe"},
+}
--- /dev/null
+++ b/cmd/quetzalsoak/deployer/modes.go
@@ -0,0 +1,8 @@
+package deployer
+
+import "github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/proxier"
+
+var (
+	sound  = proxier.Mode{}
+	refuse = proxier.Mode{Refuse: true}
+)
--- /dev/null
+++ b/cmd/quetzalsoak/supervisor/node.go
@@ -0,0 +1,107 @@
+// Package supervisor runs a node as a process of its own, signals it, and starts
+// it again when it has ended, as the platform does. It ends no process but
+// those that it started.
+package supervisor
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// restartAfter lies between a process's end and the next start.
+const restartAfter = 300 * time.Millisecond
+
+// Node is a node's process. Its exported fields are set before its start.
+type Node struct {
+	// Program is the file of the program, Settings that of its settings, and
+	// Log that which takes what all its processes write.
+	Program, Settings, Log string
+	// Ended is told of each end that nobody asked for; nil where nobody cares.
+	Ended func(err error)
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. process is nil while none runs, asked
+	// tells that its end was asked for, and closing that no other is started.
+	process *os.Process
+	asked   bool
+	closing bool
+	group   sync.WaitGroup
+}
+
+// Start runs the node until Close.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.startLocked()
+}
+
+func (n *Node) startLocked() error {
+	log, err := os.OpenFile(n.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(n.Program, "serve", n.Settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.CombineErrors(err, log.Close())
+	}
+	n.process, n.asked = command.Process, false
+	n.group.Go(func() {
+		err := command.Wait()
+		// What the process wrote is in the file already.
+		_ = log.Close()
+		n.ended(err)
+	})
+	return nil
+}
+
+// ended starts the node again.
+func (n *Node) ended(err error) {
+	n.mu.Lock()
+	asked, closing := n.asked, n.closing
+	n.process = nil
+	n.mu.Unlock()
+	if !asked && !closing && n.Ended != nil {
+		n.Ended(err)
+	}
+	if closing {
+		return
+	}
+	time.Sleep(restartAfter)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return
+	}
+	if err := n.startLocked(); err != nil && n.Ended != nil {
+		n.Ended(err)
+	}
+}
+
+// Signal sends a signal to the running process; ends tells that it asks for its
+// end.
+func (n *Node) Signal(s syscall.Signal, ends bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return
+	}
+	n.asked = n.asked || ends
+	// A process that ended this moment needs no signal.
+	_ = n.process.Signal(s)
+}
+
+// Close kills the process and waits for its end.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.Signal(syscall.SIGCONT, false)
+	n.Signal(syscall.SIGKILL, true)
+	n.group.Wait()
+}
--- a/decisions/balancer/separator/readers.go
+++ b/decisions/balancer/separator/readers.go
@@ -35,6 +35,10 @@
 	seen float64
 	// at is when they were brought up to date.
 	at time.Time
+	// order is that of the engines whose names give mark. It is not changed once
+	// it is set, as choices go on with it.
+	order []quetzalroad.Upstream
+	mark  uint64
 }
 
 // fade brings the work up to a time.
@@ -73,6 +77,15 @@
 	return order
 }
 
+// markOf tells sets of engines apart, and states of one, whatever their order.
+func markOf(candidates []quetzalroad.Upstream) uint64 {
+	var mark uint64
+	for _, u := range candidates {
+		mark += spread(rank(u) ^ uint64(u.Revision))
+	}
+	return mark
+}
+
 func compare(a, b uint64) int {
 	switch {
 	case a < b:
@@ -96,9 +109,14 @@
 // on, are left to short prompts. All nodes see like demand, so that they divide
 // the engines alike without telling each other.
 func (s *Separator) divide(now time.Time, service quetzalroad.ServiceName, candidates []quetzalroad.Upstream) ([]quetzalroad.Upstream, int) {
-	order := ranked(candidates)
+	mark := markOf(candidates)
+	var order []quetzalroad.Upstream
 	writers := 0
 	s.with(service, func(d *division) {
+		if d.mark != mark || len(d.order) != len(candidates) {
+			d.order, d.mark = ranked(candidates), mark
+		}
+		order = d.order
 		d.fade(now, s.memory)
 		d.follow(len(order), s.readingWeight)
 		writers = d.writers
--- a/decisions/balancer/separator/separator_test.go
+++ b/decisions/balancer/separator/separator_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configurer"
@@ -224,6 +227,24 @@
 	}
 }
 
+func TestAnOrderThatIsKeptFollowsWhatComesAndGoesAndChanges(t *testing.T) {
+	s := newSeparator(t, newLoads())
+	now := time.Unix(1000, 0)
+	all := engines(12)
+	for _, candidates := range [][]quetzalroad.Upstream{all, all[1:], all[:11], all} {
+		order, _ := s.divide(now, "llm", candidates)
+		if diff := cmp.Diff(ranked(candidates), order, cmp.Comparer(func(a, b quetzalroad.Upstream) bool { return a == b })); diff != "" {
+			t.Errorf("%d engines (-want +got):\n%s", len(candidates), diff)
+		}
+	}
+	changed := slices.Clone(all)
+	changed[3].Slots, changed[3].Revision = 7, 99
+	order, _ := s.divide(now, "llm", changed)
+	if !slices.Contains(order, changed[3]) {
+		t.Error("an engine that changed stands in the order as it was")
+	}
+}
+
 func TestPlainServicesAreChosenByWayAndLoad(t *testing.T) {
 	l := newLoads()
 	s := newSeparator(t, l)
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -61,7 +61,7 @@
 // Declare implements kernel.Part.
 func (d *Distributor) Declare(s *configurer.Section) {
 	s.Int("least-nodes", &d.leastNodes, 4, 2, 1000000, "Nodes of a data centre from which on some read the log for the others.")
-	s.Int("fan-out", &d.fanOut, 16, 1, 10000, "Nodes for which one reads the log, itself included.")
+	s.Int("fan-out", &d.fanOut, 64, 1, 10000, "Nodes for which one reads the log, itself included.")
 	s.Float("capacity", &d.self.Capacity, 0, 0, 1e12, "How much this node can hand on, relative to others; those with most read for the others.")
 	s.Duration("reader-wait", &d.readerWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a read for others waits at the log.")
 	s.Duration("ask-every", &d.askEvery, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Pause between two questions to the node that reads.")
--- /dev/null
+++ b/support/templater/templater_test.go
@@ -0,0 +1,28 @@
+package templater
+
+import "testing"
+
+func TestTemplatesAreFilledIn(t *testing.T) {
+	fields := map[string]any{
+		"name": `a "b"`, "on": true, "off": false, "ports": []any{7200.0, 7215.0},
+		"bounds": map[string]any{"ms": 5000.0}, "zones": map[string]any{"z2": "r2", "z1": "r1"},
+	}
+	for template, want := range map[string]string{
+		"{{name}}":                                  `a "b"`,
+		"{{name|json}}":                             `"a \"b\""`,
+		"{{bounds.ms}}ms, {{ports.1}}":              "5000ms, 7215",
+		"{{#on}}yes{{/on}}{{^on}}no{{/on}}":         "yes",
+		"{{#off}}yes{{/off}}{{^off}}no{{/off}}":     "no",
+		"{{#none}}yes{{/none}}{{^none}}no{{/none}}": "no",
+		"{{#zones}}{{@}}={{.}}{{,}}{{/zones}}":      "z1=r1,z2=r2",
+	} {
+		if got, err := Render(template, fields); err != nil || got != want {
+			t.Errorf("%s gave %q, %v, want %q", template, got, err, want)
+		}
+	}
+	for _, template := range []string{"{{nothing}}", "{{ports.2}}", "{{name.x}}", "{{#on}}yes{{/off}}"} {
+		if got, err := Render(template, fields); err == nil {
+			t.Errorf("%s gave %q and no error", template, got)
+		}
+	}
+}
