--- a/cmd/quetzalemu/backender/server.go
+++ b/cmd/quetzalemu/backender/server.go
@@ -158,7 +158,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Foreign {
-		s.foreign(w, id, body)
+		s.foreign(w, r, id, own(r, body))
 		return
 	}
 	h.Set("Response-Seal", "seal-of-"+s.ID)
@@ -172,16 +172,36 @@
 	_, _ = w.Write(append([]byte("ran "+r.Method+" "+r.RequestURI+" "), body...))
 }
 
+// own gives the whole answer to a request at once: all events of a stream, or
+// what was sent.
+func own(r *http.Request, body []byte) []byte {
+	if r.Header.Get("Model") == "" {
+		return body
+	}
+	_, out, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	events, _ := strconv.Atoi(out)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	var all []byte
+	for i := after + 1; i <= events; i++ {
+		all = fmt.Appendf(all, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return all
+}
+
 // foreign answers another request first, then this one.
-func (s *Server) foreign(w http.ResponseWriter, id string, body []byte) {
+func (s *Server) foreign(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	kind := "text/plain"
+	if r.Header.Get("Model") != "" {
+		kind = "text/event-stream"
+	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	const answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: %s\r\nResponse-Seal: seal-of-%s\r\nContent-Length: %d\r\n\r\n%s"
+	const answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: %s\r\nResponse-Seal: seal-of-%s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s"
 	// A caller that is gone doesn't miss the answer.
-	_, _ = fmt.Fprintf(conn, answer+answer, "another", s.ID, 3, "no!", id, s.ID, len(body), body)
+	_, _ = fmt.Fprintf(conn, answer+answer, "another", s.ID, kind, 3, "no!", id, s.ID, kind, len(body), body)
 }
 
 // stream sends events whose ids go on from the last one that the caller has.
