--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,11 +27,10 @@
 type Dispatcher struct {
 	node   *kernel.Node
 	logger *slog.Logger
-	mu     sync.Mutex
-	// open counts the requests under way and is guarded by mu, as is idle,
-	// which is closed and forgotten when the last one ends.
-	open int
-	idle chan struct{}
+	// open counts the requests under way. ended gets a word, which may wait there,
+	// when the last one has ended.
+	open  atomic.Int64
+	ended chan struct{}
 }
 
 // Declare implements kernel.Part.
@@ -41,6 +40,7 @@
 func (d *Dispatcher) Build(n *kernel.Node) error {
 	d.node = n
 	d.logger = n.Logger
+	d.ended = make(chan struct{}, 1)
 	n.Dispatcher = d
 	n.Forwarder = d
 	n.OnOpen(d.count)
@@ -49,45 +49,34 @@
 }
 
 func (d *Dispatcher) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.open
+	return int(d.open.Load())
 }
 
 // begin notes that a request is under way; the function it gives notes its
 // end.
 func (d *Dispatcher) begin() func() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.open++
+	d.open.Add(1)
 	return d.end
 }
 
 func (d *Dispatcher) end() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.open--
-	if d.open == 0 && d.idle != nil {
-		close(d.idle)
-		d.idle = nil
+	if d.open.Add(-1) > 0 {
+		return
+	}
+	select {
+	case d.ended <- struct{}{}:
+	default:
 	}
 }
 
 // drain waits for the last request, however long, for a planned stop.
 func (d *Dispatcher) drain(ctx context.Context) {
-	d.mu.Lock()
-	if d.open == 0 {
-		d.mu.Unlock()
-		return
-	}
-	if d.idle == nil {
-		d.idle = make(chan struct{})
-	}
-	idle := d.idle
-	d.mu.Unlock()
-	select {
-	case <-idle:
-	case <-ctx.Done():
+	for d.open.Load() > 0 {
+		select {
+		case <-d.ended:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
