--- a/decisions/admitter/prioritizer/prioritizer.go
+++ b/decisions/admitter/prioritizer/prioritizer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -43,6 +44,8 @@
 
 // shard leads to the queues of the services that hash to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// queues is guarded by mu and made on first use.
 	queues map[quetzalroad.ServiceName]*queue
--- a/decisions/balancer/estimator/times.go
+++ b/decisions/balancer/estimator/times.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 )
@@ -25,6 +26,8 @@
 }
 
 type timeShard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// median is guarded by mu and made on first use; its values are positive.
 	median map[quetzalroad.ServiceName]time.Duration
--- a/decisions/learner/learner.go
+++ b/decisions/learner/learner.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -59,6 +60,8 @@
 
 // shard holds the lengths whose key hashes to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// lengths is guarded by mu and made on first use.
 	lengths map[key]*lengths
--- a/decisions/limiter/sharer/share.go
+++ b/decisions/limiter/sharer/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 )
@@ -179,6 +180,8 @@
 }
 
 type serviceShard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// running is guarded by mu, made on first use, and never negative.
 	running map[quetzalroad.ServiceName]int
--- a/decisions/limiter/sharer/sharer.go
+++ b/decisions/limiter/sharer/sharer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -68,6 +69,8 @@
 
 // shard holds the accounts of the teams that hash to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// accounts is guarded by mu and made on first use.
 	accounts map[quetzalroad.TeamName]*account
--- a/decisions/retrier/budgeter/budgeter.go
+++ b/decisions/retrier/budgeter/budgeter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -37,6 +38,8 @@
 
 // shard holds the budgets of the services that hash to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// budgets is guarded by mu and made on first use.
 	budgets map[quetzalroad.ServiceName]*budget
--- a/state/storer/store.go
+++ b/state/storer/store.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 )
@@ -18,6 +19,8 @@
 
 // shard holds the objects whose key hashes to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.RWMutex
 	// The maps are guarded by mu and made on first use. An object's Revision
 	// equals the revision of the record that wrote it.
--- a/state/tracker/capacity.go
+++ b/state/tracker/capacity.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 )
@@ -32,6 +33,8 @@
 }
 
 type viewShard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// views is guarded by mu and made on first use.
 	views map[quetzalroad.ServiceName]*view
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -110,6 +111,8 @@
 
 // shard holds the beliefs whose upstream's name hashes to it.
 type shard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// beliefs is guarded by mu and made on first use.
 	beliefs map[quetzalroad.UpstreamName]*belief
--- a/support/counter/counter.go
+++ b/support/counter/counter.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -172,6 +173,8 @@
 }
 
 type histogramShard struct {
+	// Shards that several cores lock share no cache line.
+	_  cpu.CacheLinePad
 	mu sync.Mutex
 	// h holds microseconds and is guarded by mu; it is made on first use.
 	h *hdrhistogram.Histogram
