--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -44,6 +44,7 @@
 	readerWait  time.Duration
 	askEvery    time.Duration
 	askTimeout  time.Duration
+	loadTimeout time.Duration
 	oldest      time.Duration
 	avoidFor    time.Duration
 	listEvery   time.Duration
@@ -61,11 +62,12 @@
 // Declare implements kernel.Part.
 func (d *Distributor) Declare(s *configurer.Section) {
 	s.Int("least-nodes", &d.leastNodes, 4, 2, 1000000, "Nodes of a data centre from which on some read the log for the others.")
-	s.Int("fan-out", &d.fanOut, 64, 1, 10000, "Nodes for which one reads the log, itself included.")
+	s.Int("fan-out", &d.fanOut, 16, 1, 10000, "Nodes for which one reads the log, itself included.")
 	s.Float("capacity", &d.self.Capacity, 0, 0, 1e12, "How much this node can hand on, relative to others; those with most read for the others.")
 	s.Duration("reader-wait", &d.readerWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a read for others waits at the log.")
 	s.Duration("ask-every", &d.askEvery, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Pause between two questions to the node that reads.")
 	s.Duration("ask-timeout", &d.askTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "How long the node that reads may take to answer.")
+	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "How long the node that reads may take to answer with all that stands, as many may ask at once.")
 	s.Duration("oldest", &d.oldest, 2*time.Second, 10*time.Millisecond, time.Hour, "Age from which on an answer of the node that reads is no longer taken.")
 	s.Duration("avoid-for", &d.avoidFor, 10*time.Second, 10*time.Millisecond, time.Hour, "How long a node that failed to answer is not asked.")
 	s.Duration("list-every", &d.listEvery, 20*time.Second, 10*time.Millisecond, time.Hour, "Pause between two looks for other nodes.")
@@ -199,7 +201,11 @@
 
 // ask asks a node for what it read.
 func (d *Distributor) ask(ctx context.Context, reader quetzalroad.NodeEntry, q quetzalroad.SharedRead) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.askTimeout)
+	timeout := d.askTimeout
+	if q.From == quetzalroad.NoOffset {
+		timeout = d.loadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := d.transport.Read(ctx, reader.Address, q)
 	switch {
--- a/state/watcher/follow.go
+++ b/state/watcher/follow.go
@@ -121,22 +121,28 @@
 }
 
 func (f *follow) round(ctx context.Context) error {
+	if !f.loaded {
+		return f.load(ctx)
+	}
+	err := f.read(ctx)
+	if errors.Is(err, quetzalroad.ErrTrimmed) {
+		f.watcher.logger.Warn("history gone", "stream", string(f.stream), "next", int64(f.next))
+		return f.load(ctx)
+	}
+	return err
+}
+
+// read takes the records that came since the last read.
+func (f *follow) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+f.watcher.callTimeout)
 	defer cancel()
 	sent := boottimer.Now()
-	if !f.loaded {
-		return f.load(ctx, sent)
-	}
 	wait := f.wait
 	if f.away() {
 		// Whether the view still holds is wanted at once.
 		wait = 0
 	}
 	records, bounds, err := f.watcher.log.ReadKeyed(ctx, f.stream, f.next, wait)
-	if errors.Is(err, quetzalroad.ErrTrimmed) {
-		f.watcher.logger.Warn("history gone", "stream", string(f.stream), "next", int64(f.next))
-		return f.load(ctx, sent)
-	}
 	if err != nil {
 		return err
 	}
@@ -150,7 +156,10 @@
 }
 
 // load starts anew from the newest record of each key.
-func (f *follow) load(ctx context.Context, sent boottimer.Mark) error {
+func (f *follow) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.watcher.loadTimeout)
+	defer cancel()
+	sent := boottimer.Now()
 	records, bounds, err := f.watcher.log.Newest(ctx, f.stream)
 	if err != nil {
 		return err
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -39,6 +39,7 @@
 	retryEvery   time.Duration
 	retryMost    time.Duration
 	callTimeout  time.Duration
+	loadTimeout  time.Duration
 	revokeWithin time.Duration
 	margin       time.Duration
 	lapseGrace   time.Duration
@@ -62,6 +63,7 @@
 	s.Duration("retry-every", &w.retryEvery, 250*time.Millisecond, time.Millisecond, time.Minute, "Pause after the first read that failed; it doubles with each further one.")
 	s.Duration("retry-most", &w.retryMost, time.Second, time.Millisecond, time.Minute, "Longest pause after a read that failed.")
 	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "How long a read may take beyond its wait.")
+	s.Duration("load-timeout", &w.loadTimeout, 5*time.Second, time.Millisecond, time.Hour, "How long the reading of all that stands may take.")
 	s.Duration("revoke-within", &w.revokeWithin, 0, 0, time.Hour, "Time within which a key that was taken away must stop working; zero for no bound.")
 	s.Duration("revoke-margin", &w.margin, 200*time.Millisecond, 0, time.Minute, "Part of that time kept for what lies between the check and the sending.")
 	s.Duration("lapse-grace", &w.lapseGrace, 2300*time.Millisecond, 0, time.Minute, "How long an entry that vanished while the log was away is held after its return.")
