--- a/proofs/prover/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -1,4 +1,4 @@
-package prover
+package dispatcher_test
 
 import (
 	"context"
