--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -182,6 +182,35 @@
 	})
 }
 
+func TestOnlyTheNodeThatReadsAnswers(t *testing.T) {
+	inPlace(t, 8, func(t *testing.T, p *place) {
+		reader := p.reader(t)
+		asker := faker.Reads{Network: &p.network}
+		for i := range p.nodes {
+			want := quetzalroad.SharedRefused
+			if i == reader {
+				want = quetzalroad.SharedGiven
+			}
+			got, err := asker.Read(t.Context(), address(i), quetzalroad.SharedRead{Stream: quetzalroad.StreamUpstreams, From: quetzalroad.NoOffset})
+			if err != nil || got.State != want {
+				t.Errorf("node %d answers %d, %v, want %d; node %d reads", i, got.State, err, want, reader)
+			}
+			if got, err := asker.Read(t.Context(), address(i), quetzalroad.SharedRead{Stream: "unknown"}); err != nil || got.State != quetzalroad.SharedRefused {
+				t.Errorf("node %d answers %d, %v for a stream that nobody follows", i, got.State, err)
+			}
+		}
+	})
+}
+
+func TestAnEntryThatCannotBeReadHidesNoLaterOne(t *testing.T) {
+	inPlace(t, 8, func(t *testing.T, p *place) {
+		p.log.Put(quetzalroad.StreamUpstreams, "a", "bytes of another writer")
+		time.Sleep(leaveWithin)
+		p.log.Put(quetzalroad.StreamUpstreams, "a", entry(3, true))
+		p.within(t, leaveWithin, "told of the leaving", draining)
+	})
+}
+
 func TestAReaderThatFallsSilentIsReplacedInTime(t *testing.T) {
 	inPlace(t, 8, func(t *testing.T, p *place) {
 		reader := p.reader(t)
