Ask the reader once when all is read anew, and the store after a refusal

Cause: after a loss of power nodes that found their reader still unloaded asked it five times before the store.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -114,8 +114,12 @@
 	case <-ctx.Done():
 		return nil, quetzalroad.Bounds{}, ctx.Err()
 	}
-	if records, bounds, ok := d.askOften(ctx, quetzalroad.SharedRead{Stream: s, From: quetzalroad.NoOffset}); ok {
-		return records, bounds, nil
+	role := d.members.role(d.self, d.leastNodes, d.fanOut)
+	if role.follows() {
+		records, bounds, err := d.ask(ctx, role.reader, quetzalroad.SharedRead{Stream: s, From: quetzalroad.NoOffset})
+		if err == nil {
+			return records, bounds, nil
+		}
 	}
 	sent := boottimer.Now()
 	records, bounds, err := d.log.Newest(ctx, s)
@@ -123,7 +127,7 @@
 		return nil, bounds, err
 	}
 	d.feeds[s].load(records, bounds.Through, sent)
-	bounds.Hops = d.hops()
+	bounds.Hops = role.hops()
 	return records, bounds, nil
 }
 
@@ -161,39 +165,6 @@
 	return records, bounds, nil
 }
 
-func (d *Distributor) hops() int {
-	return d.members.role(d.self, d.leastNodes, d.fanOut).hops()
-}
-
-const (
-	// askTries is how often the node that reads is asked by a node that starts,
-	// as both may start together.
-	askTries = 5
-	// askPause lies between two of these.
-	askPause = 150 * time.Millisecond
-)
-
-// askOften asks the node that reads until it has read itself.
-func (d *Distributor) askOften(ctx context.Context, q quetzalroad.SharedRead) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, bool) {
-	for range askTries {
-		role := d.members.role(d.self, d.leastNodes, d.fanOut)
-		if !role.follows() {
-			return nil, quetzalroad.Bounds{}, false
-		}
-		records, bounds, err := d.ask(ctx, role.reader, q)
-		if err == nil {
-			return records, bounds, true
-		}
-		if !errors.Is(err, errRefused) {
-			continue
-		}
-		if sleeper.Sleep(ctx, askPause) != nil {
-			return nil, quetzalroad.Bounds{}, false
-		}
-	}
-	return nil, quetzalroad.Bounds{}, false
-}
-
 var (
 	errRefused = errors.New("the node does not read for others")
 	errOld     = errors.New("the node's view is too old")
