--- a/state/storer/store.go
+++ b/state/storer/store.go
@@ -3,6 +3,7 @@
 package storer
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"sync"
@@ -436,16 +437,20 @@
 	sh := s.shard(string(service))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	var list []quetzalroad.Upstream
-	for _, have := range sh.lists[service] {
-		if have.Name != name {
-			list = append(list, have)
-		}
+	old := sh.lists[service]
+	at, found := slices.BinarySearchFunc(old, name, func(have quetzalroad.Upstream, name quetzalroad.UpstreamName) int {
+		return cmp.Compare(have.Name, name)
+	})
+	rest := old[at:]
+	if found {
+		rest = rest[1:]
 	}
+	list := make([]quetzalroad.Upstream, 0, len(old)+1)
+	list = append(list, old[:at]...)
 	if u != nil {
 		list = append(list, *u)
-		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	}
+	list = append(list, rest...)
 	if sh.lists == nil {
 		sh.lists = make(map[quetzalroad.ServiceName][]quetzalroad.Upstream)
 	}
--- /dev/null
+++ b/state/storer/store_test.go
@@ -0,0 +1,61 @@
+package storer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+func names(list []quetzalroad.Upstream) []quetzalroad.UpstreamName {
+	var all []quetzalroad.UpstreamName
+	for _, u := range list {
+		all = append(all, u.Name)
+	}
+	return all
+}
+
+func TestAServicesUpstreamsStandInOrderWhateverComesAndGoes(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var s Store
+	there := make(map[quetzalroad.UpstreamName]quetzalroad.Upstream)
+	for i := range 2000 {
+		name := quetzalroad.UpstreamName(fmt.Sprintf("u-%d", random.IntN(60)))
+		service := quetzalroad.ServiceName([]string{"a", "b"}[random.IntN(2)])
+		before := s.UpstreamsOf("a")
+		kept := slices.Clone(before)
+		if random.IntN(3) == 0 {
+			delete(there, name)
+			s.Put(quetzalroad.ObjectUpstream, string(name), quetzalroad.Object{})
+		} else {
+			u := quetzalroad.Upstream{Name: name, Service: service, Slots: i + 1}
+			there[name] = u
+			s.Put(quetzalroad.ObjectUpstream, string(name), quetzalroad.Object{Upstream: &u})
+		}
+		if !slices.Equal(kept, before) {
+			t.Fatalf("step %d changed a list that was given out", i)
+		}
+		for _, service := range []quetzalroad.ServiceName{"a", "b"} {
+			var want []quetzalroad.UpstreamName
+			for name, u := range there {
+				if u.Service == service {
+					want = append(want, name)
+				}
+			}
+			slices.Sort(want)
+			got := s.UpstreamsOf(service)
+			if diff := cmp.Diff(want, names(got)); diff != "" {
+				t.Fatalf("step %d, service %s (-want +got):\n%s", i, service, diff)
+			}
+			for _, u := range got {
+				if u != there[u.Name] {
+					t.Fatalf("step %d: %+v, want %+v", i, u, there[u.Name])
+				}
+			}
+		}
+	}
+}
