--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/judge"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/proxier"
 )
 
 // beatEvery is how often servers write their entries, and lapseAfter how long a
@@ -169,3 +170,8 @@
 	defer d.mu.Unlock()
 	return d.taken[key]
 }
+
+var (
+	sound  = proxier.Mode{}
+	refuse = proxier.Mode{Refuse: true}
+)
--- a/decisions/balancer/separator/readers.go
+++ b/decisions/balancer/separator/readers.go
@@ -117,7 +117,7 @@
 			d.order, d.mark = ranked(candidates), mark
 		}
 		order = d.order
-		d.fade(now, s.memory)
+		d.fade(now, s.mixMemory)
 		d.follow(len(order), s.readingWeight)
 		writers = d.writers
 	})
@@ -128,7 +128,7 @@
 func (s *Separator) observe(now time.Time, r *quetzalroad.Request) {
 	work := float64(max(0, r.PromptTokens-r.SharedTokens) + s.tokenCost*r.MaxTokens)
 	s.with(r.Service.Name, func(d *division) {
-		d.fade(now, s.memory)
+		d.fade(now, s.mixMemory)
 		d.seen++
 		if r.PromptTokens < s.longPrompt {
 			d.writing += work
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -3,9 +3,9 @@
 // the requests beside it.
 //
 // Some of a service's engines, the readers, take the long prompts; their number
-// follows the demand. Among them a request goes where the shared parts of its prompt lie, which all nodes
-// find by the same hash, unless that engine is so busy that reading the parts
-// again elsewhere is sooner done. Short prompts go to the other engines, the
+// follows the mix of what came lately. Among them a request goes where the shared
+// parts of its prompt lie, which all nodes find by the same hash, unless that
+// engine is so busy that reading the parts again elsewhere is sooner done. Short prompts go to the other engines, the
 // nearest first, by their load. Plain services are chosen by distance and load.
 package separator
 
@@ -33,7 +33,7 @@
 	place         quetzalroad.DataCentre
 	region        quetzalroad.Region
 	longPrompt    int
-	memory        time.Duration
+	mixMemory     time.Duration
 	tokenCost     int
 	readingWeight float64
 	requestCost   int
@@ -47,7 +47,7 @@
 // Declare implements kernel.Part.
 func (s *Separator) Declare(c *configurer.Section) {
 	c.Int("long-prompt", &s.longPrompt, 2500, 1, 10000000, "Tokens from which a prompt counts as long.")
-	c.Duration("memory", &s.memory, 20*time.Second, 100*time.Millisecond, time.Hour, "How long the mix of long and short prompts that came is remembered, by which the engines are divided.")
+	c.Duration("mix-memory", &s.mixMemory, 20*time.Second, 100*time.Millisecond, time.Hour, "How long the mix of long and short prompts that came is remembered, by which the engines are divided.")
 	c.Int("token-cost", &s.tokenCost, 7, 0, 10000, "What a token to be generated counts as work, in prompt tokens.")
 	c.Float("reading-weight", &s.readingWeight, 2, 0.01, 100, "How much more room the work of long prompts gets than that of short ones.")
 	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "What a request on a reader counts against a long prompt, in prompt tokens.")
