--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,10 +52,7 @@
 	callTimeout time.Duration
 
 	members members
-	// listed is closed when the other nodes were looked for once.
-	listed   chan struct{}
-	listOnce sync.Once
-	feeds    map[quetzalroad.Stream]*feed
+	feeds   map[quetzalroad.Stream]*feed
 }
 
 // Declare implements kernel.Part.
@@ -84,7 +80,6 @@
 	d.log, d.writer, d.codec, d.transport = n.KeyedLog, n.KeyedWriter, n.StateCodec, n.Reads
 	d.logger = n.Logger
 	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.Reads.Address()
-	d.listed = make(chan struct{})
 	d.feeds = map[quetzalroad.Stream]*feed{
 		quetzalroad.StreamOperators: new(feed),
 		quetzalroad.StreamUpstreams: {alike: d.alike},
@@ -107,13 +102,9 @@
 	return err == nil && one.Upstream == other.Upstream && one.Born.Equal(other.Born)
 }
 
-// Newest implements quetzalroad.KeyedLog.
+// Newest implements quetzalroad.KeyedLog. A node that starts asks the log itself,
+// as it knows no other yet.
 func (d *Distributor) Newest(ctx context.Context, s quetzalroad.Stream) ([]quetzalroad.KeyedRecord, quetzalroad.Bounds, error) {
-	select {
-	case <-d.listed:
-	case <-ctx.Done():
-		return nil, quetzalroad.Bounds{}, ctx.Err()
-	}
 	role := d.members.role(d.self, d.leastNodes, d.fanOut)
 	if role.follows() {
 		records, bounds, err := d.ask(ctx, role.reader, quetzalroad.SharedRead{Stream: s, From: quetzalroad.NoOffset})
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -100,16 +100,12 @@
 
 // follow tells of this node and looks for the others, now and then.
 func (d *Distributor) follow(ctx context.Context) error {
-	defer d.listOnce.Do(func() { close(d.listed) })
 	var written time.Time
 	for round := 0; ; round++ {
 		if time.Since(written) >= d.lifetime/3 && d.tell(ctx) {
 			written = time.Now()
 		}
-		found := d.list(ctx)
-		if round > 0 || 1+found >= d.leastNodes {
-			d.listOnce.Do(func() { close(d.listed) })
-		}
+		d.list(ctx)
 		pause := d.listEvery
 		if round == 0 {
 			pause = d.settle
@@ -148,15 +144,15 @@
 	}
 }
 
-// list reads the entries of the other nodes and gives the number of those in
-// the data centre. Without an answer those known stay.
-func (d *Distributor) list(ctx context.Context) int {
+// list reads the entries of the other nodes of the data centre. Without an answer
+// those known stay.
+func (d *Distributor) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
 	defer cancel()
 	records, _, err := d.log.Newest(ctx, quetzalroad.StreamNodes)
 	if err != nil {
 		d.logger.Warn("other nodes not read", "stream", string(quetzalroad.StreamNodes), "error", err)
-		return 0
+		return
 	}
 	var others []quetzalroad.NodeEntry
 	for _, r := range records {
@@ -172,5 +168,4 @@
 	d.members.set(others)
 	role := d.members.role(d.self, d.leastNodes, d.fanOut)
 	d.logger.Info("nodes listed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", role.reads, "reader", string(role.reader.Name))
-	return len(others)
 }
