--- a/decisions/balancer/separator/separator_test.go
+++ b/decisions/balancer/separator/separator_test.go
@@ -258,3 +258,15 @@
 		t.Errorf("%s was chosen", u.Name)
 	}
 }
+
+func BenchmarkChoiceAmongThousands(b *testing.B) {
+	s := new(Separator)
+	s.Declare(new(configurer.Section))
+	s.load = newLoads()
+	all := engines(3000)
+	r := prompt(800, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Choose(time.Unix(1000, 0), r, all)
+	}
+}
