Keep the platform's names out of the soak: callers, config and settings are stand-ins

Cause: names of the users' platform stand in platform/ and in the emulator only; the soak had some of its own. Change: cmd/quetzalemu/requester and publisher.

--- a/cmd/quetzalemu/backender/server.go
+++ b/cmd/quetzalemu/backender/server.go
@@ -30,9 +30,15 @@
 type Arrival struct {
 	Server *Server
 	// ID is the caller's id of the request.
-	ID      string
-	Request *http.Request
-	Body    []byte
+	ID string
+	// Method, Target and Body are the request's.
+	Method string
+	Target string
+	Body   string
+	// Team is the name that the router set, and HasKey tells that the caller's
+	// key came along.
+	Team   string
+	HasKey bool
 	// Ran tells that the server ran it.
 	Ran bool
 }
@@ -93,6 +99,9 @@
 	return s.last.Clone()
 }
 
+// Mark is what the server's answers bear.
+func Mark(id string) string { return "seal-of-" + id }
+
 // Entry is what the server says of itself in the store.
 func (s *Server) Entry(state string, sequence int, born time.Time) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
@@ -145,7 +154,10 @@
 	}
 	faults, ok := s.begin(id, r.Header)
 	if s.Observe != nil {
-		s.Observe(Arrival{Server: s, ID: id, Request: r, Body: body, Ran: ok})
+		s.Observe(Arrival{
+			Server: s, ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body),
+			Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Ran: ok,
+		})
 	}
 	h.Set("Request-Attempt-Id", id)
 	if !ok {
@@ -161,7 +173,7 @@
 		s.foreign(w, r, id, own(r, body))
 		return
 	}
-	h.Set("Response-Seal", "seal-of-"+s.ID)
+	h.Set("Response-Seal", Mark(s.ID))
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d,100", len(body), s.Slots))
 	if r.Header.Get("Model") != "" {
 		s.stream(w, r, faults)
--- a/cmd/quetzalsoak/caller/caller.go
+++ b/cmd/quetzalemu/requester/requester.go
@@ -1,6 +1,6 @@
-// Package caller sends requests over connections that it keeps until their node
+// Package requester stands in for callers on the users' platform: it sends requests over connections that it keeps until their node
 // ends them, and tells exactly what came back.
-package caller
+package requester
 
 import (
 	"bufio"
--- a/cmd/quetzalemu/storekeeper/store.go
+++ b/cmd/quetzalemu/storekeeper/store.go
@@ -97,6 +97,25 @@
 	s.changeLocked()
 }
 
+// The topics of operators and servers, and the key of the config.
+const (
+	operatorTopic = "keyed.op"
+	serverTopic   = "keyed.servers"
+	configKey     = "config"
+)
+
+// PutConfig writes the config.
+func (s *Store) PutConfig(value string) { s.Put(operatorTopic, configKey, value) }
+
+// PutServer writes a server's entry; an empty one takes it away.
+func (s *Store) PutServer(id, value string) { s.Put(serverTopic, id, value) }
+
+// ForgetAll drops the history of what operators and servers wrote.
+func (s *Store) ForgetAll() {
+	s.Forget(operatorTopic)
+	s.Forget(serverTopic)
+}
+
 // Forget drops the history of a topic; the newest of each key stays.
 func (s *Store) Forget(name string) {
 	s.mu.Lock()
@@ -153,7 +172,7 @@
 // answerAppend takes records, each with its length before it, unless they are
 // in a topic of the operator's or the servers'.
 func (s *Store) answerAppend(w http.ResponseWriter, r *http.Request, name string) {
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == operatorTopic || name == serverTopic {
 		writeJSON(w, http.StatusForbidden, map[string]any{"error": "the topic is not the system's"})
 		return
 	}
--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -43,7 +43,7 @@
 		return
 	}
 	s.sequence++
-	d.Store.Put("keyed.servers", s.ID, s.Entry(s.state, s.sequence, s.born))
+	d.Store.PutServer(s.ID, s.Entry(s.state, s.sequence, s.born))
 }
 
 // Leave lets a server say that it leaves; after its time it is gone, and later
@@ -56,7 +56,7 @@
 	}
 	s.state = "draining"
 	s.sequence++
-	d.Store.Put("keyed.servers", s.ID, s.Entry(s.state, s.sequence, s.born))
+	d.Store.PutServer(s.ID, s.Entry(s.state, s.sequence, s.born))
 	s.left = time.Now()
 	s.mu.Unlock()
 	if !wait(ctx, Bounds.Leave+time.Second) {
@@ -100,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state = ""
-	d.Store.Put("keyed.servers", s.ID, "")
+	d.Store.PutServer(s.ID, "")
 }
 
 // rise begins a new life of a server.
--- a/cmd/quetzalsoak/deployer/config.go
+++ b/cmd/quetzalsoak/deployer/config.go
@@ -1,49 +1,37 @@
 package deployer
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/publisher"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/judge"
 )
 
-// publish writes the next version of the config, as far as the soak needs it.
-// Its callers hold mu or are alone.
+// publish writes the next version of the config. Its callers hold mu or are
+// alone.
 func (d *Deployment) publish() {
-	d.version += 3
-	tenants := make([]map[string]any, 0, len(d.keys))
+	const versionStep = 3
+	d.version += versionStep
+	c := publisher.Config{Version: d.version, Services: []string{Engines, Application, SecondApplication}, Keys: make(map[string]string)}
 	for _, k := range d.keys {
-		tenants = append(tenants, map[string]any{"name": TeamOf(k), "apiKeys": []string{k}, "priority": 1})
+		c.Keys[TeamOf(k)] = k
 	}
-	route := func(name, kind, service string, timeout time.Duration, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": timeout.Milliseconds(),
-			"targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	routes := make([]map[string]any, 0, len(Classes))
-	for _, c := range Classes {
+	for _, class := range Classes {
 		service := Engines
-		if c.Events == 0 {
+		if class.Events == 0 {
 			service = d.service
 		}
-		routes = append(routes, route(c.Name, c.kind, service, c.Timeout, c.more))
+		c.Routes = append(c.Routes, publisher.Route{
+			Name: class.Name, Host: Host, Kind: class.kind, Service: service, Timeout: class.Timeout, Resumable: class.Repeatable,
+		})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": d.version, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{{"name": Engines, "connectionLimit": 300}, {"name": Application, "connectionLimit": 100}, {"name": SecondApplication, "connectionLimit": 100}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	text, err := c.Encode()
 	if err != nil {
 		d.logger.Error("config not written", "error", err)
 		return
 	}
-	d.Store.Put("keyed.op", "config", string(data))
+	d.Store.PutConfig(text)
 }
 
 // TeamOf names the team of a key.
@@ -54,14 +42,13 @@
 	judge.Class
 	Method string
 	Events int
-	kind   string
-	more   map[string]any
+	kind   publisher.Kind
 }
 
 // Classes lists the kinds of requests.
 var Classes = []Class{
-	{Class: judge.Class{Name: "draft", Repeatable: true, Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 20, kind: "streaming", more: map[string]any{"stickySessions": true, "resumeStreams": true, "gapTargetMs": 400}},
-	{Class: judge.Class{Name: "chat", Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 12, kind: "streaming", more: map[string]any{"stickySessions": true, "gapTargetMs": 250}},
-	{Class: judge.Class{Name: "booking", Timeout: 2 * time.Second}, Method: http.MethodPost, kind: "unsafe"},
-	{Class: judge.Class{Name: "list", Repeatable: true, Timeout: 2 * time.Second}, Method: http.MethodGet, kind: "safe"},
+	{Class: judge.Class{Name: "draft", Repeatable: true, Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 20, kind: publisher.Streaming},
+	{Class: judge.Class{Name: "chat", Timeout: 6 * time.Second}, Method: http.MethodPost, Events: 12, kind: publisher.Streaming},
+	{Class: judge.Class{Name: "booking", Timeout: 2 * time.Second}, Method: http.MethodPost, kind: publisher.Unsafe},
+	{Class: judge.Class{Name: "list", Repeatable: true, Timeout: 2 * time.Second}, Method: http.MethodGet, kind: publisher.Safe},
 }
--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -18,11 +18,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/backender"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/publisher"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/storekeeper"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/judge"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/proxier"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/supervisor"
-	"github.com/quetzalroad/quetzalroad/support/templater"
 )
 
 // The nets of the parts within the deployment's own loopback net.
@@ -50,6 +50,9 @@
 	SecondApplication = "application-2"
 )
 
+// dataCentre is that of all parts.
+const dataCentre = "zone-1"
+
 // Host is the host of all routes.
 const Host = "soak.example"
 
@@ -207,7 +210,7 @@
 		return err
 	}
 	s := &Server{link: d.address(netServerLinks, i, portServer), born: time.Now(), state: "ready"}
-	s.Server = backender.Server{ID: fmt.Sprintf("i-%d", i), Service: service, Address: s.link, Zone: "zone-1", Slots: serverSlots, Pause: eventPause, Work: plainWork}
+	s.Server = backender.Server{ID: fmt.Sprintf("i-%d", i), Service: service, Address: s.link, Zone: dataCentre, Slots: serverSlots, Pause: eventPause, Work: plainWork}
 	s.Observe = func(a backender.Arrival) { d.observe(s, a) }
 	if s.Link, err = d.proxy(ctx, s.link, at); err != nil {
 		return err
@@ -219,10 +222,9 @@
 
 // observe tells the judge of a request at a server.
 func (d *Deployment) observe(s *Server, a backender.Arrival) {
-	h := a.Request.Header
 	d.Judge.Arrive(judge.Arrived{
 		ID: a.ID, Server: s.ID, Service: s.Service, At: time.Now(), Ran: a.Ran, Left: s.Left(),
-		Team: h.Get("Tenant"), HasKey: h.Get("Authorization") != "", Line: a.Request.Method + " " + a.Request.RequestURI, Body: string(a.Body),
+		Team: a.Team, HasKey: a.HasKey, Line: a.Method + " " + a.Target, Body: a.Body,
 	})
 }
 
@@ -242,15 +244,10 @@
 	if n.Store, err = d.proxy(ctx, storeLink, store); err != nil {
 		return err
 	}
-	settings, err := templater.Render(string(template), map[string]any{
-		"node": name, "zone": "zone-1", "region": "region-1", "ipAddress": front.Addr().String(),
-		"zones":             map[string]any{"zone-1": "region-1"},
-		"listen":            map[string]any{"front": front.String(), "ready": n.ReadyAddress.String()},
-		"bounds":            map[string]any{"enforceRevocation": true, "revokeMs": Bounds.Revoke.Milliseconds(), "drainMs": Bounds.Leave.Milliseconds(), "retryBudgetRatio": Bounds.BudgetShare},
-		"platform":          map[string]any{"address": storeLink.String()},
-		"internalPortRange": []any{float64(portPeers), float64(portPeers)},
-		"limits":            map[string]any{"linkMbps": 1000.0},
-	})
+	settings, err := publisher.Machine{
+		Name: name, DataCentre: dataCentre, Region: "region-1", Front: front, Ready: n.ReadyAddress, Store: storeLink,
+		NodePort: portPeers, Revoke: Bounds.Revoke, Leave: Bounds.Leave, BudgetShare: Bounds.BudgetShare,
+	}.Settings(string(template))
 	if err != nil {
 		return err
 	}
@@ -291,7 +288,7 @@
 func (n *Node) Ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ReadyAddress.String()+"/readiness", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ReadyAddress.String()+publisher.ReadyPath, http.NoBody)
 	if err != nil {
 		return false
 	}
--- a/cmd/quetzalsoak/judge/judge.go
+++ b/cmd/quetzalsoak/judge/judge.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/caller"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
 )
 
 // Class is a kind of request.
@@ -46,8 +46,8 @@
 
 // Sent is a request with its answer.
 type Sent struct {
-	caller.Request
-	caller.Answer
+	requester.Request
+	requester.Answer
 	Class Class
 	// Node is the number of the node that it was sent to.
 	Node int
--- a/cmd/quetzalsoak/judge/judge_test.go
+++ b/cmd/quetzalsoak/judge/judge_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/caller"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
 )
 
 var (
@@ -17,8 +17,8 @@
 // sent is a booking that ran at server s after a second.
 func sent() (Sent, Arrived) {
 	s := Sent{
-		Request: caller.Request{ID: "r", Method: "POST", Path: "/booking/", Body: "visit"},
-		Answer:  caller.Answer{Status: 200, Seal: "seal-of-s", Body: "ran POST /booking/ visit", Whole: true, Sent: begin, Ended: begin.Add(time.Second)},
+		Request: requester.Request{ID: "r", Method: "POST", Path: "/booking/", Body: "visit"},
+		Answer:  requester.Answer{Status: 200, Seal: "seal-of-s", Body: "ran POST /booking/ visit", Whole: true, Sent: begin, Ended: begin.Add(time.Second)},
 		Class:   booking, Team: "team",
 	}
 	return s, Arrived{ID: "r", Server: "s", Service: "application", At: begin.Add(time.Second / 2), Ran: true, Team: "team", Line: "POST /booking/", Body: "visit"}
--- a/cmd/quetzalsoak/judge/rules.go
+++ b/cmd/quetzalsoak/judge/rules.go
@@ -7,7 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/caller"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/backender"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
 )
 
 // Findings gives the broken promises once all requests have ended.
@@ -97,7 +98,7 @@
 
 // checkBody checks that a success is a server's own and whole.
 func (j *Judge) checkBody(s Sent, runs []Arrived, report reporter) {
-	if !slices.ContainsFunc(runs, func(a Arrived) bool { return s.Seal == "seal-of-"+a.Server }) {
+	if !slices.ContainsFunc(runs, func(a Arrived) bool { return s.Seal == backender.Mark(a.Server) }) {
 		report("whose-answer", s.ID, "a success with the mark %q after %d runs", s.Seal, len(runs))
 	}
 	if s.Events == 0 && s.Answer.Body != "ran "+s.Method+" "+s.Path+" "+s.Request.Body && s.Answer.Body != s.Request.Body {
@@ -108,7 +109,7 @@
 // checkStream checks that events follow each other and that a stream which looks
 // complete is.
 func checkStream(s Sent, report reporter) {
-	ids, rest, err := caller.EventIDs(s.Answer.Body)
+	ids, rest, err := requester.EventIDs(s.Answer.Body)
 	if err != nil {
 		report("order", s.ID, "%v", err)
 		return
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -69,8 +69,7 @@
 		i.wait(ctx, f.For)
 		i.Store.SetMode(storekeeper.Sound)
 	case scheduler.StoreForget:
-		i.Store.Forget("keyed.op")
-		i.Store.Forget("keyed.servers")
+		i.Store.ForgetAll()
 	case scheduler.ServerLosesAnswers, scheduler.ServerCutsStreams, scheduler.ServerAnswersTwice, scheduler.ServerFull:
 		i.trouble(everybody, f, now.Add(f.For))
 		s.SetFaults(serverFaults[f.Kind])
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/caller"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/deployer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/judge"
 )
@@ -50,7 +50,7 @@
 func (l *load) call(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(l.seed, uint64(number)))
 	node := number % len(l.Nodes)
-	c := caller.Caller{Address: l.Nodes[node].FrontAddress}
+	c := requester.Caller{Address: l.Nodes[node].FrontAddress}
 	defer c.Close()
 	for ctx.Err() == nil {
 		s := l.draw(random, node)
@@ -59,7 +59,7 @@
 			time.Sleep(redialAfter)
 			node = l.pick(random)
 			c.Close()
-			c = caller.Caller{Address: l.Nodes[node].FrontAddress}
+			c = requester.Caller{Address: l.Nodes[node].FrontAddress}
 			continue
 		}
 		s.Answer = answer
@@ -84,7 +84,7 @@
 func (l *load) draw(random *rand.Rand, node int) judge.Sent {
 	class := deployer.Classes[random.IntN(len(deployer.Classes))]
 	key, _ := l.Key(random.IntN(1 << 20))
-	q := caller.Request{
+	q := requester.Request{
 		ID: fmt.Sprintf("r%d", l.count.Add(1)), Method: class.Method, Path: "/" + class.Name + "/", Host: deployer.Host, Key: key,
 		Events: class.Events, Patience: class.Timeout + patienceBeyond,
 	}
