--- a/decisions/balancer/separator/readers.go
+++ b/decisions/balancer/separator/readers.go
@@ -162,8 +162,9 @@
 	// the same demand a little differently mostly divide the engines alike.
 	step  = 0.1
 	slack = 0.12
-	// firstWriters is the part left to short prompts before demand is known.
-	firstWriters = 0.4
+	// firstWriters is the part left to short prompts before demand is known, when
+	// no engine holds any part of a prompt yet.
+	firstWriters = 0.15
 )
 
 // follow moves a division of n engines to what demand asks for.
