--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -149,19 +149,18 @@
 }
 
 // Key gives a key by a number: mostly one that holds, at times one that was
-// taken away, with the moment at which it was.
-func (d *Deployment) Key(number int) (string, time.Time) {
+// taken away.
+func (d *Deployment) Key(number int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	const takenEvery = 8
 	if number%takenEvery == 0 {
-		for key, at := range d.taken {
-			return key, at
+		for key := range d.taken {
+			return key
 		}
 	}
 	// The last key may not be known to all nodes yet; the first two are.
-	key := d.keys[number%(len(d.keys)-1)]
-	return key, time.Time{}
+	return d.keys[number%(len(d.keys)-1)]
 }
 
 // TakenAt is when a key was taken away; zero where it was not.
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -83,7 +83,7 @@
 // draw gives a request to a node.
 func (l *load) draw(random *rand.Rand, node int) judge.Sent {
 	class := deployer.Classes[random.IntN(len(deployer.Classes))]
-	key, _ := l.Key(random.IntN(1 << 20))
+	key := l.Key(random.IntN(1 << 20))
 	q := requester.Request{
 		ID: fmt.Sprintf("r%d", l.count.Add(1)), Method: class.Method, Path: "/" + class.Name + "/", Host: deployer.Host, Key: key,
 		Events: class.Events, Patience: class.Timeout + patienceBeyond,
