Repair the two tests that end on a reset connection

Cause: a refusing proxy resets at once, so that the dial itself may fail, which the test took for an error of its own. The emulated server closed the connection behind its responses without saying so; the node reused it and the next request was reset, which it must refuse as unknown.

Change: the test takes a failed dial for the refusal that it is and now also fails if the connection stays open; the emulated server announces the close.

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -200,7 +200,9 @@
 	return events
 }
 
-// writeMismatchedResponse sends a response to another request, then the response to this one.
+// writeMismatchedResponse sends a response to another request, then the response to this one,
+// which announces that the server closes the connection: a request sent on a connection that
+// closes without notice would be reset.
 func (s *Server) writeMismatchedResponse(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	contentType := "text/plain"
 	if r.Header.Get("Model") != "" {
@@ -211,9 +213,9 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	const responseFormat = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: %s\r\nResponse-Seal: seal-of-%s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s"
+	const responseFormat = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: %s\r\nResponse-Seal: seal-of-%s\r\nConnection: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s"
 	// The caller may have disconnected.
-	_, _ = fmt.Fprintf(conn, responseFormat+responseFormat, "another", s.ID, contentType, 3, "no!", id, s.ID, contentType, len(body), body)
+	_, _ = fmt.Fprintf(conn, responseFormat+responseFormat, "another", s.ID, "keep-alive", contentType, 3, "no!", id, s.ID, "close", contentType, len(body), body)
 }
 
 // writeStream sends the events after the caller's Last-Event-Id.
--- a/cmd/quetzalsoak/faultproxy/proxy_test.go
+++ b/cmd/quetzalsoak/faultproxy/proxy_test.go
@@ -3,15 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 )
 
-// startEchoProxy starts a proxy in front of an echo server and returns it with a function that dials it.
-func startEchoProxy(t *testing.T) (*Proxy, func() (net.Conn, *bufio.Reader)) {
+// echoProxy is a proxy in front of an echo server.
+type echoProxy struct {
+	*Proxy
+	address netip.AddrPort
+}
+
+func startEchoProxy(t *testing.T) echoProxy {
 	t.Helper()
 	echoListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,14 +52,26 @@
 		echoListener.Close()
 		<-done
 	})
-	return p, func() (net.Conn, *bufio.Reader) {
-		c, err := net.Dial("tcp", proxyListener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c, bufio.NewReader(c)
+	return echoProxy{Proxy: p, address: netip.MustParseAddrPort(proxyListener.Addr().String())}
+}
+
+func (p echoProxy) dial(t *testing.T) (net.Conn, *bufio.Reader, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", p.address.String())
+	if err != nil {
+		return nil, nil, err
 	}
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c), nil
+}
+
+func (p echoProxy) mustDial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, r, err := p.dial(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, r
 }
 
 // echoLine sends a line and waits until it is echoed.
@@ -74,8 +93,7 @@
 )
 
 func TestProxyForwardsByDefault(t *testing.T) {
-	_, dial := startEchoProxy(t)
-	c, r := dial()
+	c, r := startEchoProxy(t).mustDial(t)
 	if err := echoLine(t, c, r, responseTimeout); err != nil {
 		t.Error(err)
 	}
@@ -83,8 +101,8 @@
 
 func TestConnectionThatDroppedBytesStaysSilent(t *testing.T) {
 	for _, m := range []Mode{{DropToTarget: true}, {DropFromTarget: true}} {
-		p, dial := startEchoProxy(t)
-		c, r := dial()
+		p := startEchoProxy(t)
+		c, r := p.mustDial(t)
 		if err := echoLine(t, c, r, responseTimeout); err != nil {
 			t.Fatal(err)
 		}
@@ -96,7 +114,7 @@
 		if err := echoLine(t, c, r, silenceTimeout); err == nil {
 			t.Errorf("%+v: a connection that dropped bytes works again", m)
 		}
-		newConn, newReader := dial()
+		newConn, newReader := p.mustDial(t)
 		if err := echoLine(t, newConn, newReader, responseTimeout); err != nil {
 			t.Errorf("%+v: a new connection: %v", m, err)
 		}
@@ -104,8 +122,8 @@
 }
 
 func TestResetAndRefusalCloseConnections(t *testing.T) {
-	p, dial := startEchoProxy(t)
-	c, r := dial()
+	p := startEchoProxy(t)
+	c, r := p.mustDial(t)
 	if err := echoLine(t, c, r, responseTimeout); err != nil {
 		t.Fatal(err)
 	}
@@ -114,8 +132,15 @@
 		t.Error("a reset connection still works")
 	}
 	p.SetMode(Mode{RefuseConnections: true})
-	c, r = dial()
-	if err := echoLine(t, c, r, responseTimeout); err == nil {
+	// The reset that refuses a connection may arrive before or after the dial has returned.
+	c, r, err := p.dial(t)
+	if err == nil {
+		err = echoLine(t, c, r, responseTimeout)
+	}
+	if err == nil {
 		t.Error("a refused connection works")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("a refused connection stays open")
+	}
 }
