Bound response heads, discarded bodies and request headers

Cause: an upstream in trouble may send bytes without end. A response head was read without a bound, so that header lines, one endless line or 1xx responses took memory until the attempt's time was up; a mismatched body of more than 1 MiB left the reader inside the body, where the next head was looked for; the body of a "not run" was read to its end before the statement was passed on. Toward callers, the header timeout applied to the first request of a connection only, and a header could take 1 MB.

Change: max-head-bytes bounds a head together with the informational responses before it; max-discarded-bytes and discard-timeout bound what is discarded. The attempt ends as malformed, its outcome unknown unless the upstream said "not run". A "not run" that names no request counts on new connections only. The pooled clients take heads of 16 KiB; the servers bound headers in size, and in time on every request.

--- a/servers/adminserver/server.go
+++ b/servers/adminserver/server.go
@@ -39,6 +39,8 @@
 	maxBodyBytes = 256 << 10
 	// readTimeout is the time limit for receiving a request with its body.
 	readTimeout = 10 * time.Second
+	// maxHeaderBytes limits the size of a request header.
+	maxHeaderBytes = 32 << 10
 )
 
 // Server is the component that accepts operators' requests.
@@ -62,7 +64,7 @@
 func (s *Server) Build(n *kernel.Node) error {
 	s.node = n
 	s.logger = n.Logger
-	s.httpServer = http.Server{Handler: s.routes(), ReadTimeout: readTimeout, ErrorLog: slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)}
+	s.httpServer = http.Server{Handler: s.routes(), ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)}
 	listener, err := net.Listen("tcp", s.address.String())
 	if err != nil {
 		return err
--- a/servers/forwardserver/conn.go
+++ b/servers/forwardserver/conn.go
@@ -36,25 +36,35 @@
 	firstRequest    bool
 }
 
-// SetReadDeadline implements net.Conn. While the connection awaits a request, a
-// zero t sets the deadline from the published limits instead of removing it.
+// SetReadDeadline implements net.Conn. While the connection awaits a request, the
+// published limits apply: a zero t sets the deadline of an idle connection instead
+// of removing it, and any other t is the server's deadline for the header.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	awaitingRequest, firstRequest := c.awaitingRequest, c.firstRequest
 	c.mu.Unlock()
-	if t.IsZero() && awaitingRequest {
-		limits := c.limits()
-		timeout := limits.IdleTimeout
-		if firstRequest && limits.HeaderTimeout > 0 {
-			timeout = limits.HeaderTimeout
-		}
-		if timeout > 0 {
-			t = time.Now().Add(timeout)
-		}
+	if awaitingRequest {
+		t = readDeadline(time.Now(), t, c.limits(), firstRequest)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// readDeadline returns the read deadline of a connection that awaits a request, or zero for none.
+func readDeadline(now, headerDeadline time.Time, limits quetzalroad.CallerLimits, firstRequest bool) time.Time {
+	timeout := limits.IdleTimeout
+	if limits.HeaderTimeout > 0 && (firstRequest || !headerDeadline.IsZero()) {
+		timeout = limits.HeaderTimeout
+	}
+	if timeout <= 0 {
+		return headerDeadline
+	}
+	deadline := now.Add(timeout)
+	if !headerDeadline.IsZero() && headerDeadline.Before(deadline) {
+		return headerDeadline
+	}
+	return deadline
+}
+
 func (c *callerConn) setAwaitingRequest(awaitingRequest bool) {
 	c.mu.Lock()
 	c.awaitingRequest = awaitingRequest
--- a/servers/forwardserver/server.go
+++ b/servers/forwardserver/server.go
@@ -29,9 +29,11 @@
 type Server struct {
 	address             netip.AddrPort
 	readinessAddress    netip.AddrPort
+	headerTimeout       time.Duration
 	bodyTimeout         time.Duration
 	writeTimeout        time.Duration
 	defaultMaxBodyBytes int
+	maxHeaderBytes      int
 
 	node            *kernel.Node
 	logger          *slog.Logger
@@ -44,8 +46,10 @@
 func (s *Server) Declare(section *configloader.Section) {
 	section.Address("address", &s.address, "", "Address to listen on for callers.")
 	section.Address("ready-address", &s.readinessAddress, "", "Address to listen on for readiness probes of the platform.")
+	section.Duration("header-timeout", &s.headerTimeout, 5*time.Second, 10*time.Millisecond, time.Hour, "Time limit for receiving a request header, if the published state sets no shorter one.")
 	section.Duration("body-timeout", &s.bodyTimeout, 10*time.Second, 10*time.Millisecond, time.Hour, "Time limit for receiving a request body.")
 	section.Duration("write-timeout", &s.writeTimeout, 10*time.Second, 10*time.Millisecond, time.Hour, "Time limit for each write of a response to a caller.")
+	section.Int("max-header-bytes", &s.maxHeaderBytes, 64<<10, 1<<10, 1<<20, "Maximum size of a request header.")
 	section.Int("max-body-bytes", &s.defaultMaxBodyBytes, 4<<20, 1<<10, 1<<30, "Maximum size of a request body if the published state sets none.")
 }
 
@@ -58,8 +62,11 @@
 	s.logger = n.Logger
 	s.codec = n.CallerCodec
 	errorLog := slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)
-	s.callerServer = http.Server{Handler: http.HandlerFunc(s.handleRequest), ConnState: trackConnState, ErrorLog: errorLog}
-	s.readinessServer = http.Server{Handler: http.HandlerFunc(s.handleReadiness), ErrorLog: errorLog, ReadHeaderTimeout: readinessHeaderTimeout}
+	s.callerServer = http.Server{
+		Handler: http.HandlerFunc(s.handleRequest), ConnState: trackConnState, ErrorLog: errorLog,
+		ReadHeaderTimeout: s.headerTimeout, MaxHeaderBytes: s.maxHeaderBytes,
+	}
+	s.readinessServer = http.Server{Handler: http.HandlerFunc(s.handleReadiness), ErrorLog: errorLog, ReadHeaderTimeout: readinessHeaderTimeout, MaxHeaderBytes: s.maxHeaderBytes}
 	listenConfig := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
 	callerListener, err := listenConfig.Listen(context.Background(), "tcp", s.address.String())
 	if err != nil {
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -299,3 +299,41 @@
 		}
 	}
 }
+
+// A caller may send a header byte by byte, or without end, also on a connection that has carried a
+// request. It must not hold the connection and its memory until it leaves.
+func TestRequestHeaderIsBoundedInTimeAndSize(t *testing.T) {
+	const request = "GET /open/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: 1\r\n"
+	for name, tc := range map[string]struct {
+		begin string
+		pause time.Duration
+	}{
+		"trickled on a new connection": {"", 10 * time.Millisecond},
+		"trickled on a reused one":     {request + "\r\n", 10 * time.Millisecond},
+		"without end":                  {"", 0},
+		"without end on a reused one":  {request + "\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newFixture(t, true)
+			c, r := x.sendRaw(t, tc.begin)
+			if tc.begin != "" {
+				response, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.Copy(io.Discard, response.Body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			deadline := time.Now().Add(10 * time.Second)
+			_, err := io.WriteString(c, request+"A: ")
+			for err == nil && time.Now().Before(deadline) {
+				time.Sleep(tc.pause)
+				_, err = io.WriteString(c, "aaaaaaaa")
+			}
+			if err == nil {
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
--- a/state/logclient/client.go
+++ b/state/logclient/client.go
@@ -24,6 +24,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
 func init() {
@@ -61,7 +62,7 @@
 func (c *Client) Build(n *kernel.Node) error {
 	c.recorder = n.Recorder
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
-	c.transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	c.transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpclient.MaxResponseHeadBytes}
 	c.http.Transport = c.transport
 	n.Log = c
 	return nil
--- a/state/vmclient/client.go
+++ b/state/vmclient/client.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
 func init() {
@@ -63,7 +64,7 @@
 	c.recorder = n.Recorder
 	c.node = n
 	dialer := &net.Dialer{Timeout: c.timeout}
-	c.http.Transport = &http.Transport{DialContext: dialer.DialContext}
+	c.http.Transport = &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: httpclient.MaxResponseHeadBytes}
 	n.VMList = c
 	n.AddTask("poll the list of VMs", c.pollVMs)
 	return nil
--- a/support/recorder/exposer.go
+++ b/support/recorder/exposer.go
@@ -20,13 +20,16 @@
 // metricsTimeout bounds reading and writing of a metrics request.
 const metricsTimeout = 5 * time.Second
 
+// maxHeaderBytes limits the size of the header of a metrics request.
+const maxHeaderBytes = 16 << 10
+
 // serveMetrics serves the node's variables as text, one per line, on an address.
 func serveMetrics(n *kernel.Node, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return errors.Wrap(err, "recorder.metrics-addresses")
 	}
-	server := &http.Server{ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, MaxHeaderBytes: maxHeaderBytes, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		// A write error only means that the client has disconnected.
 		_, _ = w.Write(renderText(n.Vars))
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -36,6 +36,9 @@
 	idleTimeout              time.Duration
 	nonIdempotentIdleTimeout time.Duration
 	maxIdlePerUpstream       int
+	maxHeadBytes             int
+	maxDiscardedBytes        int
+	discardTimeout           time.Duration
 	shards                   [poolShardCount]poolShard
 }
 
@@ -46,6 +49,9 @@
 	s.Duration("idle", &c.idleTimeout, 8*time.Second, 0, time.Hour, "Longest idle time of a connection that is reused.")
 	s.Duration("once-idle", &c.nonIdempotentIdleTimeout, 2*time.Second, 0, time.Hour, "Longest idle time of a connection that is reused for a non-idempotent request.")
 	s.Int("max-idle", &c.maxIdlePerUpstream, 24, 0, 10000, "Maximum number of idle connections to one upstream.")
+	s.Int("max-head-bytes", &c.maxHeadBytes, 16<<10, 1<<10, 1<<20, "Maximum size of a response head, together with the informational responses before it. A longer one ends the attempt.")
+	s.Int("max-discarded-bytes", &c.maxDiscardedBytes, 256<<10, 0, 1<<30, "Maximum size of a response body that is read only to reuse the connection, or to reach the response behind it.")
+	s.Duration("discard-timeout", &c.discardTimeout, 200*time.Millisecond, time.Millisecond, time.Minute, "Time limit for reading such a body.")
 }
 
 // Build implements kernel.Component.
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -109,20 +109,30 @@
 		}
 		x.response = response
 		x.metadata = x.client.codec.Decode(time.Now(), response.StatusCode, response.Header)
-		if x.metadata.CallerRequestID == x.attempt.Request.CallerRequestID || (x.metadata.CallerRequestID == "" && x.metadata.NotRun) {
+		if x.isOwnResponse() {
 			return x.accept()
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes)); err != nil {
+		if err := x.discardBody(); err != nil {
 			return x.attemptError(ctx, retryReason(err), err)
 		}
 	}
 	return x.attemptError(ctx, quetzalroad.RetryMismatchedResponse, errors.Newf("response belongs to request %q", x.metadata.CallerRequestID))
 }
 
-// maxDiscardedBytes limits how much is read of a body that is discarded.
-const maxDiscardedBytes = 1 << 20
+// isOwnResponse reports whether the response belongs to this request. One that names no request is
+// accepted only on a new connection and only if it states that the request was not run: on a reused
+// connection it may belong to an earlier request.
+func (x *exchange) isOwnResponse() bool {
+	if x.metadata.CallerRequestID == "" {
+		return x.metadata.NotRun && !x.conn.reused
+	}
+	return x.metadata.CallerRequestID == x.attempt.Request.CallerRequestID
+}
 
+// readHead reads a response head and skips the informational responses before it.
 func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.limiter.begin(x.client.maxHeadBytes)
+	defer x.conn.limiter.end()
 	request := &http.Request{Method: x.attempt.Request.Method}
 	for {
 		x.resetReadDeadline()
@@ -147,7 +157,7 @@
 		if x.metadata.Misdirected {
 			reason = quetzalroad.RetryInstanceReplaced
 		}
-		x.discardBody()
+		x.complete = x.discardBody() == nil
 		return &quetzalroad.AttemptError{
 			Upstream: x.attempt.Upstream.Name, NotRun: true, RetryReason: reason, LoadReport: x.metadata.LoadReport,
 			Cause: errors.Newf("upstream responded with status %d and states that it did not run the request", x.response.StatusCode),
@@ -164,11 +174,22 @@
 	return nil
 }
 
-// discardBody reads the rest of the response, so that the connection can be
-// reused.
-func (x *exchange) discardBody() {
-	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maxDiscardedBytes))
-	x.complete = err == nil && n < maxDiscardedBytes
+// discardBody reads the response to its end, within the bounds on what is discarded.
+func (x *exchange) discardBody() error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(x.client.discardTimeout)); err != nil {
+		return err
+	}
+	maxBytes := int64(x.client.maxDiscardedBytes)
+	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maxBytes+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errDiscardTimeout
+	case err != nil:
+		return err
+	case n > maxBytes:
+		return errDiscardedBodyTooLong
+	}
+	return x.conn.SetReadDeadline(time.Time{})
 }
 
 // Head implements quetzalroad.ForwardResponse.
--- a/upstreams/forwardclient/pool.go
+++ b/upstreams/forwardclient/pool.go
@@ -18,7 +18,9 @@
 // persistConn is a connection to an upstream that several requests may use in turn.
 type persistConn struct {
 	net.Conn
-	reader *bufio.Reader
+	// reader reads from limiter, which bounds response heads.
+	reader  *bufio.Reader
+	limiter *headLimiter
 	// lastUsed is when the last exchange ended, and keepAlive the keep-alive timeout
 	// that the upstream stated; zero if it stated none.
 	lastUsed  time.Time
@@ -28,7 +30,8 @@
 }
 
 func newPersistConn(netConn net.Conn) *persistConn {
-	return &persistConn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	limiter := &headLimiter{src: netConn}
+	return &persistConn{Conn: netConn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
 }
 
 // abort closes the connection, which ends pending reads and writes.
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -29,6 +29,10 @@
 	maxIdleConnsPerHost = 256
 )
 
+// MaxResponseHeadBytes limits the size of a response head. The default of net/http allows a few
+// servers in trouble to use up the memory of a small VM.
+const MaxResponseHeadBytes = 16 << 10
+
 // ErrReadTimeout is the cause of a failure after no data arrived for Client.ReadTimeout.
 var ErrReadTimeout = errors.New("no data received within the read timeout")
 
@@ -56,7 +60,7 @@
 	dialer := &net.Dialer{Timeout: c.DialTimeout}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, Protocols: protocols}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, Protocols: protocols, MaxResponseHeaderBytes: MaxResponseHeadBytes}
 }
 
 // CloseIdleConnections closes the pooled idle connections. Callers use it after a
