Emulate servers that send bytes without end, and inject them in the soak

Change: the emulated server repeats a status line, a header line, header lines, informational responses, a chunk extension, a body, an event or a trailer until its client closes.

Result: every part, on one of three model servers and one of two plain ones, over real sockets: drafts complete, bookings get 200 or 502.

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -22,6 +22,8 @@
 	TruncateAfter int
 	// MismatchResponses makes the server send a response to another request before the proper one.
 	MismatchResponses bool
+	// Endless makes the server repeat a part of each response without end.
+	Endless EndlessPart
 	// RejectAll makes the server reject every request and mark it as not executed.
 	RejectAll bool
 }
@@ -169,6 +171,10 @@
 	if faults.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
+	if faults.Endless != "" {
+		s.writeEndless(w, faults.Endless, id)
+		return
+	}
 	if faults.MismatchResponses {
 		s.writeMismatchedResponse(w, r, id, completeBody(r, body))
 		return
--- a/cmd/quetzalemu/platformrunner/runner_test.go
+++ b/cmd/quetzalemu/platformrunner/runner_test.go
@@ -204,3 +204,26 @@
 		return d.servers[0].CancelledStreams()+d.servers[1].CancelledStreams()+d.servers[2].CancelledStreams() > 0
 	})
 }
+
+// A server in trouble sends bytes without end, until its client closes the connection. The node
+// must close it, refuse or retry the request, and go on using the other servers.
+func TestEndlessResponsesEndTheAttempt(t *testing.T) {
+	for _, part := range backendserver.EndlessParts {
+		t.Run(string(part), func(t *testing.T) {
+			d := startDeployment(t)
+			d.servers[0].SetFaults(backendserver.Faults{Endless: part})
+			d.servers[3].SetFaults(backendserver.Faults{Endless: part})
+			const requests, events = 12, 3
+			for i := range requests {
+				r := d.send(t, i, request{method: http.MethodPost, path: "/draft/", id: fmt.Sprintf("d%d", i), key: apiKey, events: events})
+				if err := r.checkEvents(events); err != nil {
+					t.Errorf("draft %d: %v", i, err)
+				}
+				booking := d.send(t, i, request{method: http.MethodPost, path: "/booking/", id: fmt.Sprintf("b%d", i), key: apiKey, body: "visit"})
+				if booking.status != http.StatusOK && booking.status != http.StatusBadGateway {
+					t.Errorf("booking %d: status %d", i, booking.status)
+				}
+			}
+		})
+	}
+}
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -75,6 +75,11 @@
 		server.SetFaults(serverFaults[f.Kind])
 		i.sleep(ctx, f.Duration)
 		server.SetFaults(backendserver.Faults{})
+	case scheduler.ServerSendsEndlessBytes:
+		i.recordDisruption(allNodes, f, now.Add(f.Duration))
+		server.SetFaults(backendserver.Faults{Endless: backendserver.EndlessParts[f.Target%len(backendserver.EndlessParts)]})
+		i.sleep(ctx, f.Duration)
+		server.SetFaults(backendserver.Faults{})
 	case scheduler.ServerDrain:
 		i.DrainServer(ctx, server, f.Duration)
 	case scheduler.ServerCrash:
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	ServerInterruptsStreams Kind = "server-cuts-streams"
 	ServerRespondsTwice     Kind = "server-answers-twice"
 	ServerFull              Kind = "server-full"
+	ServerSendsEndlessBytes Kind = "server-sends-without-end"
 	ServerDrain             Kind = "server-leaves"
 	ServerCrash             Kind = "server-crash"
 
@@ -50,7 +51,11 @@
 var plannedKinds = []Kind{NodeStop, ServerDrain, ConfigChange, KeyRotation, StoreCompaction}
 
 // Kinds lists all kinds of faults.
-var Kinds = append([]Kind{
+var Kinds = append([]Kind{ServerSendsEndlessBytes}, drawnKinds...)
+
+// drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
+// existing seeds depend.
+var drawnKinds = append([]Kind{
 	NodeKill, NodePause, StoreLinkBlackhole, StoreLinkReset, StoreLinkOneWay, StoreLinkDelay,
 	ServerLinkBlackhole, ServerLinkReset, ServerLinkOneWay, ServerLinkDelay, CallerLinkReset, CallerLinkDelay,
 	StoreBusy, StoreUnresponsive, ServerLosesResponses, ServerInterruptsStreams, ServerRespondsTwice, ServerFull, ServerCrash,
@@ -93,7 +98,7 @@
 // Generate returns the faults of a seed that start within a period, ordered by start.
 func Generate(seed uint64, period time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	kinds := Kinds
+	kinds := drawnKinds
 	if random.Float64() < plannedOnlyShare {
 		kinds = plannedKinds
 	}
@@ -116,6 +121,29 @@
 			}
 		}
 	}
+	if len(kinds) > len(plannedKinds) {
+		faults = append(faults, generateEndless(seed, period)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
+
+// meanEndlessInterval is the mean time between two faults of kind ServerSendsEndlessBytes.
+const meanEndlessInterval = 8 * time.Second
+
+// generateEndless returns the faults of kind ServerSendsEndlessBytes. They have a random sequence
+// of their own, so that the other faults of existing seeds stay the same.
+func generateEndless(seed uint64, period time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	var faults []Fault
+	for start := time.Second; ; {
+		start += time.Duration(random.ExpFloat64() * float64(meanEndlessInterval))
+		if start >= period {
+			return faults
+		}
+		faults = append(faults, Fault{
+			Start: start, Kind: ServerSendsEndlessBytes, Target: random.IntN(targetCount),
+			Duration: minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration))),
+		})
+	}
+}
