--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -76,6 +76,8 @@
 	// to the first data; both are zero before that.
 	status          int
 	timeToFirstByte time.Duration
+	// longestGap is the longest time between two events that the caller received.
+	longestGap time.Duration
 }
 
 func (r *forwardRun) runAttempts(ctx context.Context) error {
@@ -117,7 +119,7 @@
 func (r *forwardRun) logAnswered(u quetzalroad.Upstream) {
 	f := r.request
 	r.dispatcher.logger.Info("request answered", "request-id", string(f.ID), "upstream", string(u.Name), "attempts", r.history.attempts,
-		"status", r.status, "first-after", r.timeToFirstByte, "took", time.Since(f.Arrived), "events", r.eventCount)
+		"status", r.status, "first-after", r.timeToFirstByte, "took", time.Since(f.Arrived), "events", r.eventCount, "longest-gap", r.longestGap)
 }
 
 // withOutcome sets the outcome to unknown if any attempt may have run the request.
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -110,7 +110,9 @@
 		if lastEventAt.IsZero() {
 			r.recordFirstByte(u, now, start)
 		} else {
-			r.dispatcher.node.LoadTracker.ObserveInterToken(u.Name, now, now.Sub(lastEventAt))
+			gap := now.Sub(lastEventAt)
+			r.longestGap = max(r.longestGap, gap)
+			r.dispatcher.node.LoadTracker.ObserveInterToken(u.Name, now, gap)
 		}
 		lastEventAt = now
 		if chunk.EventID > 0 {
