Keep a key that moves between teams valid throughout

Change: teams that gain a key are stored first, absent ones deleted last; a lookup whose team was deleted in between looks again. Also a test that an upstream that only declines requests is not suspected, which could be broken unseen.

--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -492,6 +492,23 @@
 	})
 }
 
+// A full upstream works as it should: it must not be avoided like one that fails.
+func TestForwardDoesNotSuspectUpstreamThatDeclines(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			return nil, notRunError(a)
+		}
+		for range 10 {
+			x.forward(t.Context(), newForwardRequest("once"))
+		}
+		for _, u := range x.node.Directory.Upstreams() {
+			if x.node.LoadTracker.Estimate(u.Name, time.Now()).Suspect {
+				t.Errorf("%s is suspect, although it only declined requests", u.Name)
+			}
+		}
+	})
+}
+
 func TestForwardWithoutUpstreamIsNotRun(t *testing.T) {
 	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 		f := newForwardRequest("once")
--- a/state/storer/store.go
+++ b/state/storer/store.go
@@ -69,14 +69,25 @@
 
 // TeamByKey implements quetzalroad.Directory.
 func (s *Store) TeamByKey(hash quetzalroad.KeyHash) (quetzalroad.Team, bool) {
+	for name, ok := s.teamName(hash); ok; {
+		if t, found := s.Team(name); found {
+			return t, true
+		}
+		// The team was deleted after its name was read. The key may have moved to another one.
+		deleted := name
+		if name, ok = s.teamName(hash); name == deleted {
+			break
+		}
+	}
+	return quetzalroad.Team{}, false
+}
+
+func (s *Store) teamName(hash quetzalroad.KeyHash) (quetzalroad.TeamName, bool) {
 	sh := s.keyShard(hash)
 	sh.mu.RLock()
+	defer sh.mu.RUnlock()
 	name, ok := sh.teamsByKey[hash]
-	sh.mu.RUnlock()
-	if !ok {
-		return quetzalroad.Team{}, false
-	}
-	return s.Team(name)
+	return name, ok
 }
 
 // Team implements quetzalroad.Directory.
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -53,20 +53,40 @@
 	w.published.services = present
 }
 
-// replaceTeams deletes absent teams before it stores the others, so that a key that
-// moves between teams always ends up with the new one.
+// replaceTeams stores teams that gain a key before those that lose it and before it deletes absent
+// teams, so that a key that moves between teams always names one of them.
 func (w *Watcher) replaceTeams(teams []quetzalroad.Team) {
 	present := make(map[quetzalroad.TeamName]bool, len(teams))
+	var others []*quetzalroad.Team
 	for i := range teams {
 		present[teams[i].Name] = true
+		if w.gainsKey(&teams[i]) {
+			w.putTeam(&teams[i])
+		} else {
+			others = append(others, &teams[i])
+		}
+	}
+	for _, t := range others {
+		w.putTeam(t)
 	}
 	for name := range w.published.teams {
 		if !present[name] {
 			w.store.Put(quetzalroad.ObjectTeam, string(name), quetzalroad.Object{})
 		}
 	}
-	for i := range teams {
-		w.store.Put(quetzalroad.ObjectTeam, string(teams[i].Name), quetzalroad.Object{Team: &teams[i]})
-	}
 	w.published.teams = present
 }
+
+func (w *Watcher) putTeam(t *quetzalroad.Team) {
+	w.store.Put(quetzalroad.ObjectTeam, string(t.Name), quetzalroad.Object{Team: t})
+}
+
+// gainsKey reports whether one of the team's keys names another team now.
+func (w *Watcher) gainsKey(t *quetzalroad.Team) bool {
+	for _, h := range t.KeyHashes {
+		if current, ok := w.store.TeamByKey(h); ok && current.Name != t.Name {
+			return true
+		}
+	}
+	return false
+}
