Call the platform's log less and share observations through readers

A reader that could not reach the log was used on; a reader that replaced another did not know of it and refused. A node of this deployment sees two or three requests a second, too few to notice a burst or a slow engine.

Change: the node list is read once at the start and later through the reader; a starting node waits for it before it polls; one reader serves 24 nodes. A node tries two readers, avoids one whose view of the published state is older than another's or the log's, and asks a failing log again only after two seconds. Readers are ranked in tiers, and a node that is asked to read does so. With each poll nodes send what they saw of the mix of prompts, of latencies and load reports, and get the sum of the others.

--- a/codecs/nodemapper/nodemapper_test.go
+++ b/codecs/nodemapper/nodemapper_test.go
@@ -1,6 +1,7 @@
 package nodemapper
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -41,7 +42,8 @@
 func TestReadResponseRoundTripNeverLowersAge(t *testing.T) {
 	want := quetzalroad.SharedReadResponse{
 		Status: quetzalroad.SharedReadOK, NextRead: 9, Age: 1500*time.Millisecond + 300,
-		Records: []quetzalroad.KeyedRecord{{Key: "a", Offset: 3, Value: []byte("v")}, {Key: "b", Offset: 8}},
+		Records:      []quetzalroad.KeyedRecord{{Key: "a", Offset: 3, Value: []byte("v")}, {Key: "b", Offset: 8}},
+		Observations: &quetzalroad.Observations{Mixes: []quetzalroad.ServiceMix{{Service: "llm", Requests: 1}}},
 	}
 	got, err := DecodeReadResponse(EncodeReadResponse(want))
 	if err != nil {
@@ -54,9 +56,31 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
-	request := quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.NoOffset}
-	if got := DecodeReadRequest(EncodeReadRequest(request)); got != request {
-		t.Errorf("%+v became %+v", request, got)
+}
+
+func TestReadRequestRoundTrip(t *testing.T) {
+	for _, want := range []quetzalroad.SharedReadRequest{
+		{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.NoOffset},
+		{Stream: quetzalroad.LogStreamOperators, From: 7, Node: "node-1", Observations: &quetzalroad.Observations{}},
+		{Stream: quetzalroad.LogStreamOperators, From: 7, Node: "node-1", Observations: &quetzalroad.Observations{
+			Mixes:     []quetzalroad.ServiceMix{{Service: "llm", ShortWork: 1.5, LongWork: 2.5, Requests: 3}},
+			Upstreams: []quetzalroad.UpstreamObservation{{Upstream: "u", InterTokenLatency: 20 * time.Millisecond, Occupancy: 3, ReportAge: time.Millisecond}},
+		}},
+	} {
+		if diff := cmp.Diff(want, DecodeReadRequest(EncodeReadRequest(want))); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	}
+}
+
+func TestImpossibleObservationsAreLeftOut(t *testing.T) {
+	message := &peerwire.ReadRequest{Observations: &peerwire.Observations{
+		Mixes:     []*peerwire.ServiceMix{{Service: "a", ShortWork: math.NaN()}, {Service: "b", LongWork: math.Inf(1)}, {Service: "c", Requests: -1}, {Service: "d"}},
+		Upstreams: []*peerwire.UpstreamObservation{{Upstream: "u", Occupancy: -1}, {Upstream: "v", InterTokenUs: -1}, {Upstream: "w", ReportAgeUs: math.MaxInt64}, {Upstream: "x", Occupancy: math.MaxInt64}},
+	}}
+	want := &quetzalroad.Observations{Mixes: []quetzalroad.ServiceMix{{Service: "d"}}}
+	if diff := cmp.Diff(want, DecodeReadRequest(message).Observations); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
 
--- a/codecs/nodemapper/read.go
+++ b/codecs/nodemapper/read.go
@@ -11,18 +11,21 @@
 
 // EncodeReadRequest encodes the request of a shared read.
 func EncodeReadRequest(r quetzalroad.SharedReadRequest) *peerwire.ReadRequest {
-	return &peerwire.ReadRequest{Stream: string(r.Stream), From: int64(r.From)}
+	return &peerwire.ReadRequest{Stream: string(r.Stream), From: int64(r.From), Node: string(r.Node), Observations: encodeObservations(r.Observations)}
 }
 
 // DecodeReadRequest decodes the request of a shared read.
 func DecodeReadRequest(message *peerwire.ReadRequest) quetzalroad.SharedReadRequest {
-	return quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStream(message.GetStream()), From: quetzalroad.Offset(message.GetFrom())}
+	return quetzalroad.SharedReadRequest{
+		Stream: quetzalroad.LogStream(message.GetStream()), From: quetzalroad.Offset(message.GetFrom()),
+		Node: quetzalroad.NodeName(message.GetNode()), Observations: decodeObservations(message.GetObservations()),
+	}
 }
 
 // EncodeReadResponse encodes the response to a shared read. The age is rounded up,
 // so that the records never appear fresher than they are.
 func EncodeReadResponse(response quetzalroad.SharedReadResponse) *peerwire.ReadAnswer {
-	message := &peerwire.ReadAnswer{State: peerwire.ReadAnswer_State(response.Status), Through: int64(response.NextRead), AgeUs: response.Age.Microseconds() + 1}
+	message := &peerwire.ReadAnswer{State: peerwire.ReadAnswer_State(response.Status), Through: int64(response.NextRead), AgeUs: response.Age.Microseconds() + 1, Observations: encodeObservations(response.Observations)}
 	for _, r := range response.Records {
 		message.Records = append(message.Records, &peerwire.KeyedRecord{Key: r.Key, Offset: int64(r.Offset), Value: r.Value})
 	}
@@ -36,7 +39,7 @@
 	}
 	response := quetzalroad.SharedReadResponse{
 		Status: quetzalroad.SharedReadStatus(message.GetState()), NextRead: quetzalroad.Offset(message.GetThrough()),
-		Age: time.Duration(message.GetAgeUs()) * time.Microsecond,
+		Age: time.Duration(message.GetAgeUs()) * time.Microsecond, Observations: decodeObservations(message.GetObservations()),
 	}
 	for _, r := range message.GetRecords() {
 		response.Records = append(response.Records, quetzalroad.KeyedRecord{Key: r.GetKey(), Offset: quetzalroad.Offset(r.GetOffset()), Value: r.Value})
--- a/interfaces.go
+++ b/interfaces.go
@@ -136,6 +136,10 @@
 	Estimate(u UpstreamName, now time.Time) LoadEstimate
 	// LocalLoads lists the node's own load, for peers.
 	LocalLoads(now time.Time) []UpstreamLoad
+	// LocalObservations lists what this node recently saw of upstreams, for peers.
+	LocalObservations(now time.Time) []UpstreamObservation
+	// UpdatePeerObservations records what peers saw of upstreams.
+	UpdatePeerObservations(received time.Time, observations []UpstreamObservation)
 	// PolledReports lists the reports that this node polled itself and received after a time,
 	// for peers.
 	PolledReports(after time.Time) []UpstreamReport
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -63,6 +63,8 @@
 	UpstreamCodec quetzalroad.UpstreamCodec
 	ForwardClient quetzalroad.ForwardClient
 	Forwarder     quetzalroad.Forwarder
+	// MixTracker is nil if the balancer tracks no mix.
+	MixTracker quetzalroad.MixTracker
 
 	readiness []quetzalroad.Readiness
 	tasks     []task
--- a/sharing.go
+++ b/sharing.go
@@ -24,6 +24,46 @@
 	Stream LogStream
 	// From is the first offset to return; NoOffset requests the latest record of each key.
 	From Offset
+	// Node is the node that sends the request; empty if it sends no observations.
+	Node NodeName
+	// Observations are those of Node; nil if it sends none.
+	Observations *Observations
+}
+
+// Observations are what a node has recently seen of its own traffic. Nodes exchange them, because a
+// single one sees too few requests to notice a burst or a slow upstream in time.
+type Observations struct {
+	Mixes     []ServiceMix
+	Upstreams []UpstreamObservation
+}
+
+// UpstreamObservation is what nodes have recently seen of an upstream.
+type UpstreamObservation struct {
+	Upstream UpstreamName
+	// InterTokenLatency is zero if none was measured.
+	InterTokenLatency time.Duration
+	// Occupancy is the number of running and waiting requests in the upstream's last load report, and
+	// ReportAge the age of that report; both are zero if there was none.
+	Occupancy int
+	ReportAge time.Duration
+}
+
+// ServiceMix is the recent work for a service, divided into that of short and of long prompts.
+type ServiceMix struct {
+	Service ServiceName
+	// ShortWork and LongWork are in prompt tokens. None of the figures is negative; they decay
+	// exponentially.
+	ShortWork, LongWork float64
+	// Requests counts the requests in them.
+	Requests float64
+}
+
+// MixTracker tracks the mix of short and long prompts.
+type MixTracker interface {
+	// LocalMix returns the recent work of this node.
+	LocalMix(now time.Time) []ServiceMix
+	// UpdatePeerMix replaces the recent work of the other nodes.
+	UpdatePeerMix(received time.Time, mixes []ServiceMix)
 }
 
 // SharedReadStatus is the status of a response to a shared read.
@@ -48,6 +88,9 @@
 	NextRead Offset
 	// Age is the time between the log's last confirmation of the records and the response.
 	Age time.Duration
+	// Observations are those of the other nodes that read from the same one; nil if the request
+	// had none.
+	Observations *Observations
 }
 
 // ReadTransport exchanges shared reads between nodes.
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -10,12 +10,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/state/aggregator"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
@@ -38,33 +40,41 @@
 	logger    *slog.Logger
 	self      quetzalroad.NodeRegistration
 
-	minNodes        int
-	fanOut          int
-	readerPollWait  time.Duration
-	pollInterval    time.Duration
-	readTimeout     time.Duration
-	loadTimeout     time.Duration
-	maxAge          time.Duration
-	avoidDuration   time.Duration
-	refreshInterval time.Duration
-	registrationTTL time.Duration
-	settleDelay     time.Duration
-	callTimeout     time.Duration
-
-	members members
-	caches  map[quetzalroad.LogStream]*streamCache
+	minNodes           int
+	fanOut             int
+	readerPollWait     time.Duration
+	pollInterval       time.Duration
+	readTimeout        time.Duration
+	loadTimeout        time.Duration
+	maxAge             time.Duration
+	avoidDuration      time.Duration
+	refreshInterval    time.Duration
+	registrationTTL    time.Duration
+	settleDelay        time.Duration
+	callTimeout        time.Duration
+	fallbackRetryDelay time.Duration
+
+	// node gives access to the trackers, whose slots are filled after this one.
+	node       *kernel.Node
+	aggregator aggregator.Aggregator
+	members    members
+	// lastFallbackFailure is when the log last failed to respond to a node that has readers, in
+	// nanoseconds since 1970.
+	lastFallbackFailure atomic.Int64
+	caches              map[quetzalroad.LogStream]*streamCache
 }
 
 // Declare implements kernel.Component.
 func (d *Distributor) Declare(s *configloader.Section) {
 	s.Int("least-nodes", &d.minNodes, 4, 2, 1000000, "Smallest number of nodes in a data centre at which some read the log for the others.")
-	s.Int("fan-out", &d.fanOut, 16, 1, 10000, "Number of nodes that one node reads the log for, including itself.")
+	s.Int("fan-out", &d.fanOut, 24, 1, 10000, "Number of nodes that one node reads the log for, including itself.")
 	s.Float("capacity", &d.self.ReadCapacity, 0, 0, 1e12, "Relative capacity of this node to serve reads; the nodes with the highest read the log for the others.")
 	s.Duration("reader-wait", &d.readerPollWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a reader's call to the log waits for new records.")
 	s.Duration("ask-every", &d.pollInterval, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Interval between two reads from the reader.")
 	s.Duration("ask-timeout", &d.readTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a read from the reader.")
 	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a read of the latest record of every key from the reader; longer, as many nodes may read at once.")
 	s.Duration("oldest", &d.maxAge, 2*time.Second, 10*time.Millisecond, time.Hour, "Maximum age of a reader's response.")
+	s.Duration("fallback-retry", &d.fallbackRetryDelay, 2*time.Second, 0, time.Minute, "How long a node whose readers respond with an old view does not ask the log again after it failed.")
 	s.Duration("avoid-for", &d.avoidDuration, 10*time.Second, 10*time.Millisecond, time.Hour, "How long to avoid a reader that failed to respond.")
 	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes.")
 	s.Duration("lifetime", &d.registrationTTL, 3*time.Minute, time.Second, 24*time.Hour, "Age at which a node's registration expires; a node rewrites its own after a third of it.")
@@ -78,11 +88,13 @@
 		return errors.New("the distributor requires the slots keyed-log, entries and read-transport")
 	}
 	d.log, d.writer, d.codec, d.transport = n.KeyedLog, n.KeyedWriter, n.StateCodec, n.ReadTransport
+	d.node = n
 	d.logger = n.Logger
 	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.ReadTransport.ListenAddress()
 	d.caches = map[quetzalroad.LogStream]*streamCache{
 		quetzalroad.LogStreamOperators: new(streamCache),
 		quetzalroad.LogStreamUpstreams: {sameContent: d.sameContent},
+		quetzalroad.LogStreamNodes:     new(streamCache),
 	}
 	n.KeyedLog = d
 	n.AddTask("serve shared reads", func(ctx context.Context) error { return d.transport.Serve(ctx, d) })
@@ -107,7 +119,7 @@
 func (d *Distributor) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
 	if ownRole.hasReader() {
-		records, bounds, err := d.readShared(ctx, ownRole.reader, quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.NoOffset})
+		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.NoOffset})
 		if err == nil {
 			return records, bounds, nil
 		}
@@ -119,11 +131,20 @@
 	}
 	d.caches[s].load(records, bounds.NextRead, sentAt)
 	bounds.Hops = ownRole.hops()
+	if !d.members.areKnown() {
+		// This node may turn out to read for others.
+		bounds.Hops = sharedReadHops
+	}
 	return records, bounds, nil
 }
 
 // ReadKeyed implements quetzalroad.KeyedLog.
 func (d *Distributor) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	if wait > 0 {
+		if err := d.members.awaitKnown(ctx, min(wait, d.settleDelay+d.callTimeout)); err != nil {
+			return nil, quetzalroad.StreamBounds{}, err
+		}
+	}
 	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
 	if ownRole.hasReader() {
 		if wait > 0 {
@@ -131,12 +152,7 @@
 				return nil, quetzalroad.StreamBounds{}, err
 			}
 		}
-		records, bounds, err := d.readShared(ctx, ownRole.reader, quetzalroad.SharedReadRequest{Stream: s, From: from})
-		if err == nil || errors.Is(err, quetzalroad.ErrTrimmed) {
-			return records, bounds, err
-		}
-		// Don't wait for a change: the view's age grows until a read confirms it.
-		wait = 0
+		return d.readThroughReaders(ctx, ownRole.readers, quetzalroad.SharedReadRequest{Stream: s, From: from})
 	}
 	cache := d.caches[s]
 	if ownRole.readsLog {
@@ -152,10 +168,57 @@
 		return nil, bounds, err
 	}
 	cache.add(from, records, bounds, sentAt)
+	if ownRole.readsLog {
+		d.applyObservations(d.aggregator.Sum(time.Now(), d.self.Name))
+	}
 	bounds.Hops = ownRole.hops()
 	return records, bounds, nil
 }
 
+// readThroughReaders reads from the first reader whose view is recent, else from the log. While the
+// log fails, it is asked less often than the readers, which learn of its return.
+func (d *Distributor) readThroughReaders(ctx context.Context, readers []quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	var outdated []quetzalroad.NodeName
+	var lastErr error
+	for _, reader := range readers[:min(len(readers), maxReaderTries)] {
+		records, bounds, err := d.readShared(ctx, reader, d.withObservations(q))
+		if err == nil || errors.Is(err, quetzalroad.ErrTrimmed) {
+			d.avoidOutdated(q.Stream, outdated)
+			return records, bounds, err
+		}
+		if errors.Is(err, errTooOld) {
+			outdated = append(outdated, reader.Name)
+		}
+		lastErr = err
+	}
+	if len(outdated) > 0 && time.Since(time.Unix(0, d.lastFallbackFailure.Load())) < d.fallbackRetryDelay {
+		return nil, quetzalroad.StreamBounds{}, lastErr
+	}
+	// Don't wait for a change: the view's age grows until a read confirms it.
+	records, bounds, err := d.log.ReadKeyed(ctx, q.Stream, q.From, 0)
+	if err != nil && !errors.Is(err, quetzalroad.ErrTrimmed) {
+		d.lastFallbackFailure.Store(time.Now().UnixNano())
+		return nil, bounds, err
+	}
+	d.avoidOutdated(q.Stream, outdated)
+	bounds.Hops = 1
+	return records, bounds, err
+}
+
+// maxReaderTries is the number of readers that are tried before the log.
+const maxReaderTries = 2
+
+// avoidOutdated avoids readers whose view turned out to be older than that of another reader or of the
+// log. Only the published state tells, as readers read it all the time.
+func (d *Distributor) avoidOutdated(s quetzalroad.LogStream, readers []quetzalroad.NodeName) {
+	if s != quetzalroad.LogStreamOperators {
+		return
+	}
+	for _, n := range readers {
+		d.members.avoid(n, time.Now().Add(d.avoidDuration))
+	}
+}
+
 var (
 	errRefused = errors.New("the node does not read the log for others")
 	errTooOld  = errors.New("the reader's view is too old")
@@ -177,22 +240,42 @@
 		return nil, quetzalroad.StreamBounds{}, quetzalroad.ErrTrimmed
 	case response.Status != quetzalroad.SharedReadOK:
 		err = errRefused
-	case response.Age > d.maxAge:
+	case response.Age > d.maxAgeOf(q.Stream):
 		err = errTooOld
 	}
 	if err != nil {
-		d.logger.Info("shared read failed, reading the log directly", "reader", string(reader.Name), "stream", string(q.Stream), "from", int64(q.From), "age", response.Age, "error", err)
+		d.logger.Info("shared read failed", "reader", string(reader.Name), "stream", string(q.Stream), "from", int64(q.From), "age", response.Age, "error", err)
 		return nil, quetzalroad.StreamBounds{}, err
 	}
+	if response.Observations != nil {
+		d.applyObservations(*response.Observations)
+	}
 	bounds := quetzalroad.StreamBounds{End: response.NextRead, NextRead: max(q.From, response.NextRead), Age: response.Age, Hops: sharedReadHops}
 	return response.Records, bounds, nil
 }
 
+// maxAgeOf returns the maximum age of a reader's view of a stream. Readers read the list of nodes
+// seldom.
+func (d *Distributor) maxAgeOf(s quetzalroad.LogStream) time.Duration {
+	if s == quetzalroad.LogStreamNodes {
+		return d.refreshInterval + d.maxAge
+	}
+	return d.maxAge
+}
+
 // HandleRead implements quetzalroad.ReadHandler.
 func (d *Distributor) HandleRead(q quetzalroad.SharedReadRequest) quetzalroad.SharedReadResponse {
 	cache := d.caches[q.Stream]
-	if cache == nil || !d.members.roleOf(d.self, d.minNodes, d.fanOut).readsLog {
+	if cache == nil {
 		return quetzalroad.SharedReadResponse{}
 	}
-	return cache.read(q.From)
+	if !d.members.roleOf(d.self, d.minNodes, d.fanOut).readsLog {
+		d.members.promote(time.Now().Add(d.avoidDuration))
+		return quetzalroad.SharedReadResponse{}
+	}
+	response := cache.read(q.From)
+	if q.Observations != nil {
+		response.Observations = d.exchangeObservations(q.Node, *q.Observations)
+	}
+	return response
 }
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -27,7 +27,9 @@
 type nodeLog struct {
 	*faker.KeyedLog
 	unavailable atomic.Bool
-	reads       atomic.Int64
+	// reads counts the reads that were answered, and calls all calls.
+	reads atomic.Int64
+	calls atomic.Int64
 }
 
 // Declare implements kernel.Component.
@@ -39,7 +41,16 @@
 	return nil
 }
 
+func (l *nodeLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) error {
+	l.calls.Add(1)
+	if l.unavailable.Load() {
+		return faker.ErrUnavailable
+	}
+	return l.KeyedLog.PutKeyed(ctx, s, key, value)
+}
+
 func (l *nodeLog) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	l.calls.Add(1)
 	if l.unavailable.Load() {
 		return nil, quetzalroad.StreamBounds{}, faker.ErrUnavailable
 	}
@@ -48,6 +59,7 @@
 }
 
 func (l *nodeLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	l.calls.Add(1)
 	if l.unavailable.Load() {
 		return nil, quetzalroad.StreamBounds{}, faker.ErrUnavailable
 	}
@@ -64,7 +76,7 @@
 }
 
 func nodeAddress(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7200)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i%250 + 1)}), 7200)
 }
 
 func registration(sequence int64, draining bool) quetzalroad.UpstreamRegistration {
@@ -327,3 +339,109 @@
 		}
 	})
 }
+
+// callsDuring returns the calls of all nodes to the log while f runs.
+func (c *cluster) callsDuring(f func()) int {
+	total := func() int {
+		sum := 0
+		for _, l := range c.logs {
+			sum += int(l.calls.Load())
+		}
+		return sum
+	}
+	before := total()
+	f()
+	return total() - before
+}
+
+// readingNode returns the index of a node that reads the log for others.
+func (c *cluster) readingNode() int {
+	return c.readingNodes(2 * time.Second)[0]
+}
+
+// The platform prices each call to the log and bounds their rate over all nodes. What a node needs
+// beyond its readers must be a few calls for each event, not one for each of its own reads.
+func TestManyNodesCallTheLogSeldom(t *testing.T) {
+	const (
+		count   = 200
+		readers = 9
+		// readerRate bounds the calls of a reader in a second: two reads of the published state, one of
+		// the registrations, and the list of nodes now and then.
+		readerRate = 3
+		// seconds is how long each period is observed.
+		seconds = 10
+	)
+	runInCluster(t, count, func(t *testing.T, c *cluster) {
+		started := c.callsDuring(func() {})
+		for _, l := range c.logs {
+			started += int(l.calls.Load())
+		}
+		// Registration, the list of nodes, and the latest records of two streams; the rest is the readers'.
+		if limit := 4*count + readers*readerRate*seconds; started > limit {
+			t.Errorf("%d calls at the start, want at most %d", started, limit)
+		}
+		observe := func(what string, limit int, change func()) {
+			t.Helper()
+			calls := c.callsDuring(func() {
+				change()
+				time.Sleep(seconds * time.Second)
+			})
+			if calls > limit {
+				t.Errorf("%s: %d calls in %d s, want at most %d", what, calls, seconds, limit)
+			}
+			for i, n := range c.nodes {
+				if !c.logs[i].unavailable.Load() && !n.Freshness.IsFresh() {
+					t.Errorf("%s: the view of node %d is not fresh", what, i)
+				}
+			}
+		}
+		const steady = readers * readerRate * seconds
+		observe("steady state", steady, func() {})
+		reader := c.readingNode()
+		observe("a reader is silent", steady+2*count/readers, func() { c.network.SetStalled(nodeAddress(reader), true) })
+		c.network.SetStalled(nodeAddress(reader), false)
+		time.Sleep(15 * time.Second)
+		observe("the history is compacted", steady+2*readers+count, func() {
+			c.log.Compact(quetzalroad.LogStreamOperators)
+			c.log.Compact(quetzalroad.LogStreamUpstreams)
+		})
+		reader = c.readingNode()
+		observe("the log turns a third of the nodes away", steady+2*count, func() {
+			for i := range count / 3 {
+				c.logs[(reader+3*i)%count].unavailable.Store(true)
+			}
+		})
+		for _, l := range c.logs {
+			l.unavailable.Store(false)
+		}
+		time.Sleep(15 * time.Second)
+		c.log.SetUnavailable(true)
+		calls := c.callsDuring(func() { time.Sleep(seconds * time.Second) })
+		if limit := steady + count*seconds; calls > limit {
+			t.Errorf("the log is away: %d calls in %d s, want at most %d", calls, seconds, limit)
+		}
+		c.log.SetUnavailable(false)
+		c.eventually(t, 3*time.Second, "fresh again", func(n *kernel.Node) bool { return n.Freshness.IsFresh() })
+	})
+}
+
+// Each node sees only a part of the traffic. What one measures must reach the others through their
+// reader within about two intervals.
+func TestObservationsReachTheOtherNodes(t *testing.T) {
+	runInCluster(t, 8, func(t *testing.T, c *cluster) {
+		reader := c.readerNode(t)
+		upstream := c.nodes[0].Directory.Upstreams()[0].Name
+		sender := c.nodes[(reader+1)%len(c.nodes)]
+		now := time.Now()
+		sender.LoadTracker.ObserveInterToken(upstream, now, 70*time.Millisecond)
+		sender.LoadTracker.UpdateReport(upstream, now, quetzalroad.LoadReport{MeasuredAt: now, Running: 5, Waiting: 2})
+		c.eventually(t, 1500*time.Millisecond, "aware of the latency", func(n *kernel.Node) bool {
+			return n.LoadTracker.Estimate(upstream, time.Now()).InterTokenLatency == 70*time.Millisecond
+		})
+		for i, n := range c.nodes {
+			if e := n.LoadTracker.Estimate(upstream, time.Now()); e.Running != 7 {
+				t.Errorf("node %d estimates %d requests, want the 7 that the upstream reported", i, e.Running)
+			}
+		}
+	})
+}
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -22,18 +22,32 @@
 	ranked []quetzalroad.NodeRegistration
 	// avoidUntil is when failed readers may be used again, and is guarded by mu.
 	avoidUntil map[quetzalroad.NodeName]time.Time
+	// promotedUntil is until when this node reads the log because another one asked it to.
+	promotedUntil time.Time
+	// known is closed once the members have been read, and isKnown is set then. Both are guarded by
+	// mu; known is allocated on first use.
+	known   chan struct{}
+	isKnown bool
 }
 
 // role is a node's part in shared reads. With the zero value it reads for itself only.
 type role struct {
 	// readsLog reports whether this node reads the log for others.
 	readsLog bool
-	// reader is the node that reads the log for this one; its name is empty if there is none.
-	reader quetzalroad.NodeRegistration
+	// readers are the nodes that read the log for this one, the first of them unless it fails.
+	readers []quetzalroad.NodeRegistration
 }
 
 func (r role) hasReader() bool {
-	return r.reader.Name != ""
+	return len(r.readers) > 0
+}
+
+// readerName returns the name of the node that reads the log for this one; empty if there is none.
+func (r role) readerName() quetzalroad.NodeName {
+	if !r.hasReader() {
+		return ""
+	}
+	return r.readers[0].Name
 }
 
 // sharedReadHops is the number of hops from the log, through a reader, to a node.
@@ -59,6 +73,48 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ranked = others
+	if !m.isKnown {
+		m.isKnown = true
+		close(m.knownLocked())
+	}
+}
+
+func (m *members) knownLocked() chan struct{} {
+	if m.known == nil {
+		m.known = make(chan struct{})
+	}
+	return m.known
+}
+
+// promote makes this node a reader for a while. Another node asks it only if it can't use the nodes
+// that should be readers.
+func (m *members) promote(until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.promotedUntil = until
+}
+
+// areKnown reports whether the members have been read.
+func (m *members) areKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isKnown
+}
+
+// awaitKnown waits until the members have been read, or a timeout has passed.
+func (m *members) awaitKnown(ctx context.Context, timeout time.Duration) error {
+	m.mu.Lock()
+	known := m.knownLocked()
+	m.mu.Unlock()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
 }
 
 func (m *members) avoid(n quetzalroad.NodeName, until time.Time) {
@@ -70,54 +126,59 @@
 	m.avoidUntil[n] = until
 }
 
-// roleOf returns the role of a node: of the nodes that aren't avoided, the first
-// ones are readers, and the others are distributed over them by hash. With fewer than
-// minNodes nodes there are no readers.
+// roleOf returns the role of a node. In the order of all nodes, each group of as many as there are to
+// be readers is a tier. The nodes of the first tier are readers, and the others are distributed over
+// them by hash. If a node avoids all readers of a tier, it turns to the next one, as all others do that
+// can't reach them. With fewer than minNodes nodes there are no readers.
 func (m *members) roleOf(self quetzalroad.NodeRegistration, minNodes, fanOut int) role {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if 1+len(m.ranked) < minNodes {
+	count := 1 + len(m.ranked)
+	if count < minNodes {
 		return role{}
 	}
 	now := time.Now()
-	readerCount := (len(m.ranked) + fanOut) / fanOut
-	var readers []quetzalroad.NodeRegistration
-	for _, n := range m.ranked {
-		if len(readers) == readerCount {
-			break
-		}
-		if now.Before(m.avoidUntil[n.Name]) {
-			continue
+	if now.Before(m.promotedUntil) {
+		return role{readsLog: true}
+	}
+	readerCount := (count + fanOut - 1) / fanOut
+	position, _ := slices.BinarySearchFunc(m.ranked, self, compareNodes)
+	order := slices.Insert(slices.Clone(m.ranked), position, self)
+	for tier := range slices.Chunk(order, readerCount) {
+		var readers []quetzalroad.NodeRegistration
+		for i := range tier {
+			n := tier[(int(xxhash.Sum64String(string(self.Name))%uint64(len(tier)))+i)%len(tier)]
+			if n.Name == self.Name {
+				return role{readsLog: true}
+			}
+			if !now.Before(m.avoidUntil[n.Name]) {
+				readers = append(readers, n)
+			}
 		}
-		if compareNodes(self, n) < 0 {
-			return role{readsLog: true}
+		if len(readers) > 0 {
+			return role{readers: readers}
 		}
-		readers = append(readers, n)
-	}
-	if len(readers) < readerCount {
-		return role{readsLog: true}
 	}
-	return role{reader: readers[xxhash.Sum64String(string(self.Name))%uint64(readerCount)]}
+	return role{readsLog: true}
 }
 
-// maintainMembership periodically writes this node's registration and reads the others.
+// maintainMembership periodically writes this node's registration and reads the others. As several nodes
+// may start together, it first waits for the registrations of the others.
 func (d *Distributor) maintainMembership(ctx context.Context) error {
 	var lastWrite time.Time
-	for iteration := 0; ; iteration++ {
+	delay := d.settleDelay
+	for {
 		if time.Since(lastWrite) >= d.registrationTTL/3 && d.writeOwnRegistration(ctx) {
 			lastWrite = time.Now()
 		}
-		d.refreshMembers(ctx)
-		delay := d.refreshInterval
-		if iteration == 0 {
-			delay = d.settleDelay
+		if err := sleeper.Sleep(ctx, delay); err != nil {
+			return err
 		}
+		d.refreshMembers(ctx)
+		delay = d.refreshInterval
 		if lastWrite.IsZero() {
 			delay = min(delay, d.callTimeout)
 		}
-		if err := sleeper.Sleep(ctx, delay); err != nil {
-			return err
-		}
 	}
 }
 
@@ -146,12 +207,12 @@
 	}
 }
 
-// refreshMembers reads the registrations of the other nodes of the data centre. If the
-// read fails, the known ones are kept.
+// refreshMembers reads the registrations of the other nodes of the data centre, through a reader if
+// there is one. If the read fails, the known ones are kept.
 func (d *Distributor) refreshMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
 	defer cancel()
-	records, _, err := d.log.ReadLatest(ctx, quetzalroad.LogStreamNodes)
+	records, _, err := d.ReadLatest(ctx, quetzalroad.LogStreamNodes)
 	if err != nil {
 		d.logger.Warn("failed to read node registrations", "stream", string(quetzalroad.LogStreamNodes), "error", err)
 		return
@@ -169,5 +230,5 @@
 	}
 	d.members.set(others)
 	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
-	d.logger.Info("node list refreshed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", ownRole.readsLog, "reader", string(ownRole.reader.Name))
+	d.logger.Info("node list refreshed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", ownRole.readsLog, "reader", string(ownRole.readerName()))
 }
--- a/state/distributor/members_test.go
+++ b/state/distributor/members_test.go
@@ -49,19 +49,19 @@
 		followers := make(map[quetzalroad.NodeName]int)
 		for i, r := range assigned {
 			if r.readsLog == r.hasReader() {
-				t.Errorf("%s of %d: reads the log %v, reader %q", all[i].Name, count, r.readsLog, r.reader.Name)
+				t.Errorf("%s of %d: reads the log %v, reader %q", all[i].Name, count, r.readsLog, r.readerName())
 			}
-			if r.hasReader() && !readers[r.reader.Name] {
-				t.Errorf("%s of %d has reader %s, which does not read the log", all[i].Name, count, r.reader.Name)
+			if r.hasReader() && !readers[r.readerName()] {
+				t.Errorf("%s of %d has reader %s, which does not read the log", all[i].Name, count, r.readerName())
 			}
-			followers[r.reader.Name]++
+			followers[r.readerName()]++
 		}
 	}
 }
 
 func TestNoRolesBelowMinimumNodes(t *testing.T) {
 	for i, r := range rolesOf(nodes(3), 4, 16) {
-		if r != (role{}) {
+		if r.readsLog || r.hasReader() {
 			t.Errorf("node %d: %+v", i, r)
 		}
 	}
@@ -83,10 +83,10 @@
 	m.set(without(all, 0))
 	self := all[0]
 	self.ReadCapacity = -1
-	first := m.roleOf(self, 4, 16).reader
-	m.avoid(first.Name, time.Now().Add(time.Hour))
-	if second := m.roleOf(self, 4, 16).reader; second.Name == first.Name || second.Name == "" {
-		t.Errorf("reader %q while %s is avoided, want another", second.Name, first.Name)
+	first := m.roleOf(self, 4, 16).readerName()
+	m.avoid(first, time.Now().Add(time.Hour))
+	if second := m.roleOf(self, 4, 16).readerName(); second == first || second == "" {
+		t.Errorf("reader %q while %s is avoided, want another", second, first)
 	}
 	for _, n := range all {
 		m.avoid(n.Name, time.Now().Add(time.Hour))
@@ -94,8 +94,58 @@
 	if r := m.roleOf(self, 4, 16); !r.readsLog {
 		t.Errorf("role %+v with all others avoided", r)
 	}
-	m.avoid(first.Name, time.Now().Add(-time.Second))
-	if restored := m.roleOf(self, 4, 16).reader; restored.Name != first.Name {
-		t.Errorf("reader %q after the avoidance of %s ended", restored.Name, first.Name)
+	m.avoid(first, time.Now().Add(-time.Second))
+	if restored := m.roleOf(self, 4, 16).readerName(); restored != first {
+		t.Errorf("reader %q after the avoidance of %s ended", restored, first)
+	}
+}
+
+// If a reader can't be used, only the nodes that it serves find out. Those that they turn to must
+// know that they are readers.
+func TestNodesTurnToNodesThatRead(t *testing.T) {
+	const fanOut = 8
+	all := nodes(30)
+	reader := rolesOf(all, 4, fanOut)
+	var unusable quetzalroad.NodeName
+	for _, r := range reader {
+		if r.hasReader() {
+			unusable = r.readerName()
+			break
+		}
+	}
+	for i, self := range all {
+		var m members
+		m.set(without(all, i))
+		if m.roleOf(self, 4, fanOut).readerName() != unusable {
+			continue
+		}
+		m.avoid(unusable, time.Now().Add(time.Hour))
+		next := m.roleOf(self, 4, fanOut).readerName()
+		for j, n := range all {
+			if n.Name == next && !reader[j].readsLog {
+				t.Errorf("%s turns to %s, which does not read the log", self.Name, next)
+			}
+		}
+	}
+}
+
+// A node that another one turns to must read the log, though it may still be able to use the readers
+// that the other one can't.
+func TestPromotedNodeReadsTheLogForAWhile(t *testing.T) {
+	all := nodes(10)
+	var m members
+	m.set(without(all, 0))
+	self := all[0]
+	self.ReadCapacity = -1
+	if m.roleOf(self, 4, 16).readsLog {
+		t.Fatal("the node with the least capacity reads the log")
+	}
+	m.promote(time.Now().Add(time.Hour))
+	if !m.roleOf(self, 4, 16).readsLog {
+		t.Error("a promoted node does not read the log")
+	}
+	m.promote(time.Now().Add(-time.Second))
+	if m.roleOf(self, 4, 16).readsLog {
+		t.Error("a node reads the log after its promotion has ended")
 	}
 }
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -83,6 +83,8 @@
 	// report is the one measured last; zero before the first.
 	report     quetzalroad.LoadReport
 	reportedAt time.Time
+	// reportFromPeer reports whether a peer received it.
+	reportFromPeer bool
 	// unattributed is a moving average of what the reports counted beyond the
 	// work of this node and its peers.
 	unattributed float64
@@ -253,16 +255,27 @@
 // UpdateReport implements quetzalroad.LoadTracker.
 func (t *Tracker) UpdateReport(u quetzalroad.UpstreamName, received time.Time, r quetzalroad.LoadReport) {
 	t.withState(u, func(s *upstreamState) {
-		if r.MeasuredAt.Before(s.report.MeasuredAt) {
-			return
+		if s.updateReport(received, r, t.reportTTL) {
+			s.reportFromPeer = false
 		}
-		excess := r.Running + r.Waiting + s.history.sumAfter(r.MeasuredAt) - s.localRunning - s.peerRunning
-		s.unattributed += reportSmoothing * (float64(excess) - s.unattributed)
-		s.report = r
-		s.reportedAt = received
 	})
 }
 
+// updateReport takes a report over, unless it was measured before the last one.
+func (s *upstreamState) updateReport(received time.Time, r quetzalroad.LoadReport, reportTTL time.Duration) bool {
+	if r.MeasuredAt.Before(s.report.MeasuredAt) {
+		return false
+	}
+	excess := float64(r.Running + r.Waiting + s.history.sumAfter(r.MeasuredAt) - s.localRunning - s.peerRunning)
+	if len(s.runningByPeer) > 0 && r.MeasuredAt.Sub(s.report.MeasuredAt) < reportTTL {
+		excess = s.unattributed + reportSmoothing*(excess-s.unattributed)
+	}
+	s.unattributed = excess
+	s.report = r
+	s.reportedAt = received
+	return true
+}
+
 // UpdatePeer implements quetzalroad.LoadTracker. The peer has no work on
 // upstreams that loads leaves out.
 func (t *Tracker) UpdatePeer(n quetzalroad.NodeName, received time.Time, loads []quetzalroad.UpstreamLoad) {
