Divide engines by the slots that generation holds, and place by latency

Load patterns: a burst of short prompts, a prefix in two fifths of the long prompts, a third of the engines slower by four.

Cause: a generated token counted 7 prompt tokens, whatever the number of slots; with 24 slots it holds an engine for 19. So the short pool was too small, and chats queued there for seconds while engines for long prompts had free slots. Each node divided the engines by the few requests that it saw itself. A prefix had one engine, however many requests had it. Slow engines were seen by their queue only, which few nodes knew.

Change: a token costs its share of a step (step-cost); the mix of other nodes counts; the share changes less while few requests were seen; a prefix is assigned to engines in number with its share; an engine whose latency is above the usual of its pool counts as more loaded; of each group, near and far, two random engines are compared, so that nodes with the same late view do not choose the same one.

--- a/decisions/balancer/estimator/estimator.go
+++ b/decisions/balancer/estimator/estimator.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/decisions/latencytracker"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 )
@@ -30,7 +31,7 @@
 	symmetryWeight float64
 	reservedShare  float64
 	seed           int
-	latencies      latencyCache
+	latencies      latencytracker.Tracker
 	random         randomSource
 }
 
@@ -57,7 +58,7 @@
 		return candidates[0]
 	}
 	low, high := e.eligibleRange(r, len(candidates))
-	medianLatency := e.latencies.median(r.Service.Name)
+	medianLatency := e.latencies.Median(r.Service.Name)
 	best := candidates[low+e.random.intN(high-low)]
 	lowest := e.cost(now, r, best, medianLatency)
 	if preferred, ok := e.prefixUpstream(now, r, candidates[low:high], medianLatency); ok {
@@ -141,7 +142,7 @@
 // times the squared ratio of its latency to the service's median where it is slower.
 func (e *Estimator) cost(now time.Time, r *quetzalroad.Request, u quetzalroad.Upstream, medianLatency time.Duration) float64 {
 	estimate := e.loadTracker.Estimate(u.Name, now)
-	e.latencies.observe(r.Service.Name, estimate.InterTokenLatency)
+	e.latencies.Observe(r.Service.Name, estimate.InterTokenLatency)
 	running := e.expectedRunning(estimate) + 1
 	if excess := running - float64(u.MaxConcurrency); excess > 0 {
 		running += overloadPenalty * excess
--- /dev/null
+++ b/decisions/balancer/separator/cost.go
@@ -0,0 +1,151 @@
+package separator
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// suspectCost exceeds all other costs, so that a suspect upstream is chosen last.
+const suspectCost = 1e9
+
+// chooser chooses the upstream of one request.
+type chooser struct {
+	separator *Separator
+	now       time.Time
+	request   *quetzalroad.Request
+	// holders are the engines that the request's prefix is assigned to; empty for a short prompt.
+	holders []quetzalroad.Upstream
+}
+
+// chooseAmong returns the cheapest of a few engines of each group. It compares all of them if those
+// are suspect.
+func (c *chooser) chooseAmong(groups *engineGroups) quetzalroad.Upstream {
+	best, lowest := quetzalroad.Upstream{}, math.Inf(1)
+	compare := func(members []quetzalroad.Upstream, inLongPool bool) {
+		for _, u := range members {
+			if cost := c.engineCost(u, inLongPool); cost < lowest {
+				best, lowest = u, cost
+			}
+		}
+	}
+	for _, g := range groups.all() {
+		compare(sample(g.members, c.separator.sampleSize), g.inLongPool)
+	}
+	compare(sample(c.holders, c.separator.sampleSize), true)
+	if lowest >= suspectCost {
+		for _, g := range groups.all() {
+			compare(g.members, g.inLongPool)
+		}
+	}
+	return best
+}
+
+// cheapestOf returns the upstream of a plain service with the lowest load.
+func (c *chooser) cheapestOf(candidates []quetzalroad.Upstream) quetzalroad.Upstream {
+	best, lowest := candidates[0], math.Inf(1)
+	for _, u := range candidates {
+		if cost := c.loadCost(u, false); cost < lowest {
+			best, lowest = u, cost
+		}
+	}
+	return best
+}
+
+// sample returns random members, or all if there are no more than size.
+func sample(members []quetzalroad.Upstream, size int) []quetzalroad.Upstream {
+	if len(members) <= size {
+		return members
+	}
+	sampled := make([]quetzalroad.Upstream, 0, size)
+	for range size {
+		sampled = append(sampled, members[rand.IntN(len(members))])
+	}
+	return sampled
+}
+
+func (c *chooser) engineCost(u quetzalroad.Upstream, inLongPool bool) float64 {
+	if c.request.PromptTokens >= c.separator.longPromptTokens {
+		return c.longPromptCost(u, inLongPool)
+	}
+	cost := c.loadCost(u, inLongPool)
+	if inLongPool {
+		cost += c.separator.longPoolLoad
+	}
+	return cost
+}
+
+// slowFactor is the multiple of the usual latency up to which an upstream is not slow.
+const slowFactor = 2
+
+// slowPrefill is the slowness from which the prompt itself takes longer, too. A lower one mostly means
+// that other prompts are being prefilled, which the engine's queue accounts for.
+const slowPrefill = 2
+
+// slowness returns the factor by which an upstream recently exceeded the latency that counts as slow in
+// its pool, at least one.
+func (c *chooser) slowness(e quetzalroad.LoadEstimate, inLongPool bool) float64 {
+	latencies := &c.separator.shortPoolLatencies
+	if inLongPool {
+		latencies = &c.separator.longPoolLatencies
+	}
+	service := c.request.Service.Name
+	usual := latencies.Median(service)
+	latencies.Observe(service, e.InterTokenLatency)
+	if usual <= 0 {
+		return 1
+	}
+	return max(1, float64(e.InterTokenLatency)/(slowFactor*float64(usual)))
+}
+
+// loadCost returns an upstream's load relative to its maximum concurrency, plus the
+// cost of another region. A random amount of up to one request is added, so that
+// nodes with equal estimates don't all choose the same upstream.
+func (c *chooser) loadCost(u quetzalroad.Upstream, inLongPool bool) float64 {
+	s := c.separator
+	e := s.loadTracker.Estimate(u.Name, c.now)
+	cost := (float64(e.Running) + rand.Float64()) * c.slowness(e, inLongPool) / float64(max(1, u.MaxConcurrency))
+	if u.Region != s.region {
+		cost += s.crossRegionLoad
+	}
+	if e.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// longPromptCost returns the estimated work until a long prompt is prefilled, in prompt tokens at the
+// usual pace, plus a random amount of up to one request.
+func (c *chooser) longPromptCost(u quetzalroad.Upstream, inLongPool bool) float64 {
+	s := c.separator
+	e := s.loadTracker.Estimate(u.Name, c.now)
+	slowness := c.slowness(e, inLongPool)
+	cost := (float64(e.Running) + rand.Float64()) * float64(s.requestCost) * slowness
+	if slowness < slowPrefill {
+		slowness = 1
+	}
+	cost += c.uncachedTokens(u.Name) * slowness
+	if !inLongPool {
+		cost += float64(s.shortPoolCost)
+	}
+	if u.Region != s.region {
+		cost += float64(s.crossRegionCost)
+	}
+	if e.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// uncachedTokens estimates how many tokens of the prompt an engine has to prefill.
+func (c *chooser) uncachedTokens(u quetzalroad.UpstreamName) float64 {
+	unshared := float64(c.request.PromptTokens - c.request.SharedPromptTokens)
+	shared := float64(c.request.SharedPromptTokens)
+	if slices.ContainsFunc(c.holders, func(h quetzalroad.Upstream) bool { return h.Name == u }) {
+		return unshared
+	}
+	return unshared + shared
+}
--- a/decisions/balancer/separator/partition.go
+++ b/decisions/balancer/separator/partition.go
@@ -28,13 +28,15 @@
 	// their number, at least one and less than all.
 	shortShare float64
 	shortCount int
-	// longWork and shortWork are the recent work of long and short prompts, in
-	// prompt tokens, decaying exponentially. Neither is negative.
-	longWork, shortWork float64
-	// requestCount counts the requests in them and decays likewise.
-	requestCount float64
-	// updatedAt is when the decay was last applied.
+	// local is the recent work of this node, decaying exponentially, and updatedAt is
+	// when the decay was last applied.
+	local     quetzalroad.ServiceMix
 	updatedAt time.Time
+	// peers is the recent work of other nodes as of peersAt.
+	peers   quetzalroad.ServiceMix
+	peersAt time.Time
+	// prefixes are those of recent long prompts.
+	prefixes prefixHistory
 	// order holds the engines that fingerprint identifies. It is not modified
 	// once it is set, because callers use it without the lock.
 	order       []quetzalroad.Upstream
@@ -48,12 +50,31 @@
 		return
 	}
 	factor := math.Exp(-age.Seconds() / timeConstant.Seconds())
-	p.longWork *= factor
-	p.shortWork *= factor
-	p.requestCount *= factor
+	p.local = scale(p.local, factor)
 	p.updatedAt = now
 }
 
+func scale(m quetzalroad.ServiceMix, factor float64) quetzalroad.ServiceMix {
+	m.ShortWork *= factor
+	m.LongWork *= factor
+	m.Requests *= factor
+	return m
+}
+
+// peerMixLifetime is the age up to which the work of other nodes counts.
+const peerMixLifetime = 3 * time.Second
+
+// mix returns the recent work of this node and, as far as it is known, of others.
+func (p *partition) mix(now time.Time) quetzalroad.ServiceMix {
+	m := p.local
+	if now.Sub(p.peersAt) < peerMixLifetime {
+		m.ShortWork += p.peers.ShortWork
+		m.LongWork += p.peers.LongWork
+		m.Requests += p.peers.Requests
+	}
+	return m
+}
+
 // interleaveDataCentres returns the engines in an order that is the same on all
 // nodes that know the same engines. The data centres alternate in it, so that
 // each has engines in both pools.
@@ -118,26 +139,69 @@
 		}
 		order = p.order
 		p.decay(now, s.mixTimeConstant)
-		p.adjust(len(order), s.longWeight)
+		p.adjust(p.mix(now), len(order), s.longWeight)
 		shortCount = p.shortCount
 	})
 	return order, shortCount
 }
 
+// tokenCost returns the work of a token to be generated. While a request generates, it holds its
+// share of an engine's steps: the fewer requests an engine runs at once, the more a token costs.
+func (s *Separator) tokenCost(maxConcurrency int) float64 {
+	if s.outputTokenCost > 0 {
+		return float64(s.outputTokenCost)
+	}
+	return float64(s.stepCost) / float64(max(1, maxConcurrency))
+}
+
 // observe adds a request to the recent mix of its service.
-func (s *Separator) observe(now time.Time, r *quetzalroad.Request) {
-	work := float64(max(0, r.PromptTokens-r.SharedPromptTokens) + s.outputTokenCost*r.MaxTokens)
+func (s *Separator) observe(now time.Time, r *quetzalroad.Request, maxConcurrency int) {
+	work := float64(max(0, r.PromptTokens-r.SharedPromptTokens)) + s.tokenCost(maxConcurrency)*float64(r.MaxTokens)
 	s.withPartition(r.Service.Name, func(p *partition) {
 		p.decay(now, s.mixTimeConstant)
-		p.requestCount++
+		p.local.Requests++
 		if r.PromptTokens < s.longPromptTokens {
-			p.shortWork += work
+			p.local.ShortWork += work
 		} else {
-			p.longWork += work
+			p.local.LongWork += work
+			p.prefixes.add(now, r.PrefixHash)
 		}
 	})
 }
 
+// prefixShare estimates the share of a request's prefix in the recent long prompts of its service.
+func (s *Separator) prefixShare(now time.Time, r *quetzalroad.Request) float64 {
+	share := 0.0
+	s.withPartition(r.Service.Name, func(p *partition) { share = p.prefixes.share(now, r.PrefixHash) })
+	return share
+}
+
+// LocalMix implements quetzalroad.MixTracker.
+func (s *Separator) LocalMix(now time.Time) []quetzalroad.ServiceMix {
+	var all []quetzalroad.ServiceMix
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		for service, p := range sh.partitions {
+			p.decay(now, s.mixTimeConstant)
+			m := p.local
+			m.Service = service
+			all = append(all, m)
+		}
+		sh.mu.Unlock()
+	}
+	return all
+}
+
+// UpdatePeerMix implements quetzalroad.MixTracker.
+func (s *Separator) UpdatePeerMix(received time.Time, mixes []quetzalroad.ServiceMix) {
+	for _, m := range mixes {
+		s.withPartition(m.Service, func(p *partition) {
+			p.peers, p.peersAt = m, received
+		})
+	}
+}
+
 func (s *Separator) withPartition(service quetzalroad.ServiceName, f func(p *partition)) {
 	sh := &s.shards[xxhash.Sum64String(string(service))%partitionShards]
 	sh.mu.Lock()
@@ -162,19 +226,22 @@
 	// slightly different demand mostly choose the same pools.
 	shareStep       = 0.1
 	shareHysteresis = 0.12
+	// shareUncertainty is the uncertainty of the target share after one request. It falls with the
+	// square root of their number.
+	shareUncertainty = 1.2
 	// initialShortShare is the short pool's share before demand is known, when
 	// no engine has cached any prefix yet.
 	initialShortShare = 0.15
 )
 
 // adjust determines from the recent demand how many of engineCount engines form the short pool.
-func (p *partition) adjust(engineCount int, longWeight float64) {
+func (p *partition) adjust(mix quetzalroad.ServiceMix, engineCount int, longWeight float64) {
 	if p.shortShare == 0 {
 		p.shortShare = initialShortShare
 	}
-	if weightedLongWork := longWeight * p.longWork; p.requestCount >= minRequestCount {
-		target := p.shortWork / (p.shortWork + weightedLongWork)
-		if math.Abs(target-p.shortShare) > shareHysteresis {
+	if weightedLongWork := longWeight * mix.LongWork; mix.Requests >= minRequestCount {
+		target := mix.ShortWork / (mix.ShortWork + weightedLongWork)
+		if math.Abs(target-p.shortShare) > max(shareHysteresis, shareUncertainty/math.Sqrt(mix.Requests)) {
 			p.shortShare = min(max(shareStep, shareStep*math.Round(target/shareStep)), 1-shareStep)
 		}
 	}
--- a/decisions/balancer/separator/separator_test.go
+++ b/decisions/balancer/separator/separator_test.go
@@ -18,10 +18,11 @@
 	quetzalroad.LoadTracker
 	running map[quetzalroad.UpstreamName]int
 	suspect map[quetzalroad.UpstreamName]bool
+	latency map[quetzalroad.UpstreamName]time.Duration
 }
 
 func (l *fakeLoads) Estimate(u quetzalroad.UpstreamName, _ time.Time) quetzalroad.LoadEstimate {
-	return quetzalroad.LoadEstimate{Running: l.running[u], LocalRunning: l.running[u], Suspect: l.suspect[u]}
+	return quetzalroad.LoadEstimate{Running: l.running[u], LocalRunning: l.running[u], Suspect: l.suspect[u], InterTokenLatency: l.latency[u]}
 }
 
 var dataCentres = []quetzalroad.DataCentre{"east", "west"}
@@ -76,7 +77,7 @@
 
 func TestNodesAgreeOnPrefixOwnersAndRemovalMovesOnlyItsPrefixes(t *testing.T) {
 	local, remote := newSeparator(t, newFakeLoads()), newSeparator(t, newFakeLoads())
-	remote.region, remote.dataCentre = "west", "west"
+	remote.region = "west"
 	local.crossRegionCost, remote.crossRegionCost = 0, 0
 	all := newEngines(10)
 	now := time.Unix(1000, 0)
@@ -96,7 +97,7 @@
 	removed := order[len(order)-1].Name
 	remaining := order[:len(order)-1]
 	for p, before := range owners {
-		if after := prefixOwner(newRequest(9000, p), remaining[shortCount:]); before != removed && after != before {
+		if after := prefixHolders(p, 0, remaining[shortCount:])[0].Name; before != removed && after != before {
 			t.Errorf("the owner of prefix %d changed from %s to %s when %s was removed", p, before, after, removed)
 		}
 	}
@@ -271,3 +272,63 @@
 		s.Choose(time.Unix(1000, 0), r, all)
 	}
 }
+
+// A single node sees too few requests to notice a burst of short prompts.
+func TestPartitionFollowsTheMixOfOtherNodes(t *testing.T) {
+	s := newSeparator(t, newFakeLoads())
+	all := newEngines(20)
+	now := time.Unix(1000, 0)
+	before := shortCountAfterMix(s, all, now, 1, 2)
+	now = now.Add(20 * time.Second)
+	s.UpdatePeerMix(now, []quetzalroad.ServiceMix{{Service: "llm", ShortWork: 1e9, LongWork: 1e8, Requests: 10000}})
+	if _, after := s.partitionEngines(now, "llm", all); after <= before+5 {
+		t.Errorf("short pool had %d engines and has %d after other nodes saw short prompts", before, after)
+	}
+	if _, later := s.partitionEngines(now.Add(peerMixLifetime), "llm", all); later > before+2 {
+		t.Errorf("short pool has %d engines after the mix of other nodes is out of date, had %d", later, before)
+	}
+}
+
+// One engine can't prefill what follows a prefix that many long prompts have.
+func TestFrequentPrefixUsesSeveralEngines(t *testing.T) {
+	s := newSeparator(t, newFakeLoads())
+	all := newEngines(20)
+	now := time.Unix(1000, 0)
+	used := make(map[quetzalroad.UpstreamName]bool)
+	for i := range 200 {
+		r := newRequest(9000, 7)
+		if i%2 == 0 {
+			r = newRequest(9000, uint64(1000+i))
+		}
+		u := s.Choose(now.Add(time.Duration(i)*50*time.Millisecond), r, all)
+		if r.PrefixHash == 7 && i > 100 {
+			used[u.Name] = true
+		}
+	}
+	if len(used) < 4 {
+		t.Errorf("half of the long prompts have one prefix and used %d engines", len(used))
+	}
+}
+
+// Queues form on an engine that slows down, whose reports come too late.
+func TestSlowEngineIsUsedLess(t *testing.T) {
+	l := newFakeLoads()
+	l.latency = make(map[quetzalroad.UpstreamName]time.Duration)
+	s := newSeparator(t, l)
+	all := newEngines(40)
+	now := time.Unix(1000, 0)
+	for _, u := range all {
+		l.running[u.Name] = 20
+		l.latency[u.Name] = 20 * time.Millisecond
+	}
+	for i := range 200 {
+		s.Choose(now, newRequest(800, uint64(i+1)), all)
+	}
+	slow := s.Choose(now, newRequest(800, 1), all).Name
+	l.latency[slow] = time.Second
+	for i := range 100 {
+		if u := s.Choose(now, newRequest(800, uint64(i+1)), all); u.Name == slow {
+			t.Fatalf("%s was chosen, which is fifty times slower than the others", u.Name)
+		}
+	}
+}
--- a/decisions/latencytracker/latencytracker.go
+++ b/decisions/latencytracker/latencytracker.go
@@ -1,4 +1,6 @@
-package estimator
+// Package latencytracker tracks the usual latency of each service, against which the latency of one
+// upstream tells whether it is slow.
+package latencytracker
 
 import (
 	"sync"
@@ -19,9 +21,8 @@
 	medianStep = 0.02
 )
 
-// latencyCache holds the median inter-token latency of each service. The zero
-// value is empty.
-type latencyCache struct {
+// Tracker holds the median inter-token latency of each service. The zero value is empty.
+type Tracker struct {
 	shards [latencyShards]latencyShard
 }
 
@@ -33,24 +34,24 @@
 	medians map[quetzalroad.ServiceName]time.Duration
 }
 
-func (c *latencyCache) shard(s quetzalroad.ServiceName) *latencyShard {
-	return &c.shards[xxhash.Sum64String(string(s))%latencyShards]
+func (t *Tracker) shard(s quetzalroad.ServiceName) *latencyShard {
+	return &t.shards[xxhash.Sum64String(string(s))%latencyShards]
 }
 
-// median returns a service's median latency, or zero if none was observed.
-func (c *latencyCache) median(s quetzalroad.ServiceName) time.Duration {
-	sh := c.shard(s)
+// Median returns a service's median latency, or zero if none was observed.
+func (t *Tracker) Median(s quetzalroad.ServiceName) time.Duration {
+	sh := t.shard(s)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	return sh.medians[s]
 }
 
-// observe updates the median with a latency of one of the service's upstreams.
-func (c *latencyCache) observe(s quetzalroad.ServiceName, sample time.Duration) {
+// Observe updates the median with a latency of one of the service's upstreams. It ignores zero.
+func (t *Tracker) Observe(s quetzalroad.ServiceName, sample time.Duration) {
 	if sample <= 0 {
 		return
 	}
-	sh := c.shard(s)
+	sh := t.shard(s)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	old := sh.medians[s]
--- /dev/null
+++ b/proofs/placer/engine_test.go
@@ -0,0 +1,111 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// The pace of the simulated engines.
+const (
+	stepTime           = 4 * time.Millisecond
+	stepTimePerRequest = 80 * time.Microsecond
+	readTokensPerMilli = 80
+	chunkTokens        = 4096
+	tokensPerEvent     = 6
+	engineSlots        = 24
+	engineQueue        = 50
+)
+
+// request is one request of the workload with its progress.
+type request struct {
+	class   *class
+	arrived time.Time
+	node    *node
+	// sharedID and ownID identify the parts of the prompt that other requests may have in common.
+	sharedID, ownID                         int
+	sharedTokens, ownTokens, uncachedTokens int
+	outputTokens                            int
+
+	attempts int
+	engine   *engine
+	// unread is how many prompt tokens the engine still has to read; generated counts tokens.
+	unread, generated int
+	firstAt, lastAt   time.Time
+	longestGap        time.Duration
+	outcome           outcome
+}
+
+func (r *request) promptTokens() int { return r.sharedTokens + r.ownTokens + r.uncachedTokens }
+
+// engine is a simulated model engine.
+type engine struct {
+	quetzalroad.Upstream
+	// speed multiplies the duration of its work.
+	speed            float64
+	crashed          bool
+	running, waiting []*request
+	cached           map[int]bool
+	stepping         bool
+	// generation invalidates steps that were scheduled before a crash.
+	generation int
+	readTokens int
+}
+
+// admit moves waiting requests to free slots, the most urgent class first.
+func (e *engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *request) int { return cmp.Compare(a.class.tier, b.class.tier) })
+	for len(e.waiting) > 0 && len(e.running) < engineSlots {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		r.unread = r.promptTokens() - e.cachedTokens(r)
+		e.running = append(e.running, r)
+	}
+}
+
+func (e *engine) cachedTokens(r *request) int {
+	switch {
+	case !e.cached[r.sharedID]:
+		return 0
+	case !e.cached[r.ownID]:
+		return r.sharedTokens
+	}
+	return r.sharedTokens + r.ownTokens
+}
+
+// step reads one chunk and generates one token of each request that was read before. It returns
+// when the step ends and the requests that generated a token in it.
+func (e *engine) step(now time.Time) (time.Time, []*request) {
+	e.admit()
+	var decoding []*request
+	budget := chunkTokens
+	for _, r := range e.running {
+		if r.unread == 0 {
+			decoding = append(decoding, r)
+		}
+	}
+	for _, r := range e.running {
+		n := min(r.unread, budget)
+		if n == 0 {
+			continue
+		}
+		r.unread -= n
+		budget -= n
+		if r.unread == 0 {
+			e.cached[r.sharedID], e.cached[r.ownID] = true, true
+			decoding = append(decoding, r)
+		}
+	}
+	read := chunkTokens - budget
+	e.readTokens += read
+	duration := stepTime + time.Duration(len(e.running))*stepTimePerRequest + time.Duration(read)*time.Millisecond/readTokensPerMilli
+	return now.Add(time.Duration(float64(duration) * e.speed)), decoding
+}
+
+// finish removes a request.
+func (e *engine) finish(r *request) {
+	e.running = slices.DeleteFunc(e.running, func(other *request) bool { return other == r })
+	e.waiting = slices.DeleteFunc(e.waiting, func(other *request) bool { return other == r })
+}
--- /dev/null
+++ b/proofs/placer/placement_test.go
@@ -0,0 +1,148 @@
+package placer
+
+import (
+	"testing"
+	"time"
+)
+
+// The size of the fleet: nodes that see a few requests a second each.
+const (
+	dataCentres          = 6
+	nodesPerDataCentre   = 32
+	enginesPerDataCentre = 13
+	seed                 = 1
+)
+
+const (
+	// calm is how long a pattern lasts before and after its trouble.
+	calm = 8 * time.Second
+	// trouble is how long the trouble lasts.
+	trouble = 8 * time.Second
+)
+
+func inTrouble(at time.Duration) bool { return at >= calm && at < calm+trouble }
+
+// target is the share of each class that must be in time during the trouble.
+type target struct{ chat, scan float64 }
+
+var (
+	// servable is the target for patterns that the engines can carry.
+	servable = target{chat: 0.9, scan: 0.9}
+	// impaired is the target while part of the engines fails or every cache is cold.
+	impaired = target{chat: 0.8, scan: 0.8}
+)
+
+// constantRate sends a multiple of the usual rate.
+func constantRate(factor float64) func(*class, int, time.Duration) float64 {
+	return func(*class, int, time.Duration) float64 { return factor }
+}
+
+// burstOf multiplies the rate of a class during the trouble.
+func burstOf(c *class, usual, factor float64) func(*class, int, time.Duration) float64 {
+	return func(other *class, _ int, at time.Duration) float64 {
+		if other == c && inTrouble(at) {
+			return usual * factor
+		}
+		return usual
+	}
+}
+
+var patterns = map[string]struct {
+	pattern
+	target target
+}{
+	"usual load":                        {pattern{rate: constantRate(1)}, servable},
+	"half as much again":                {pattern{rate: constantRate(1.5)}, servable},
+	"burst of one class, short prompts": {pattern{rate: burstOf(chat, 1.2, 2)}, servable},
+	"burst of one class, long prompts":  {pattern{rate: burstOf(scan, 1.2, 2)}, servable},
+	"burst on a burst while callers move to another data centre": {pattern{rate: func(c *class, d int, at time.Duration) float64 {
+		factor := 1.0
+		switch {
+		case !inTrouble(at):
+			return factor
+		case c == chat && at > calm+trouble/2, c == scan:
+			factor = 1.6
+		}
+		switch d {
+		case 0:
+			return 0
+		case 1:
+			return 2 * factor
+		}
+		return factor
+	}}, impaired},
+	"one prefix in two fifths of the long prompts": {pattern{rate: constantRate(1.2), hotShare: func(c *class, at time.Duration) float64 {
+		if c == scan && inTrouble(at) {
+			return 0.4
+		}
+		return 0
+	}}, impaired},
+	"a third of the engines slower by four": {pattern{rate: constantRate(1), changes: map[time.Duration]func(*fleet){calm: func(f *fleet) {
+		for i, e := range f.engines {
+			if i%3 == 0 {
+				e.speed = 4
+			}
+		}
+	}}}, impaired},
+	"engines slower by half in one data centre": {pattern{rate: constantRate(1.2), changes: map[time.Duration]func(*fleet){calm: func(f *fleet) {
+		for _, e := range f.engines {
+			if e.DataCentre == dataCentreName(0) {
+				e.speed = 2
+			}
+		}
+	}}}, impaired},
+	"a crash of a fifth at the crest": {pattern{rate: burstOf(chat, 1.2, 1.8), changes: map[time.Duration]func(*fleet){
+		calm + trouble/4: func(f *fleet) { f.crash(0.2, 3*time.Second) },
+	}}, impaired},
+}
+
+// play runs a pattern with the settings of one balancer.
+func play(t *testing.T, p pattern, balancer string) *fleet {
+	t.Helper()
+	p.dataCentres, p.nodesPerDataCentre, p.enginesPerDataCentre = dataCentres, nodesPerDataCentre, enginesPerDataCentre
+	p.duration = 2*calm + trouble
+	f := newFleet(t, p, seed, map[string]string{"balancer": balancer})
+	f.run()
+	return f
+}
+
+const routerBalancer = `{"plugin": "separator", "request-cost": 350}`
+
+// The router holds the targets of each load pattern. Beside its outcome stands that of round robin, and
+// how much of their time the engines need at least: below one, a clairvoyant could serve all in time.
+func TestTargetsHoldUnderLoadPatterns(t *testing.T) {
+	for name, p := range patterns {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			router, baseline := play(t, p.pattern, routerBalancer), play(t, p.pattern, `{"plugin": "rotator"}`)
+			t.Logf("engines' time needed: %.2f", router.neededShare(calm, calm+trouble))
+			for _, c := range []*class{chat, scan} {
+				got := router.countOutcomes(c, calm, calm+trouble)
+				t.Logf("%s: %s; round robin: %s", c.name, got, baseline.countOutcomes(c, calm, calm+trouble))
+				want := p.target.chat
+				if c == scan {
+					want = p.target.scan
+				}
+				if got.inTimeShare() < want {
+					t.Errorf("%s: %.3f in time, want %.2f", c.name, got.inTimeShare(), want)
+				}
+			}
+		})
+	}
+}
+
+// Cold caches and a burst at the start of all nodes, which know nothing of the load yet.
+func TestTargetsHoldWhenAllStartCold(t *testing.T) {
+	const burstEnd = 8 * time.Second
+	f := play(t, pattern{rate: func(c *class, _ int, at time.Duration) float64 {
+		if c == scan && at < burstEnd {
+			return 2
+		}
+		return 1.1
+	}}, routerBalancer)
+	for c, want := range map[*class]float64{chat: impaired.chat, scan: impaired.scan} {
+		if got := f.countOutcomes(c, 0, burstEnd); got.inTimeShare() < want {
+			t.Errorf("%s: %s, want %.2f in time", c.name, got, want)
+		}
+	}
+}
