Keep the groups of engines between choices

Cause: each choice hashed the names of all engines and divided them anew.

Change: a partition keeps its groups until the engines or the size of the short pool change; the same slice of candidates needs no comparison.

--- a/decisions/balancer/separator/groups.go
+++ b/decisions/balancer/separator/groups.go
@@ -1,10 +1,6 @@
 package separator
 
-import (
-	"time"
-
-	"github.com/quetzalroad/quetzalroad"
-)
+import "github.com/quetzalroad/quetzalroad"
 
 // group is a set of engines of one pool, all in the node's region or all outside it.
 type group struct {
@@ -40,9 +36,3 @@
 	}
 	return g
 }
-
-// groupEngines returns a service's engines by pool and region.
-func (s *Separator) groupEngines(now time.Time, service quetzalroad.ServiceName, candidates []quetzalroad.Upstream) *engineGroups {
-	order, shortCount := s.partitionEngines(now, service, candidates)
-	return newEngineGroups(order, shortCount, s.region)
-}
--- a/decisions/balancer/separator/partition.go
+++ b/decisions/balancer/separator/partition.go
@@ -41,6 +41,11 @@
 	// once it is set, because callers use it without the lock.
 	order       []quetzalroad.Upstream
 	fingerprint uint64
+	// source is the slice of candidates that order was last compared with.
+	source []quetzalroad.Upstream
+	// groups are those of order with groupedCount engines in the short pool; nil if the order changed.
+	groups       *engineGroups
+	groupedCount int
 }
 
 // decay applies the exponential decay up to now.
@@ -130,21 +135,54 @@
 // them, from the first on, form the short pool. All nodes see similar demand, so
 // they mostly choose the same pools without coordination.
 func (s *Separator) partitionEngines(now time.Time, service quetzalroad.ServiceName, candidates []quetzalroad.Upstream) ([]quetzalroad.Upstream, int) {
-	fingerprint := fingerprintOf(candidates)
 	var order []quetzalroad.Upstream
 	shortCount := 0
 	s.withPartition(service, func(p *partition) {
-		if p.fingerprint != fingerprint || len(p.order) != len(candidates) {
-			p.order, p.fingerprint = interleaveDataCentres(candidates), fingerprint
-		}
-		order = p.order
-		p.decay(now, s.mixTimeConstant)
-		p.adjust(p.mix(now), len(order), s.longWeight)
-		shortCount = p.shortCount
+		s.updatePartition(p, now, candidates)
+		order, shortCount = p.order, p.shortCount
 	})
 	return order, shortCount
 }
 
+// groupEngines returns a service's engines by pool and region.
+func (s *Separator) groupEngines(now time.Time, service quetzalroad.ServiceName, candidates []quetzalroad.Upstream) *engineGroups {
+	var groups *engineGroups
+	s.withPartition(service, func(p *partition) {
+		s.updatePartition(p, now, candidates)
+		if p.groups == nil || p.groupedCount != p.shortCount {
+			p.groups, p.groupedCount = newEngineGroups(p.order, p.shortCount, s.region), p.shortCount
+		}
+		groups = p.groups
+	})
+	return groups
+}
+
+// isSameSlice reports whether two slices share their elements. Slices of candidates are not modified, so
+// the elements need no comparison.
+func isSameSlice(a, b []quetzalroad.Upstream) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
+// reorder sets the order of the engines unless they are the same as before.
+func (p *partition) reorder(candidates []quetzalroad.Upstream) {
+	p.source = candidates
+	fingerprint := fingerprintOf(candidates)
+	if p.fingerprint == fingerprint && len(p.order) == len(candidates) {
+		return
+	}
+	p.order, p.fingerprint = interleaveDataCentres(candidates), fingerprint
+	p.groups = nil
+}
+
+// updatePartition brings the order of the engines and the size of the short pool up to date.
+func (s *Separator) updatePartition(p *partition, now time.Time, candidates []quetzalroad.Upstream) {
+	if !isSameSlice(p.source, candidates) {
+		p.reorder(candidates)
+	}
+	p.decay(now, s.mixTimeConstant)
+	p.adjust(p.mix(now), len(p.order), s.longWeight)
+}
+
 // tokenCost returns the work of a token to be generated. While a request generates, it holds its
 // share of an engine's steps: the fewer requests an engine runs at once, the more a token costs.
 func (s *Separator) tokenCost(maxConcurrency int) float64 {
