--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -17,8 +17,8 @@
 	separator *Separator
 	now       time.Time
 	request   *quetzalroad.Request
-	// holders are the engines that the request's prefix is assigned to; empty for a short prompt.
-	holders []quetzalroad.Upstream
+	// owners are the engines that the request's prefix is assigned to; empty for a short prompt.
+	owners []quetzalroad.Upstream
 }
 
 // chooseAmong returns the cheapest of a few engines of each group. It compares all of them if those
@@ -35,7 +35,7 @@
 	for _, g := range groups.all() {
 		compare(sample(g.members, c.separator.sampleSize), g.inLongPool)
 	}
-	compare(sample(c.holders, c.separator.sampleSize), true)
+	compare(sample(c.owners, c.separator.sampleSize), true)
 	if lowest >= suspectCost {
 		for _, g := range groups.all() {
 			compare(g.members, g.inLongPool)
@@ -144,7 +144,7 @@
 func (c *chooser) uncachedTokens(u quetzalroad.UpstreamName) float64 {
 	unshared := float64(c.request.PromptTokens - c.request.SharedPromptTokens)
 	shared := float64(c.request.SharedPromptTokens)
-	if slices.ContainsFunc(c.holders, func(h quetzalroad.Upstream) bool { return h.Name == u }) {
+	if slices.ContainsFunc(c.owners, func(o quetzalroad.Upstream) bool { return o.Name == u }) {
 		return unshared
 	}
 	return unshared + shared
--- a/decisions/balancer/separator/prefix.go
+++ b/decisions/balancer/separator/prefix.go
@@ -11,11 +11,11 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// prefixHolders assigns a prefix to engines of the long pool by rendezvous hashing, so that adding or
+// prefixOwners assigns a prefix to engines of the long pool by rendezvous hashing, so that adding or
 // removing an engine moves only that engine's share of the prefixes. Most prefixes are assigned to one
 // engine. One in a share of all long prompts is assigned to this share of the engines: fewer could not
 // prefill what follows it.
-func prefixHolders(prefix uint64, share float64, longPool []quetzalroad.Upstream) []quetzalroad.Upstream {
+func prefixOwners(prefix uint64, share float64, longPool []quetzalroad.Upstream) []quetzalroad.Upstream {
 	count := max(1, int(math.Ceil(share*float64(len(longPool)))))
 	return highest(prefix, count, longPool)
 }
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -86,7 +86,7 @@
 	s.observe(now, r, candidates[0].MaxConcurrency)
 	groups := s.groupEngines(now, r.Service.Name, candidates)
 	if r.PromptTokens >= s.longPromptTokens {
-		c.holders = prefixHolders(r.PrefixHash, s.prefixShare(now, r), groups.longPool)
+		c.owners = prefixOwners(r.PrefixHash, s.prefixShare(now, r), groups.longPool)
 	}
 	return c.chooseAmong(groups)
 }
--- a/decisions/balancer/separator/separator_test.go
+++ b/decisions/balancer/separator/separator_test.go
@@ -97,7 +97,7 @@
 	removed := order[len(order)-1].Name
 	remaining := order[:len(order)-1]
 	for p, before := range owners {
-		if after := prefixHolders(p, 0, remaining[shortCount:])[0].Name; before != removed && after != before {
+		if after := prefixOwners(p, 0, remaining[shortCount:])[0].Name; before != removed && after != before {
 			t.Errorf("the owner of prefix %d changed from %s to %s when %s was removed", p, before, after, removed)
 		}
 	}
