--- a/decisions/admitter/prioritizer/queue.go
+++ b/decisions/admitter/prioritizer/queue.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// recheckInterval is how often a queue with waiting requests checks for slots that other nodes freed.
-const recheckInterval = 20 * time.Millisecond
-
 // holdTimeSmoothing is the weight of a new observation in the average hold time.
 const holdTimeSmoothing = 0.1
 
@@ -130,12 +126,6 @@
 	}
 }
 
-// targetUnreachable returns the refusal of a request whose expected wait exceeds its budget by excess.
-func targetUnreachable(excess time.Duration) *quetzalroad.Refusal {
-	retryAfter := max(time.Second, excess.Round(time.Second))
-	return quetzalroad.NewRefusal(quetzalroad.ReasonTargetUnreachable, "the target can't be met at the moment", retryAfter)
-}
-
 // requeue puts a preempted request back into its team's queue. The team isn't charged again.
 func (q *queue) requeue(now time.Time, w *waiter) error {
 	c := q.prioritizer.capacity.Capacity(now, q.service)
@@ -165,52 +155,6 @@
 	return sum
 }
 
-// evictIfFullLocked keeps the queue within max-queued: if it is full, it evicts a waiter of the lowest
-// tier below the new request's that has one, or refuses the new request if there is none.
-func (q *queue) evictIfFullLocked(w *waiter) error {
-	waiting := 0
-	for i := range q.tiers {
-		waiting += q.tiers[i].waiting
-	}
-	if waiting < q.prioritizer.settings.maxQueued {
-		return nil
-	}
-	for i := quetzalroad.LowestTier; i > w.tier(); i-- {
-		if victim := q.tiers[i].evictionCandidate(); victim != nil {
-			q.tiers[i].remove(victim)
-			victim.state = stateInactive
-			victim.refusal = queueFull()
-			close(victim.decided)
-			return nil
-		}
-	}
-	return queueFull()
-}
-
-func queueFull() *quetzalroad.Refusal {
-	return quetzalroad.NewRefusal(quetzalroad.ReasonQueueFull, "too many requests are waiting", time.Second)
-}
-
-// evictionCandidate returns the waiter with the latest deadline in the longest team queue.
-func (t *tier) evictionCandidate() *waiter {
-	var longest *teamQueue
-	for _, q := range t.active {
-		if longest == nil || len(q.waiters) > len(longest.waiters) {
-			longest = q
-		}
-	}
-	if longest == nil {
-		return nil
-	}
-	latest := longest.waiters[0]
-	for _, w := range longest.waiters {
-		if firstTokenDeadline(latest).Before(firstTokenDeadline(w)) {
-			latest = w
-		}
-	}
-	return latest
-}
-
 // wait blocks until the request gets a slot, is evicted or its context ends. A positive maxWait bounds
 // the wait.
 func (q *queue) wait(ctx context.Context, w *waiter, maxWait time.Duration) error {
@@ -245,14 +189,6 @@
 	return nil
 }
 
-// cancellationRefusal returns the refusal for a request that timed out or whose caller disconnected.
-func cancellationRefusal(ctx context.Context) *quetzalroad.Refusal {
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return quetzalroad.NewRefusal(quetzalroad.ReasonTimeout, "the request waited too long", time.Second)
-	}
-	return quetzalroad.NewRefusal(quetzalroad.ReasonCallerDisconnected, "the caller left while waiting", 0)
-}
-
 // cancelWait removes a waiter and returns the refusal, unless the waiter was assigned a slot or evicted
 // in the meantime.
 func (q *queue) cancelWait(w *waiter, refusal *quetzalroad.Refusal) error {
@@ -270,194 +206,6 @@
 	return refusal
 }
 
-// checkRefusalInvariantsLocked records a violation if a lower tier was assigned a slot while the refused
-// request waited, or if the target can't be met while lower tiers run requests that could be preempted.
-func (q *queue) checkRefusalInvariantsLocked(w *waiter, reason quetzalroad.RefusalReason) {
-	if grants := q.grantsBelowLocked(w.tier()) - w.grantsBelowAtEnqueue; grants > 0 {
-		q.prioritizer.recorder.RecordViolation("higher-tier-not-shed-for-lower",
-			fmt.Sprintf("request %s of tier %d refused (%s) while %d slots of %s were assigned to lower tiers", w.request.ID, w.tier(), reason, grants, q.service))
-	}
-	if reason != quetzalroad.ReasonTargetUnreachable {
-		return
-	}
-	if preemptible := q.preemptibleBelowLocked(w.tier()) - q.waitingAtOrAboveLocked(w.tier()); preemptible > 0 {
-		q.prioritizer.recorder.RecordViolation("lower-tier-paused-before-shedding",
-			fmt.Sprintf("request %s of tier %d refused while %d running requests of %s could be preempted", w.request.ID, w.tier(), preemptible, q.service))
-	}
-}
-
-// preemptibleBelowLocked counts the requests of tiers below t that can still be preempted.
-func (q *queue) preemptibleBelowLocked(t quetzalroad.Tier) int {
-	sum := 0
-	for i := t + 1; i <= quetzalroad.LowestTier; i++ {
-		sum += len(q.tiers[i].preemptibleRunning)
-	}
-	return sum
-}
-
-// waitingAtOrAboveLocked counts the waiting requests of tier t and the tiers above it.
-func (q *queue) waitingAtOrAboveLocked(t quetzalroad.Tier) int {
-	sum := 0
-	for i := quetzalroad.Tier(0); i <= t; i++ {
-		sum += q.tiers[i].waiting
-	}
-	return sum
-}
-
-// predictWaitLocked estimates the wait of an interactive request: the requests waiting in its tier and
-// above, less the slots that preempted requests are about to release, divided by the rate at which
-// slots become free. It returns zero if that rate is unknown.
-func (q *queue) predictWaitLocked(w *waiter) time.Duration {
-	ahead := q.waitingAtOrAboveLocked(w.tier()) - q.preempting
-	if ahead <= 0 {
-		return 0
-	}
-	var rate float64
-	for i := range q.tiers {
-		t := &q.tiers[i]
-		if t.holdTime > 0 {
-			rate += float64(t.running) / t.holdTime.Seconds()
-		}
-	}
-	if rate == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
-}
-
-// scheduleLocked assigns slots while the quota allows, preempts requests of lower tiers where a higher
-// tier needs their slots, and assigns floor slots.
-func (q *queue) scheduleLocked(now time.Time, c quetzalroad.Capacity) {
-	quota := q.quotaLocked(now, c)
-	for q.grantNextLocked(now, quota) {
-	}
-	q.preemptLowerTiersLocked()
-	for q.grantFloorLocked(now, quota) {
-	}
-	q.scheduleRecheckLocked()
-}
-
-// grantNextLocked assigns a slot to the highest tier with waiting requests, and reports whether it did.
-// A lower tier gets none while a higher one waits.
-func (q *queue) grantNextLocked(now time.Time, quota nodeQuota) bool {
-	for i := range q.tiers {
-		t := &q.tiers[i]
-		if t.waiting == 0 {
-			continue
-		}
-		next := t.next()
-		if q.runningLocked()+q.reserveLocked(now, next, quota) >= quota.slots {
-			return false
-		}
-		w := t.pop()
-		q.assignSlotLocked(now, t, w)
-		close(w.decided)
-		return true
-	}
-	return false
-}
-
-// grantFloorLocked assigns a floor slot to the starved tier that was served least recently, and reports
-// whether it did. The highest tier gets none, nor does a tier that makes progress without the floor.
-func (q *queue) grantFloorLocked(now time.Time, quota nodeQuota) bool {
-	used := 0
-	for i := range q.tiers {
-		used += q.tiers[i].floorRunning
-	}
-	if used >= quota.floorSlots {
-		return false
-	}
-	t := q.mostStarvedLocked(now)
-	if t == nil {
-		return false
-	}
-	w := t.pop()
-	t.floorRunning++
-	t.lastServed = now
-	w.state = stateFloor
-	w.startedAt = now
-	close(w.decided)
-	return true
-}
-
-// mostStarvedLocked returns the least recently served of the tiers below the highest in which a request
-// has waited for floor-after without the tier making progress, or nil.
-func (q *queue) mostStarvedLocked(now time.Time) *tier {
-	var starved *tier
-	for i := 1; i < len(q.tiers); i++ {
-		t := &q.tiers[i]
-		minWait := q.prioritizer.settings.floorAfter
-		if t.waiting == 0 || t.longestWait(now) < minWait || t.makesProgress(now, minWait) {
-			continue
-		}
-		if starved == nil || t.lastServed.Before(starved.lastServed) {
-			starved = t
-		}
-	}
-	return starved
-}
-
-// preemptLowerTiersLocked preempts the most recently started preemptible requests of lower tiers until
-// one is releasing its slot for each request waiting in a higher tier.
-func (q *queue) preemptLowerTiersLocked() {
-	for i := range q.tiers {
-		t := quetzalroad.Tier(i)
-		if q.tiers[i].waiting == 0 {
-			continue
-		}
-		for q.preempting < q.waitingAtOrAboveLocked(t) {
-			victim := q.popVictimLocked(t)
-			if victim == nil {
-				break
-			}
-			q.preemptVictimLocked(victim, t)
-		}
-	}
-}
-
-// popVictimLocked removes and returns the most recently started preemptible request of the lowest tier
-// below t that has one, or nil.
-func (q *queue) popVictimLocked(t quetzalroad.Tier) *waiter {
-	for i := quetzalroad.LowestTier; i > t; i-- {
-		candidates := q.tiers[i].preemptibleRunning
-		if len(candidates) > 0 {
-			victim := candidates[len(candidates)-1]
-			q.tiers[i].preemptibleRunning = candidates[:len(candidates)-1]
-			return victim
-		}
-	}
-	return nil
-}
-
-func (q *queue) preemptVictimLocked(victim *waiter, beneficiary quetzalroad.Tier) {
-	p := victim.request.Profile
-	if victim.tier() <= beneficiary || !p.Preemptible || p.Interactive {
-		q.prioritizer.recorder.RecordViolation("only-lower-preemptible-work-paused",
-			fmt.Sprintf("request %s of tier %d preempted for tier %d", victim.request.ID, victim.tier(), beneficiary))
-	}
-	victim.state = statePreempting
-	q.preempting++
-	close(victim.preempted)
-}
-
-// scheduleRecheckLocked schedules another run of scheduleLocked while requests wait.
-func (q *queue) scheduleRecheckLocked() {
-	if q.recheckScheduled || q.waitingAtOrAboveLocked(quetzalroad.LowestTier) == 0 {
-		return
-	}
-	q.recheckScheduled = true
-	time.AfterFunc(recheckInterval, q.recheck)
-}
-
-func (q *queue) recheck() {
-	now := time.Now()
-	c := q.prioritizer.capacity.Capacity(now, q.service)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.recheckScheduled = false
-	q.scheduleLocked(now, c)
-}
-
 func (q *queue) preemptedChannel(w *waiter) <-chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
