Measure the pause after a failed read of the log by the monotonic clock

Cause: the time of the failure was kept as nanoseconds of the wall clock. A clock that steps back would have kept a node with an outdated reader from asking the log until the clock had caught up.

Change: the time is kept with its monotonic reading. Found by reading the diff; no run showed it.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,10 +57,7 @@
 	node       *kernel.Node
 	aggregator aggregator.Aggregator
 	members    members
-	// lastFallbackFailure is when the log last failed to respond to a node that has readers, in
-	// nanoseconds since 1970.
-	lastFallbackFailure atomic.Int64
-	caches              map[quetzalroad.LogStream]*streamCache
+	caches     map[quetzalroad.LogStream]*streamCache
 }
 
 // Declare implements kernel.Component.
@@ -191,13 +187,13 @@
 		}
 		lastErr = err
 	}
-	if len(outdated) > 0 && time.Since(time.Unix(0, d.lastFallbackFailure.Load())) < d.fallbackRetryDelay {
+	if len(outdated) > 0 && d.members.sinceFallbackFailure() < d.fallbackRetryDelay {
 		return nil, quetzalroad.StreamBounds{}, lastErr
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
 	records, bounds, err := d.log.ReadKeyed(ctx, q.Stream, q.From, 0)
 	if err != nil && !errors.Is(err, quetzalroad.ErrTrimmed) {
-		d.lastFallbackFailure.Store(time.Now().UnixNano())
+		d.members.recordFallbackFailure()
 		return nil, bounds, err
 	}
 	d.avoidOutdated(q.Stream, outdated)
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -24,6 +24,9 @@
 	avoidUntil map[quetzalroad.NodeName]time.Time
 	// promotedUntil is until when this node reads the log because another one asked it to.
 	promotedUntil time.Time
+	// fallbackFailedAt is when the log last failed to respond to this node while it had readers. It
+	// has a monotonic clock reading, so that steps of the VM's clock don't matter.
+	fallbackFailedAt time.Time
 	// known is closed once the members have been read, and isKnown is set then. Both are guarded by
 	// mu; known is allocated on first use.
 	known   chan struct{}
@@ -94,6 +97,19 @@
 	m.promotedUntil = until
 }
 
+func (m *members) recordFallbackFailure() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fallbackFailedAt = time.Now()
+}
+
+// sinceFallbackFailure returns the time since the log last failed; very long if it never did.
+func (m *members) sinceFallbackFailure() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.fallbackFailedAt)
+}
+
 // areKnown reports whether the members have been read.
 func (m *members) areKnown() bool {
 	m.mu.Lock()
