Count an engine that is an outlier in latency as loaded

Load pattern: a third of the engines slower by four.

Cause: a node knows of one or two of the requests on an engine, so that multiplying them by the engine's slowness hardly moved its choice; and the prefix's owner was kept although prefilling elsewhere would be faster.

Change: beyond three times the usual latency of its pool an engine counts as loaded by 0.3 of its slots, and a prompt as longer by the same ratio.

--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -81,9 +81,14 @@
 // slowFactor is the multiple of the usual latency up to which an upstream is not slow.
 const slowFactor = 2
 
-// slowPrefill is the slowness from which the prompt itself takes longer, too. A lower one mostly means
-// that other prompts are being prefilled, which the engine's queue accounts for.
-const slowPrefill = 2
+const (
+	// outlierSlowness is the slowness from which the upstream itself is slow. A lower one mostly means
+	// that other prompts are being prefilled, which the engine's queue accounts for.
+	outlierSlowness = 1.5
+	// outlierLoad is added to the load of a slow upstream, as this node knows only a few of the requests
+	// that are held up there.
+	outlierLoad = 0.3
+)
 
 // slowness returns the factor by which an upstream recently exceeded the latency that counts as slow in
 // its pool, at least one.
@@ -107,7 +112,11 @@
 func (c *chooser) loadCost(u quetzalroad.Upstream, inLongPool bool) float64 {
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
-	cost := (float64(e.Running) + rand.Float64()) * c.slowness(e, inLongPool) / float64(max(1, u.MaxConcurrency))
+	slowness := c.slowness(e, inLongPool)
+	cost := (float64(e.Running) + rand.Float64()) * slowness / float64(max(1, u.MaxConcurrency))
+	if slowness >= outlierSlowness {
+		cost += outlierLoad
+	}
 	if u.Region != s.region {
 		cost += s.crossRegionLoad
 	}
@@ -124,10 +133,11 @@
 	e := s.loadTracker.Estimate(u.Name, c.now)
 	slowness := c.slowness(e, inLongPool)
 	cost := (float64(e.Running) + rand.Float64()) * float64(s.requestCost) * slowness
-	if slowness < slowPrefill {
-		slowness = 1
+	prefillFactor := 1.0
+	if slowness >= outlierSlowness {
+		prefillFactor = slowFactor * slowness
 	}
-	cost += c.uncachedTokens(u.Name) * slowness
+	cost += c.uncachedTokens(u.Name) * prefillFactor
 	if !inLongPool {
 		cost += float64(s.shortPoolCost)
 	}
