--- a/decisions/balancer/estimator/estimator.go
+++ b/decisions/balancer/estimator/estimator.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/decisions/latencytracker"
+	"github.com/quetzalroad/quetzalroad/decisions/randomizer"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 )
@@ -32,7 +33,7 @@
 	reservedShare  float64
 	seed           int
 	latencies      latencytracker.Tracker
-	random         randomSource
+	random         randomizer.Randomizer
 }
 
 // Declare implements kernel.Component.
@@ -47,7 +48,7 @@
 // Build implements kernel.Component.
 func (e *Estimator) Build(n *kernel.Node) error {
 	e.loadTracker = n.LoadTracker
-	e.random.setSeed(e.seed)
+	e.random.SetSeed(e.seed)
 	n.Balancer = e
 	return nil
 }
@@ -59,13 +60,13 @@
 	}
 	low, high := e.eligibleRange(r, len(candidates))
 	medianLatency := e.latencies.Median(r.Service.Name)
-	best := candidates[low+e.random.intN(high-low)]
+	best := candidates[low+e.random.IntN(high-low)]
 	lowest := e.cost(now, r, best, medianLatency)
 	if preferred, ok := e.prefixUpstream(now, r, candidates[low:high], medianLatency); ok {
 		return preferred
 	}
 	for range e.sampleSize - 1 {
-		u := candidates[low+e.random.intN(high-low)]
+		u := candidates[low+e.random.IntN(high-low)]
 		c := e.cost(now, r, u, medianLatency)
 		if c < lowest {
 			best = u
--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,9 +32,9 @@
 		}
 	}
 	for _, g := range groups.all() {
-		compare(sample(g.members, c.separator.sampleSize), g.inLongPool)
+		compare(c.separator.sample(g.members), g.inLongPool)
 	}
-	compare(sample(c.owners, c.separator.sampleSize), true)
+	compare(c.separator.sample(c.owners), true)
 	if lowest >= suspectCost {
 		for _, g := range groups.all() {
 			compare(g.members, g.inLongPool)
@@ -55,14 +54,15 @@
 	return best
 }
 
-// sample returns random members, or all if there are no more than size.
-func sample(members []quetzalroad.Upstream, size int) []quetzalroad.Upstream {
+// sample returns a few random members, or all if there are no more.
+func (s *Separator) sample(members []quetzalroad.Upstream) []quetzalroad.Upstream {
+	size := s.sampleSize
 	if len(members) <= size {
 		return members
 	}
 	sampled := make([]quetzalroad.Upstream, 0, size)
 	for range size {
-		sampled = append(sampled, members[rand.IntN(len(members))])
+		sampled = append(sampled, members[s.random.IntN(len(members))])
 	}
 	return sampled
 }
@@ -82,9 +82,8 @@
 const slowFactor = 2
 
 const (
-	// outlierSlowness is the slowness from which the upstream itself is slow. A lower one mostly means
-	// that other prompts are being prefilled, which the engine's queue accounts for.
-	outlierSlowness = 1.5
+	// outlierSlowness is the slowness from which an upstream's load counts as higher.
+	outlierSlowness = 1.8
 	// outlierLoad is added to the load of a slow upstream, as this node knows only a few of the requests
 	// that are held up there.
 	outlierLoad = 0.3
@@ -113,7 +112,7 @@
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
 	slowness := c.slowness(e, inLongPool)
-	cost := (float64(e.Running) + rand.Float64()) * slowness / float64(max(1, u.MaxConcurrency))
+	cost := (float64(e.Running) + s.random.Float64()) * slowness / float64(max(1, u.MaxConcurrency))
 	if slowness >= outlierSlowness {
 		cost += outlierLoad
 	}
@@ -127,17 +126,13 @@
 }
 
 // longPromptCost returns the estimated work until a long prompt is prefilled, in prompt tokens at the
-// usual pace, plus a random amount of up to one request.
+// usual pace, plus a random amount of up to one request. Slowness counts for the queue only: tokens are
+// slow wherever long prompts are prefilled, and leaving the owner means to prefill the prefix again.
 func (c *chooser) longPromptCost(u quetzalroad.Upstream, inLongPool bool) float64 {
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
-	slowness := c.slowness(e, inLongPool)
-	cost := (float64(e.Running) + rand.Float64()) * float64(s.requestCost) * slowness
-	prefillFactor := 1.0
-	if slowness >= outlierSlowness {
-		prefillFactor = slowFactor * slowness
-	}
-	cost += c.uncachedTokens(u.Name) * prefillFactor
+	queued := (float64(e.Running) + s.random.Float64()) * float64(s.requestCost)
+	cost := queued*c.slowness(e, inLongPool) + c.uncachedTokens(u.Name)
 	if !inLongPool {
 		cost += float64(s.shortPoolCost)
 	}
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -17,6 +17,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/decisions/latencytracker"
+	"github.com/quetzalroad/quetzalroad/decisions/randomizer"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 )
@@ -43,6 +44,8 @@
 	crossRegionCost  int
 	crossRegionLoad  float64
 	longPoolLoad     float64
+	seed             int
+	random           randomizer.Randomizer
 	sampleSize       int
 	// The usual latencies of the pools differ, because only the long pool prefills long prompts.
 	shortPoolLatencies latencytracker.Tracker
@@ -57,6 +60,7 @@
 	c.Int("token-cost", &s.outputTokenCost, 0, 0, 10000, "Work of a token to be generated, in prompt tokens; zero to divide step-cost by the engines' maximum concurrency.")
 	c.Int("step-cost", &s.stepCost, 450, 0, 1000000, "Work of one step of an engine, in which each running request generates a token, in prompt tokens.")
 	c.Float("reading-weight", &s.longWeight, 2, 0.01, 100, "Weight of the work of long prompts, relative to that of short ones, when the engines are divided.")
+	c.Int("seed", &s.seed, 0, 0, 1<<30, "Seed of the random choices, for reproducible measurements; zero for a random seed.")
 	c.Int("choices", &s.sampleSize, 2, 1, 1000, "Number of engines that are sampled at random and compared in each group of engines of one pool, near or far. Nodes that compare them all choose the same one at once.")
 	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "Cost to a long prompt of each request already running on an engine, in prompt tokens.")
 	c.Int("mix-cost", &s.shortPoolCost, 30000, 0, 10000000, "Added cost of a long prompt on an engine for short ones, in prompt tokens.")
@@ -69,6 +73,7 @@
 func (s *Separator) Build(n *kernel.Node) error {
 	s.loadTracker = n.LoadTracker
 	s.region = n.Region
+	s.random.SetSeed(s.seed)
 	n.Balancer = s
 	n.MixTracker = s
 	return nil
