--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -78,6 +78,23 @@
 	timeToFirstByte time.Duration
 	// longestGap is the longest time between two events that the caller received.
 	longestGap time.Duration
+	// attempt is the progress of the current attempt.
+	attempt attemptProgress
+}
+
+// attemptProgress is how far one attempt has come.
+type attemptProgress struct {
+	startedAt time.Time
+	// responded is set once the head of the response has arrived.
+	responded bool
+	// chunks counts the events or parts of the body that have arrived.
+	chunks int
+}
+
+func (a *attemptProgress) countChunk(c quetzalroad.BodyChunk) {
+	if len(c.Data) > 0 {
+		a.chunks++
+	}
 }
 
 func (r *forwardRun) runAttempts(ctx context.Context) error {
@@ -152,12 +169,43 @@
 	d := r.dispatcher
 	d.node.Recorder.CountAttempt()
 	start := time.Now()
+	r.attempt = attemptProgress{startedAt: start}
 	d.node.LoadTracker.BeginAttempt(u.Name, start)
 	err := r.exchange(ctx, u, start)
 	d.node.LoadTracker.EndAttempt(u.Name, time.Now(), r.isUpstreamFault(ctx, err))
+	if r.isConnectionLost(ctx, err) {
+		r.logConnectionLost(u)
+	}
 	return err
 }
 
+// isConnectionLost reports whether an attempt ended because the upstream closed or reset the
+// connection before the response was complete.
+func (r *forwardRun) isConnectionLost(ctx context.Context, err error) bool {
+	var failure *quetzalroad.AttemptError
+	return ctx.Err() == nil && errors.As(err, &failure) && !failure.NotRun && failure.RetryReason == quetzalroad.RetryConnectionLost
+}
+
+// logConnectionLost logs what the request had in common with others, and how far its response had
+// come, so that requests that crash an upstream can be told from those that were lost with them.
+func (r *forwardRun) logConnectionLost(u quetzalroad.Upstream) {
+	f := r.request
+	r.dispatcher.logger.Warn("connection lost under a request", "request-id", string(f.ID), "attempt", r.history.attempts, "upstream", string(u.Name),
+		"segments", segmentIDs(f.SharedSegments()), "responded", r.attempt.responded, "chunks", r.attempt.chunks, "after", time.Since(r.attempt.startedAt))
+}
+
+// maxLoggedSegments bounds the segment ids in a log line.
+const maxLoggedSegments = 8
+
+// segmentIDs returns the first ids of the segments.
+func segmentIDs(segments []quetzalroad.PromptSegment) []string {
+	var ids []string
+	for _, s := range segments[:min(len(segments), maxLoggedSegments)] {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
 // isUpstreamFault reports whether the upstream caused an attempt to fail. Declining a request is not
 // a fault.
 func (r *forwardRun) isUpstreamFault(ctx context.Context, err error) bool {
@@ -181,6 +229,7 @@
 		return err
 	}
 	defer response.Close()
+	r.attempt.responded = true
 	head := response.Head()
 	r.recordLoad(u, head.LoadReport)
 	if impliesNotRun(head.Status) {
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -19,6 +19,7 @@
 	var buffered []byte
 	for {
 		chunk, err := response.Next()
+		r.attempt.countChunk(chunk)
 		buffered = append(buffered, chunk.Data...)
 		if errors.Is(err, io.EOF) {
 			break
@@ -78,6 +79,7 @@
 	}
 	for {
 		chunk, err := response.Next()
+		r.attempt.countChunk(chunk)
 		if len(chunk.Data) > 0 {
 			if err := r.write(head, chunk.Data); err != nil {
 				return err
@@ -106,6 +108,7 @@
 		if err != nil {
 			return err
 		}
+		r.attempt.countChunk(chunk)
 		now := time.Now()
 		if lastEventAt.IsZero() {
 			r.recordFirstByte(u, now, start)
--- a/forward.go
+++ b/forward.go
@@ -33,6 +33,11 @@
 	LastEventID int64
 }
 
+// SharedSegments returns the segments that other requests may have in common with this one.
+func (f *ForwardRequest) SharedSegments() []PromptSegment {
+	return f.PromptSegments[:max(0, len(f.PromptSegments)-1)]
+}
+
 // PromptSegment is a part of a prompt that several requests may have in common.
 type PromptSegment struct {
 	// ID is the same in every request that contains the segment.
