--- a/cmd/quetzalctl/explainer/timeline.go
+++ b/cmd/quetzalctl/explainer/timeline.go
@@ -58,7 +58,7 @@
 }
 
 // stateChangeMessages are the log messages of a node's state changes.
-var stateChangeMessages = []string{"log lost", "log regained", "state in force", "stopping", "started", "upstream gone", "upstream changed", "entry lapsed, held", "log lines dropped"}
+var stateChangeMessages = []string{"log lost", "log regained", "state in force", "stopping", "started", "upstream gone", "upstream changed", "entry lapsed, held", "log lines dropped", "segment quarantined", "segment released"}
 
 func (t *timeline) add(e event) {
 	switch {
@@ -107,6 +107,8 @@
 // reasonCauses explains the refusal reasons.
 var reasonCauses = map[string]string{
 	"stale-state":          "the node's published state was older than the revocation limit allows, so it accepted no requests with a key; see when it lost the log",
+	"quarantined":          "a segment of the prompt crashed several upstreams, so requests with it are sent to none; see the line \"segment quarantined\"",
+	"upstream-exited":      "the upstream's process exited as it began to respond; the request may be the cause and is sent to no other upstream",
 	"not-ready":            "the node had no published state yet",
 	"no-upstream":          "no upstream of the service was available",
 	"upstream-failed":      "the attempts failed, and the retry budget or the limit on attempts allowed no further retry",
--- a/cmd/quetzalemu/demorunner/plugins.go
+++ b/cmd/quetzalemu/demorunner/plugins.go
@@ -10,6 +10,8 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/allocator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/predictor"
+	_ "github.com/quetzalroad/quetzalroad/decisions/quarantiner"
+	_ "github.com/quetzalroad/quetzalroad/decisions/quarantiner/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/repeater"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
--- a/cmd/quetzalemu/platformrunner/plugins.go
+++ b/cmd/quetzalemu/platformrunner/plugins.go
@@ -7,6 +7,7 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/predictor"
+	_ "github.com/quetzalroad/quetzalroad/decisions/quarantiner"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
 	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
--- a/codecs/nodemapper/observations.go
+++ b/codecs/nodemapper/observations.go
@@ -12,7 +12,7 @@
 	if o == nil {
 		return nil
 	}
-	message := new(peerwire.Observations)
+	message := &peerwire.Observations{EvidenceDigest: o.EvidenceDigest, Evidence: encodeEvidence(o.Evidence)}
 	for _, m := range o.Mixes {
 		message.Mixes = append(message.Mixes, &peerwire.ServiceMix{Service: string(m.Service), ShortWork: m.ShortWork, LongWork: m.LongWork, Requests: m.Requests})
 	}
@@ -30,7 +30,7 @@
 	if message == nil {
 		return nil
 	}
-	o := new(quetzalroad.Observations)
+	o := &quetzalroad.Observations{EvidenceDigest: message.GetEvidenceDigest(), Evidence: decodeEvidence(message.GetEvidence())}
 	for _, m := range message.GetMixes() {
 		if isAmount(m.GetShortWork()) && isAmount(m.GetLongWork()) && isAmount(m.GetRequests()) {
 			o.Mixes = append(o.Mixes, quetzalroad.ServiceMix{Service: quetzalroad.ServiceName(m.GetService()), ShortWork: m.GetShortWork(), LongWork: m.GetLongWork(), Requests: m.GetRequests()})
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,8 @@
 	// drops to zero.
 	inFlight atomic.Int64
 	idle     chan struct{}
+	// exitChecks holds the names of the upstreams that are being checked for their exit.
+	exitChecks sync.Map
 }
 
 // Declare implements kernel.Component.
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -21,6 +21,9 @@
 		return noUpstreamRefusal()
 	}
 	f.Service = service
+	if refusal := d.checkQuarantine(f); refusal != nil {
+		return refusal
+	}
 	held, err := d.admit(deadlineCtx, &f.Request)
 	if err != nil {
 		return err
@@ -82,25 +85,13 @@
 	attempt attemptProgress
 }
 
-// attemptProgress is how far one attempt has come.
-type attemptProgress struct {
-	startedAt time.Time
-	// responded is set once the head of the response has arrived.
-	responded bool
-	// chunks counts the events or parts of the body that have arrived.
-	chunks int
-}
-
-func (a *attemptProgress) countChunk(c quetzalroad.BodyChunk) {
-	if len(c.Data) > 0 {
-		a.chunks++
-	}
-}
-
 func (r *forwardRun) runAttempts(ctx context.Context) error {
 	d := r.dispatcher
 	d.node.RetryPolicy.RecordFirstAttempt(time.Now(), r.request.Service.Name)
 	for {
+		if refusal := d.checkQuarantine(r.request); refusal != nil {
+			return r.withOutcome(refusal)
+		}
 		u, ok := d.chooseUpstream(&r.request.Request, r.reservation, r.history.failedUpstreams)
 		if !ok {
 			return r.withOutcome(noUpstreamRefusal())
@@ -151,6 +142,11 @@
 // its route is resumable, and the number of upstreams that may run the request is limited by the
 // route.
 func (r *forwardRun) prepareRetry(ctx context.Context, failure *quetzalroad.AttemptError) error {
+	if r.attempt.exitedUpstream {
+		r.history.mayHaveRun = true
+		r.dispatcher.logFailure(&r.request.Request, failure)
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamExited, Message: "the upstream exited as it began to answer the request, which is therefore not sent to another one", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
+	}
 	if r.responseStarted && !r.request.Route.Resumable {
 		r.history.mayHaveRun = true
 		r.dispatcher.logFailure(&r.request.Request, failure)
@@ -169,43 +165,14 @@
 	d := r.dispatcher
 	d.node.Recorder.CountAttempt()
 	start := time.Now()
-	r.attempt = attemptProgress{startedAt: start}
+	r.attempt = attemptProgress{startedAt: start, exposed: d.node.Quarantine.Expose(r.request.SharedSegments())}
 	d.node.LoadTracker.BeginAttempt(u.Name, start)
 	err := r.exchange(ctx, u, start)
 	d.node.LoadTracker.EndAttempt(u.Name, time.Now(), r.isUpstreamFault(ctx, err))
-	if r.isConnectionLost(ctx, err) {
-		r.logConnectionLost(u)
-	}
+	r.recordForQuarantine(ctx, u, err)
 	return err
 }
 
-// isConnectionLost reports whether an attempt ended because the upstream closed or reset the
-// connection before the response was complete.
-func (r *forwardRun) isConnectionLost(ctx context.Context, err error) bool {
-	var failure *quetzalroad.AttemptError
-	return ctx.Err() == nil && errors.As(err, &failure) && !failure.NotRun && failure.RetryReason == quetzalroad.RetryConnectionLost
-}
-
-// logConnectionLost logs what the request had in common with others, and how far its response had
-// come, so that requests that crash an upstream can be told from those that were lost with them.
-func (r *forwardRun) logConnectionLost(u quetzalroad.Upstream) {
-	f := r.request
-	r.dispatcher.logger.Warn("connection lost under a request", "request-id", string(f.ID), "attempt", r.history.attempts, "upstream", string(u.Name),
-		"segments", segmentIDs(f.SharedSegments()), "responded", r.attempt.responded, "chunks", r.attempt.chunks, "after", time.Since(r.attempt.startedAt))
-}
-
-// maxLoggedSegments bounds the segment ids in a log line.
-const maxLoggedSegments = 8
-
-// segmentIDs returns the first ids of the segments.
-func segmentIDs(segments []quetzalroad.PromptSegment) []string {
-	var ids []string
-	for _, s := range segments[:min(len(segments), maxLoggedSegments)] {
-		ids = append(ids, s.ID)
-	}
-	return ids
-}
-
 // isUpstreamFault reports whether the upstream caused an attempt to fail. Declining a request is not
 // a fault.
 func (r *forwardRun) isUpstreamFault(ctx context.Context, err error) bool {
@@ -229,8 +196,8 @@
 		return err
 	}
 	defer response.Close()
-	r.attempt.responded = true
 	head := response.Head()
+	r.attempt.responded, r.attempt.eventStream = true, head.EventStream
 	r.recordLoad(u, head.LoadReport)
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
@@ -300,6 +267,9 @@
 	if current, ok := d.node.Directory.Upstream(u.Name); !ok || current.Draining {
 		return errUpstreamDraining
 	}
+	if refusal := d.checkQuarantine(f); refusal != nil {
+		return refusal
+	}
 	return nil
 }
 
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -46,6 +46,7 @@
 	Admitter          quetzalroad.Admitter
 	Spiller           quetzalroad.Spiller
 	RetryPolicy       quetzalroad.RetryPolicy
+	Quarantine        quetzalroad.Quarantine
 	ChatClient        quetzalroad.ChatClient
 	ServiceClient     quetzalroad.ServiceClient
 	Dispatcher        quetzalroad.Dispatcher
@@ -63,6 +64,10 @@
 	UpstreamCodec quetzalroad.UpstreamCodec
 	ForwardClient quetzalroad.ForwardClient
 	Forwarder     quetzalroad.Forwarder
+	// UpstreamChecker is nil if the forward client can't check upstreams.
+	UpstreamChecker quetzalroad.UpstreamChecker
+	// Fleet is nil if the node knows no others.
+	Fleet quetzalroad.Fleet
 	// MixTracker is nil if the balancer tracks no mix.
 	MixTracker quetzalroad.MixTracker
 
--- a/proofs/faker/forwardclient.go
+++ b/proofs/faker/forwardclient.go
@@ -17,6 +17,8 @@
 	// Script returns the result of an attempt; it is called after the
 	// attempt's BeforeSend hook. Nil stands for an empty response.
 	Script func(ctx context.Context, a *quetzalroad.Attempt) (*ScriptedResponse, error)
+	// Exited reports whether an upstream's process has exited; nil if none has.
+	Exited func(u quetzalroad.Upstream) bool
 
 	mu sync.Mutex
 	// sent holds the attempts that were sent and is guarded by mu.
@@ -29,9 +31,15 @@
 // Build implements kernel.Component.
 func (c *ForwardClient) Build(n *kernel.Node) error {
 	n.ForwardClient = c
+	n.UpstreamChecker = c
 	return nil
 }
 
+// HasExited implements quetzalroad.UpstreamChecker.
+func (c *ForwardClient) HasExited(_ context.Context, u quetzalroad.Upstream) bool {
+	return c.Exited != nil && c.Exited(u)
+}
+
 // Sent returns the attempts that were sent.
 func (c *ForwardClient) Sent() []quetzalroad.Attempt {
 	c.mu.Lock()
--- a/refusal.go
+++ b/refusal.go
@@ -40,6 +40,8 @@
 	ReasonStreamInterrupted       RefusalReason = "stream-cut"
 	ReasonUnknownRoute            RefusalReason = "unknown-route"
 	ReasonStaleState              RefusalReason = "stale-state"
+	ReasonQuarantined             RefusalReason = "quarantined"
+	ReasonUpstreamExited          RefusalReason = "upstream-exited"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/sharing.go
+++ b/sharing.go
@@ -17,6 +17,8 @@
 	ReadCapacity float64
 	// WrittenAt is when the record was written, by the node's own clock.
 	WrittenAt time.Time
+	// Evidence is what the node knows about losses; nil if nothing.
+	Evidence *LossEvidence
 }
 
 // SharedReadRequest asks a node for records that it has read from the platform's log.
@@ -35,6 +37,10 @@
 type Observations struct {
 	Mixes     []ServiceMix
 	Upstreams []UpstreamObservation
+	// EvidenceDigest is the digest of the sender's evidence of losses; zero if it has none. Evidence is
+	// that evidence, or nil if the other node is known to have it.
+	EvidenceDigest uint64
+	Evidence       *LossEvidence
 }
 
 // UpstreamObservation is what nodes have recently seen of an upstream.
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -57,6 +57,7 @@
 	node       *kernel.Node
 	aggregator aggregator.Aggregator
 	members    members
+	evidence   evidenceSharing
 	caches     map[quetzalroad.LogStream]*streamCache
 }
 
@@ -75,6 +76,7 @@
 	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes.")
 	s.Duration("lifetime", &d.registrationTTL, 3*time.Minute, time.Second, 24*time.Hour, "Age at which a node's registration expires; a node rewrites its own after a third of it.")
 	s.Duration("settle", &d.settleDelay, 400*time.Millisecond, 0, time.Minute, "Delay between the first two reads of the list of nodes, as several nodes may start together.")
+	s.Duration("evidence-every", &d.evidence.interval, 250*time.Millisecond, 10*time.Millisecond, time.Minute, "Minimum time between two writes of this node's evidence of upstreams that exited, and between two reads of that of others.")
 	s.Duration("call-timeout", &d.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log that reads or writes node registrations.")
 }
 
@@ -95,10 +97,18 @@
 	n.KeyedLog = d
 	n.AddTask("serve shared reads", func(ctx context.Context) error { return d.transport.Serve(ctx, d) })
 	n.AddTask("maintain the list of nodes", d.maintainMembership)
+	n.AddTask("share evidence of losses", d.shareEvidence)
+	n.AddReadiness(d)
+	n.Fleet = d
 	n.OnStop(d.deleteOwnRegistration)
 	return nil
 }
 
+// ownRole returns this node's part in shared reads.
+func (d *Distributor) ownRole() role {
+	return d.members.roleOf(d.self, d.minNodes, d.fanOut)
+}
+
 // sameContent reports whether two registrations of an upstream are equal except for
 // their sequence numbers.
 func (d *Distributor) sameContent(a, b quetzalroad.KeyedRecord) bool {
@@ -113,7 +123,7 @@
 // ReadLatest implements quetzalroad.KeyedLog. A starting node reads the log itself,
 // as it knows no other nodes yet.
 func (d *Distributor) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
-	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
+	ownRole := d.ownRole()
 	if ownRole.hasReader() {
 		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.NoOffset})
 		if err == nil {
@@ -141,7 +151,7 @@
 			return nil, quetzalroad.StreamBounds{}, err
 		}
 	}
-	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
+	ownRole := d.ownRole()
 	if ownRole.hasReader() {
 		if wait > 0 {
 			if err := sleeper.Sleep(ctx, min(wait, d.pollInterval)); err != nil {
@@ -265,7 +275,7 @@
 	if cache == nil {
 		return quetzalroad.SharedReadResponse{}
 	}
-	if !d.members.roleOf(d.self, d.minNodes, d.fanOut).readsLog {
+	if !d.ownRole().readsLog {
 		d.members.promote(time.Now().Add(d.avoidDuration))
 		return quetzalroad.SharedReadResponse{}
 	}
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -97,18 +97,7 @@
 		c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(1))
 		c.log.Put(quetzalroad.LogStreamUpstreams, "a", registration(1, false))
 		for i := range count {
-			l := &nodeLog{KeyedLog: &c.log}
-			name := fmt.Sprintf("node-%d", i)
-			n, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
-				"node":        `{"name": "` + name + `", "data-centre": "west-1", "region": "west"}`,
-				"log-sharing": `{"plugin": "distributor"}`,
-			}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: l},
-				kernel.Override{Slot: kernel.SlotReadTransport, Component: &faker.ReadTransport{Network: &c.network, Address: nodeAddress(i)}})
-			if err != nil {
-				t.Fatal(err)
-			}
-			c.logs, c.nodes = append(c.logs, l), append(c.nodes, n)
-			n.Start()
+			c.startNode(t, i)
 		}
 		defer func() {
 			for _, n := range c.nodes {
@@ -128,6 +117,24 @@
 	})
 }
 
+// startNode starts a node and adds it to the cluster.
+func (c *cluster) startNode(t *testing.T, i int) *kernel.Node {
+	t.Helper()
+	l := &nodeLog{KeyedLog: &c.log}
+	name := fmt.Sprintf("node-%d", i)
+	n, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
+		"node":        `{"name": "` + name + `", "data-centre": "west-1", "region": "west"}`,
+		"log-sharing": `{"plugin": "distributor"}`,
+	}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: l},
+		kernel.Override{Slot: kernel.SlotReadTransport, Component: &faker.ReadTransport{Network: &c.network, Address: nodeAddress(i)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.logs, c.nodes = append(c.logs, l), append(c.nodes, n)
+	n.Start()
+	return n
+}
+
 // readingNodes returns the nodes that called the log within a duration.
 func (c *cluster) readingNodes(duration time.Duration) []int {
 	before := make([]int64, len(c.logs))
--- /dev/null
+++ b/state/distributor/evidence.go
@@ -0,0 +1,131 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+// evidenceSharing is the state of the exchange of evidence of losses with other nodes.
+//
+// A node that has a reader exchanges it with its reader, with its observations. The other nodes write
+// theirs to the log with their registrations, and follow those of all data centres during an alert.
+// While no upstream exits, that takes no call and no byte.
+type evidenceSharing struct {
+	// interval is the minimum time between two writes, and between two reads.
+	interval time.Duration
+	// readerDigest is the digest that this node's reader sent last, and writtenDigest that of the
+	// evidence in this node's registration.
+	readerDigest  atomic.Uint64
+	writtenDigest atomic.Uint64
+	// nextRead is the offset from which to follow the stream of nodes.
+	nextRead atomic.Int64
+	// following is set while a goroutine follows it.
+	following atomic.Bool
+}
+
+// evidencePollWait is how long a read waits for the evidence of other nodes.
+const evidencePollWait = 2 * time.Second
+
+// attachEvidence adds this node's evidence to observations, unless the other node is known to have it.
+func (d *Distributor) attachEvidence(o *quetzalroad.Observations, knownDigest uint64) {
+	o.EvidenceDigest = d.node.Quarantine.Digest()
+	if o.EvidenceDigest != 0 && o.EvidenceDigest != knownDigest {
+		evidence := d.node.Quarantine.Evidence()
+		o.Evidence = &evidence
+	}
+}
+
+func (d *Distributor) mergeEvidence(e *quetzalroad.LossEvidence) {
+	if e != nil {
+		d.node.Quarantine.Merge(time.Now(), *e)
+	}
+}
+
+// hasUnwrittenEvidence reports whether this node has to write its evidence to the log.
+func (d *Distributor) hasUnwrittenEvidence() bool {
+	digest := d.node.Quarantine.Digest()
+	return digest != d.evidence.writtenDigest.Load() && digest != 0 && !d.ownRole().hasReader()
+}
+
+// shareEvidence writes this node's evidence whenever it has changed, and follows that of other nodes
+// during an alert.
+func (d *Distributor) shareEvidence(ctx context.Context) error {
+	var follower sync.WaitGroup
+	defer follower.Wait()
+	for {
+		select {
+		case <-d.node.Quarantine.Changed():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if d.followsEvidence() && d.evidence.following.CompareAndSwap(false, true) {
+			follower.Go(func() { d.followEvidence(ctx) })
+		}
+		for d.hasUnwrittenEvidence() {
+			d.writeOwnRegistration(ctx)
+			if err := sleeper.Sleep(ctx, d.evidence.interval); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// followsEvidence reports whether this node reads the evidence of others from the log now.
+func (d *Distributor) followsEvidence() bool {
+	return d.node.Quarantine.IsAlert(time.Now()) && !d.ownRole().hasReader()
+}
+
+func (d *Distributor) followEvidence(ctx context.Context) {
+	defer d.evidence.following.Store(false)
+	for d.followsEvidence() {
+		d.readEvidence(ctx)
+		if err := sleeper.Sleep(ctx, d.evidence.interval); err != nil {
+			return
+		}
+	}
+}
+
+// readEvidence reads the registrations that were written since the last read, and waits for one.
+func (d *Distributor) readEvidence(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, evidencePollWait+d.callTimeout)
+	defer cancel()
+	from := quetzalroad.Offset(d.evidence.nextRead.Load())
+	records, bounds, err := d.log.ReadKeyed(callCtx, quetzalroad.LogStreamNodes, from, evidencePollWait)
+	switch {
+	case errors.Is(err, quetzalroad.ErrTrimmed):
+		d.refreshMembers(ctx)
+		return
+	case err != nil:
+		d.logger.Info("failed to read the evidence of other nodes", "from", int64(from), "error", err)
+		return
+	}
+	for _, registration := range d.decodeRegistrations(records) {
+		d.mergeEvidence(registration.Evidence)
+	}
+	d.evidence.nextRead.Store(int64(bounds.NextRead))
+}
+
+// Nodes implements quetzalroad.Fleet.
+func (d *Distributor) Nodes() []quetzalroad.NodeName {
+	d.members.mu.Lock()
+	defer d.members.mu.Unlock()
+	return d.members.nodes
+}
+
+var errNodesUnknown = errors.New("the list of nodes has not been read yet")
+
+// Ready implements quetzalroad.Readiness. With the list of nodes come the requests that must not reach
+// upstreams.
+func (d *Distributor) Ready() error {
+	if !d.members.readAttempted.Load() {
+		return errNodesUnknown
+	}
+	return nil
+}
--- /dev/null
+++ b/state/distributor/evidence_test.go
@@ -0,0 +1,105 @@
+package distributor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+)
+
+func lose(n *kernel.Node, count int, segment string) {
+	for i := range count {
+		u := quetzalroad.UpstreamName(fmt.Sprintf("%s-%s-%d", n.Name, segment, i))
+		n.Quarantine.RecordLoss(time.Now(), u, n.Quarantine.Expose([]quetzalroad.PromptSegment{{ID: segment}}))
+	}
+}
+
+func hasQuarantine(n *kernel.Node) bool {
+	return len(n.Quarantine.Quarantined(time.Now())) > 0
+}
+
+// One node sees one loss; only together they know enough.
+func TestEvidenceReachesAllNodes(t *testing.T) {
+	const noticeTime = 3 * time.Second
+	for _, count := range []int{3, 8} {
+		t.Run(fmt.Sprintf("%d nodes", count), func(t *testing.T) {
+			runInCluster(t, count, func(t *testing.T, c *cluster) {
+				for _, n := range c.nodes {
+					n.Quarantine.RecordExit(time.Now(), "a")
+					n.Quarantine.RecordExit(time.Now(), "b")
+				}
+				lose(c.nodes[0], 1, "x")
+				lose(c.nodes[1], 1, "x")
+				time.Sleep(noticeTime)
+				lose(c.nodes[2], 1, "x")
+				c.eventually(t, noticeTime, "aware of the quarantine", hasQuarantine)
+				c.nodes[1].Quarantine.RecordComplete(time.Now(), []quetzalroad.PromptSegment{{ID: "x"}})
+				c.eventually(t, noticeTime, "aware of the release", func(n *kernel.Node) bool { return !hasQuarantine(n) })
+			})
+		})
+	}
+}
+
+func TestEvidenceCostsNoCallsWithoutLosses(t *testing.T) {
+	const span = time.Minute
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		calls := func() (total int64) {
+			for _, l := range c.logs {
+				total += l.calls.Load()
+			}
+			return total
+		}
+		// The list of nodes is read every 20 s, so that spans of a minute have the same number of calls.
+		before := calls()
+		time.Sleep(span)
+		quiet := calls() - before
+		// The exit of one upstream is no alert.
+		c.nodes[0].Quarantine.RecordExit(time.Now(), "a")
+		before = calls()
+		time.Sleep(span)
+		if got := calls() - before; got > quiet {
+			t.Errorf("%d calls to the log after the exit of one upstream, %d before", got, quiet)
+		}
+	})
+}
+
+func TestStartedNodeKnowsTheQuarantine(t *testing.T) {
+	for _, count := range []int{3, 8} {
+		t.Run(fmt.Sprintf("%d nodes", count), func(t *testing.T) {
+			runInCluster(t, count, func(t *testing.T, c *cluster) {
+				lose(c.nodes[0], 5, "x")
+				time.Sleep(2 * time.Second)
+				n := c.startNode(t, count)
+				for n.Ready() != nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if !hasQuarantine(n) {
+					t.Error("a node is ready that does not know the quarantine")
+				}
+			})
+		})
+	}
+}
+
+// The evidence of a node outlives the node.
+func TestQuarantineSurvivesTheNodesThatFoundIt(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		for _, n := range c.nodes {
+			n.Quarantine.RecordExit(time.Now(), "a")
+			n.Quarantine.RecordExit(time.Now(), "b")
+		}
+		lose(c.nodes[0], 5, "x")
+		c.eventually(t, 3*time.Second, "aware of the quarantine", hasQuarantine)
+		c.nodes[0].Stop(t.Context())
+		time.Sleep(10 * time.Second)
+		n := c.startNode(t, 3)
+		for n.Ready() != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !hasQuarantine(n) {
+			t.Error("the quarantine ended with the node that found it")
+		}
+	})
+}
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,10 +28,15 @@
 	// fallbackFailedAt is when the log last failed to respond to this node while it had readers. It
 	// has a monotonic clock reading, so that steps of the VM's clock don't matter.
 	fallbackFailedAt time.Time
+	// nodes holds the names of all nodes of all data centres, this one included; guarded by mu. The
+	// slice is never modified once it is set.
+	nodes []quetzalroad.NodeName
 	// known is closed once the members have been read, and isKnown is set then. Both are guarded by
 	// mu; known is allocated on first use.
 	known   chan struct{}
 	isKnown bool
+	// readAttempted is set once the members and their evidence have been read, or a read has failed.
+	readAttempted atomic.Bool
 }
 
 // role is a node's part in shared reads. With the zero value it reads for itself only.
@@ -82,6 +88,12 @@
 	}
 }
 
+func (m *members) setNodes(nodes []quetzalroad.NodeName) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes = nodes
+}
+
 func (m *members) knownLocked() chan struct{} {
 	if m.known == nil {
 		m.known = make(chan struct{})
@@ -184,7 +196,7 @@
 	var lastWrite time.Time
 	delay := d.settleDelay
 	for {
-		if time.Since(lastWrite) >= d.registrationTTL/3 && d.writeOwnRegistration(ctx) {
+		if (time.Since(lastWrite) >= d.registrationTTL/3 || d.hasUnwrittenEvidence()) && d.writeOwnRegistration(ctx) {
 			lastWrite = time.Now()
 		}
 		if err := sleeper.Sleep(ctx, delay); err != nil {
@@ -204,14 +216,21 @@
 	defer cancel()
 	self := d.self
 	self.WrittenAt = time.Now()
+	digest := d.node.Quarantine.Digest()
+	if digest != 0 {
+		evidence := d.node.Quarantine.Evidence()
+		self.Evidence = &evidence
+	}
 	value, err := nodemapper.EncodeRegistration(self)
 	if err == nil {
 		err = d.writer.PutKeyed(ctx, quetzalroad.LogStreamNodes, string(self.Name), value)
 	}
 	if err != nil {
 		d.logger.Warn("failed to write own node registration", "stream", string(quetzalroad.LogStreamNodes), "error", err)
+		return false
 	}
-	return err == nil
+	d.evidence.writtenDigest.Store(digest)
+	return true
 }
 
 // deleteOwnRegistration deletes this node's registration when the node stops.
@@ -223,28 +242,49 @@
 	}
 }
 
+// decodeRegistrations returns the registrations in the records, without deleted and undecodable ones.
+func (d *Distributor) decodeRegistrations(records []quetzalroad.KeyedRecord) []quetzalroad.NodeRegistration {
+	var registrations []quetzalroad.NodeRegistration
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		registration, err := nodemapper.DecodeRegistration(r)
+		if err != nil {
+			d.logger.Warn("ignoring undecodable node registration", "key", r.Key, "offset", int64(r.Offset), "error", err)
+			continue
+		}
+		registrations = append(registrations, registration)
+	}
+	return registrations
+}
+
 // refreshMembers reads the registrations of the other nodes of the data centre, through a reader if
 // there is one. If the read fails, the known ones are kept.
 func (d *Distributor) refreshMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
 	defer cancel()
-	records, _, err := d.ReadLatest(ctx, quetzalroad.LogStreamNodes)
+	defer d.members.readAttempted.Store(true)
+	records, bounds, err := d.ReadLatest(ctx, quetzalroad.LogStreamNodes)
 	if err != nil {
 		d.logger.Warn("failed to read node registrations", "stream", string(quetzalroad.LogStreamNodes), "error", err)
 		return
 	}
 	var others []quetzalroad.NodeRegistration
-	for _, r := range records {
-		registration, err := nodemapper.DecodeRegistration(r)
-		if err != nil {
-			d.logger.Warn("ignoring undecodable node registration", "key", r.Key, "offset", int64(r.Offset), "error", err)
+	nodes := []quetzalroad.NodeName{d.self.Name}
+	for _, registration := range d.decodeRegistrations(records) {
+		d.mergeEvidence(registration.Evidence)
+		if registration.Name == d.self.Name || time.Since(registration.WrittenAt) >= d.registrationTTL {
 			continue
 		}
-		if registration.Name != d.self.Name && registration.DataCentre == d.self.DataCentre && time.Since(registration.WrittenAt) < d.registrationTTL {
+		nodes = append(nodes, registration.Name)
+		if registration.DataCentre == d.self.DataCentre {
 			others = append(others, registration)
 		}
 	}
 	d.members.set(others)
-	ownRole := d.members.roleOf(d.self, d.minNodes, d.fanOut)
+	d.members.setNodes(nodes)
+	d.evidence.nextRead.Store(int64(bounds.NextRead))
+	ownRole := d.ownRole()
 	d.logger.Info("node list refreshed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", ownRole.readsLog, "reader", string(ownRole.readerName()))
 }
--- a/state/distributor/observations.go
+++ b/state/distributor/observations.go
@@ -12,6 +12,7 @@
 		return q
 	}
 	o := d.localObservations(time.Now())
+	d.attachEvidence(&o, d.evidence.readerDigest.Load())
 	q.Node, q.Observations = d.self.Name, &o
 	return q
 }
@@ -32,15 +33,20 @@
 // of this node and of its other readers.
 func (d *Distributor) exchangeObservations(from quetzalroad.NodeName, o quetzalroad.Observations) *quetzalroad.Observations {
 	now := time.Now()
+	d.mergeEvidence(o.Evidence)
+	o.Evidence = nil
 	d.aggregator.Update(from, now, o)
 	d.aggregator.Update(d.self.Name, now, d.localObservations(now))
 	sum := d.aggregator.Sum(now, from)
+	d.attachEvidence(&sum, o.EvidenceDigest)
 	return &sum
 }
 
 // applyObservations passes the observations of other nodes to the trackers.
 func (d *Distributor) applyObservations(o quetzalroad.Observations) {
 	now := time.Now()
+	d.mergeEvidence(o.Evidence)
+	d.evidence.readerDigest.Store(o.EvidenceDigest)
 	if d.node.MixTracker != nil {
 		d.node.MixTracker.UpdatePeerMix(now, o.Mixes)
 	}
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -61,6 +61,7 @@
 	}
 	c.codec = n.UpstreamCodec
 	n.ForwardClient = c
+	n.UpstreamChecker = c
 	return nil
 }
 
@@ -96,6 +97,14 @@
 	if pc := c.shard(a.Upstream.Name).get(a.Upstream.Name, idleTimeout); pc != nil {
 		return pc, nil
 	}
+	netConn, err := c.dial(ctx, a.Upstream)
+	if err != nil {
+		return nil, err
+	}
+	return newPersistConn(netConn), nil
+}
+
+func (c *Client) dial(ctx context.Context, u quetzalroad.Upstream) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: c.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -103,11 +112,18 @@
 		},
 		Control: c.setUserTimeout,
 	}
-	netConn, err := dialer.DialContext(ctx, "tcp", a.Upstream.Address.String())
+	return dialer.DialContext(ctx, "tcp", u.Address.String())
+}
+
+// HasExited implements quetzalroad.UpstreamChecker.
+func (c *Client) HasExited(ctx context.Context, u quetzalroad.Upstream) bool {
+	netConn, err := c.dial(ctx, u)
 	if err != nil {
-		return nil, err
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return newPersistConn(netConn), nil
+	// Nothing was sent on the connection, so that an error on closing it means nothing.
+	_ = netConn.Close()
+	return false
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, so that the operating system closes a
--- a/upstreams/forwardclient/client_test.go
+++ b/upstreams/forwardclient/client_test.go
@@ -519,3 +519,27 @@
 	r.data = r.data[n:]
 	return n, nil
 }
+
+func TestUpstreamHasExitedOnlyIfItRefusesConnections(t *testing.T) {
+	client := newClient(t)
+	_, running := startUpstream(t, func(int, net.Conn, *bufio.Reader) {})
+	if client.HasExited(t.Context(), running) {
+		t.Error("an upstream that accepts connections counts as exited")
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !client.HasExited(t.Context(), quetzalroad.Upstream{Name: "gone", Address: address}) {
+		t.Error("an upstream that refuses connections does not count as exited")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if client.HasExited(ctx, quetzalroad.Upstream{Name: "unknown", Address: address}) {
+		t.Error("an upstream counts as exited although the check was cancelled")
+	}
+}
