--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -30,6 +30,8 @@
 	metadata quetzalroad.ResponseMetadata
 	events   *eventReader
 	chunkBuf []byte
+	// hasEvents is set once an event was returned.
+	hasEvents bool
 	// written is set once any byte of the request may have been written, and sent
 	// once all of it was.
 	written atomic.Bool
@@ -205,6 +207,10 @@
 	x.resetReadDeadline()
 	if x.events != nil {
 		event, err := x.events.next()
+		if errors.Is(err, io.EOF) && x.endsBeforeFirstEvent() {
+			err = io.ErrUnexpectedEOF
+		}
+		x.hasEvents = x.hasEvents || err == nil
 		return event, x.bodyError(err)
 	}
 	if x.chunkBuf == nil {
@@ -222,6 +228,13 @@
 	return quetzalroad.BodyChunk{Data: x.chunkBuf[:n]}, x.bodyError(err)
 }
 
+// endsBeforeFirstEvent reports whether the end of the connection, which is the only end that the stream
+// has, came before any event. An upstream that exits as it begins to respond leaves just that.
+func (x *exchange) endsBeforeFirstEvent() bool {
+	unframed := x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+	return unframed && !x.hasEvents && x.attempt.ResumeAfter == 0
+}
+
 // bodyError maps a body's read error to the errors specified for ForwardResponse.Next.
 func (x *exchange) bodyError(err error) error {
 	switch {
