--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -24,7 +24,7 @@
 	stalled        bool
 	completedCalls int
 	failedCalls    int
-	// changed is closed and replaced at each Put, each compaction and each change of a fault.
+	// changed is closed and replaced at each write, each compaction and each change of a fault.
 	changed chan struct{}
 }
 
@@ -84,6 +84,7 @@
 	return l.serve(ctx, func() bool {
 		stream := l.streamLocked(s)
 		stream.records = append(stream.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: stream.earliest + quetzalroad.Offset(len(stream.records))})
+		l.notifyLocked()
 		return true
 	})
 }
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -31,7 +31,7 @@
 }
 
 // evidencePollWait is how long a read waits for the evidence of other nodes.
-const evidencePollWait = 2 * time.Second
+const evidencePollWait = 4 * time.Second
 
 // attachEvidence adds this node's evidence to observations, unless the other node is known to have it.
 func (d *Distributor) attachEvidence(o *quetzalroad.Observations, knownDigest uint64) {
