--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -238,6 +238,9 @@
 	if failure.LoadReport != nil {
 		attributes = append(attributes, "told-running", failure.LoadReport.Running, "told-waiting", failure.LoadReport.Waiting)
 	}
+	if failure.RateLimit != nil && failure.RateLimit.IsSet {
+		attributes = append(attributes, "told-rate-limit", failure.RateLimit.PerSecond)
+	}
 	d.logger.Warn("attempt failed", attributes...)
 }
 
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -81,6 +81,8 @@
 	timeToFirstByte time.Duration
 	// longestGap is the longest time between two events that the caller received.
 	longestGap time.Duration
+	// rateLimit is what the last response stated; nil if there was none, or no clear statement.
+	rateLimit *quetzalroad.RateLimit
 	// attempt is the progress of the current attempt.
 	attempt attemptProgress
 }
@@ -126,8 +128,14 @@
 
 func (r *forwardRun) logAnswered(u quetzalroad.Upstream) {
 	f := r.request
-	r.dispatcher.logger.Info("request answered", "request-id", string(f.ID), "upstream", string(u.Name), "attempts", r.history.attempts,
-		"status", r.status, "first-after", r.timeToFirstByte, "took", time.Since(f.Arrived), "events", r.eventCount, "longest-gap", r.longestGap)
+	attributes := []any{
+		"request-id", string(f.ID), "upstream", string(u.Name), "attempts", r.history.attempts,
+		"status", r.status, "first-after", r.timeToFirstByte, "took", time.Since(f.Arrived), "events", r.eventCount, "longest-gap", r.longestGap,
+	}
+	if r.rateLimit != nil && r.rateLimit.IsSet {
+		attributes = append(attributes, "told-rate-limit", r.rateLimit.PerSecond)
+	}
+	r.dispatcher.logger.Info("request answered", attributes...)
 }
 
 // withOutcome sets the outcome to unknown if any attempt may have run the request.
@@ -192,13 +200,16 @@
 	}
 	response, err := d.node.ForwardClient.Send(ctx, a)
 	if err != nil {
-		r.recordLoad(u, asAttemptError(u.Name, err).LoadReport)
+		failure := asAttemptError(u.Name, err)
+		r.recordLoad(u, failure.LoadReport)
+		r.rateLimit = failure.RateLimit
 		return err
 	}
 	defer response.Close()
 	head := response.Head()
 	r.attempt.responded, r.attempt.eventStream = true, head.EventStream
 	r.recordLoad(u, head.LoadReport)
+	r.rateLimit = head.RateLimit
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
--- a/forward.go
+++ b/forward.go
@@ -76,6 +76,8 @@
 	EventStream bool
 	// LoadReport is the load report sent with the response; nil if there was none.
 	LoadReport *LoadReport
+	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
+	RateLimit *RateLimit
 }
 
 // BodyChunk is a part of a response body. In an event stream it is one whole event.
@@ -158,6 +160,8 @@
 	Misdirected bool
 	// LoadReport is the load report sent with the response; nil if there was none.
 	LoadReport *LoadReport
+	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
+	RateLimit *RateLimit
 	// KeepAlive is how long the upstream keeps an idle connection open; zero if not
 	// sent.
 	KeepAlive time.Duration
--- a/refusal.go
+++ b/refusal.go
@@ -100,6 +100,8 @@
 	RetryReason RetryReason
 	// LoadReport is the load report sent by the upstream; nil if there was none.
 	LoadReport *LoadReport
+	// RateLimit is the limit that the upstream stated; nil if it did not respond, or not clearly.
+	RateLimit *RateLimit
 	// Cause is the underlying error.
 	Cause error
 }
--- a/request.go
+++ b/request.go
@@ -130,6 +130,14 @@
 	SlowdownFactor float64
 }
 
+// RateLimit is the rate of requests that an upstream accepts from all nodes together, as it states it.
+// The zero value means that it states none.
+type RateLimit struct {
+	// PerSecond is valid only if IsSet is set; it is finite and not negative.
+	PerSecond float64
+	IsSet     bool
+}
+
 // UpstreamReport is a load report and the upstream that sent it.
 type UpstreamReport struct {
 	Upstream UpstreamName
