--- a/proofs/prover/poison_test.go
+++ b/proofs/prover/poison_test.go
@@ -14,7 +14,7 @@
 		leastServed  = 0.9
 		settledAfter = poisonStart + 10*time.Second
 	)
-	for name, load := range map[string]poisonedLoad{
+	for name, load := range map[string]fleetLoad{
 		"7 nodes":                       {dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, deadlyPerSecond: 2, duration: 30 * time.Second, seed: 1},
 		"7 nodes, deadly segment first": {dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, deadlyPerSecond: 2, deadlyFirst: true, duration: 30 * time.Second, seed: 2},
 		"7 nodes, deadly requests rare": {dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, deadlyPerSecond: 1, duration: 60 * time.Second, seed: 3},
@@ -24,8 +24,8 @@
 		"7 nodes, the log away for a while": {
 			dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, deadlyPerSecond: 2, duration: 30 * time.Second, seed: 7,
 			faults: []fleetFault{
-				{10 * time.Second, func(_ *testing.T, f *poisonedFleet) { f.log.SetUnavailable(true) }},
-				{13 * time.Second, func(_ *testing.T, f *poisonedFleet) { f.log.SetUnavailable(false) }},
+				{10 * time.Second, func(_ *testing.T, f *forwardFleet) { f.log.SetUnavailable(true) }},
+				{13 * time.Second, func(_ *testing.T, f *forwardFleet) { f.log.SetUnavailable(false) }},
 			},
 		},
 		"7 nodes, other engines crash as well": {
@@ -35,7 +35,7 @@
 		"200 nodes, deadly segment first": {dataCentres: 6, nodesEach: 33, engines: 78, soundPerSecond: 300, deadlyPerSecond: 15, deadlyFirst: true, duration: 15 * time.Second, seed: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runPoisonedFleet(t, load, func(t *testing.T, f *poisonedFleet) {
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
 				share := f.servedShare(settledAfter)
 				if late := f.lateArrivals(noticeTime); late > mostLate {
 					t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
@@ -53,7 +53,7 @@
 func restartAll(nodes int, from time.Duration) []fleetFault {
 	var faults []fleetFault
 	for i := range nodes {
-		faults = append(faults, fleetFault{from + time.Duration(i)*time.Second, func(t *testing.T, f *poisonedFleet) { f.restart(t, i, 0) }})
+		faults = append(faults, fleetFault{from + time.Duration(i)*time.Second, func(t *testing.T, f *forwardFleet) { f.restart(t, i, 0) }})
 	}
 	return faults
 }
@@ -62,20 +62,20 @@
 func crashOften(share float64) []fleetFault {
 	var faults []fleetFault
 	for second := 3; second < 25; second += 3 {
-		faults = append(faults, fleetFault{time.Duration(second) * time.Second, func(_ *testing.T, f *poisonedFleet) { f.crashShare(share) }})
+		faults = append(faults, fleetFault{time.Duration(second) * time.Second, func(_ *testing.T, f *forwardFleet) { f.crashShare(share) }})
 	}
 	return faults
 }
 
 // Engines that crash for reasons of their own take many requests with them.
 func TestOrdinaryCrashesQuarantineNothing(t *testing.T) {
-	for name, load := range map[string]poisonedLoad{
+	for name, load := range map[string]fleetLoad{
 		"a third of 9 engines again and again": {dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, duration: 30 * time.Second, seed: 1, faults: crashOften(0.34)},
 		"all 9 engines again and again":        {dataCentres: 7, nodesEach: 1, engines: 9, soundPerSecond: 60, duration: 30 * time.Second, seed: 2, faults: crashOften(1)},
 		"half of 78 engines again and again":   {dataCentres: 6, nodesEach: 33, engines: 78, soundPerSecond: 300, duration: 12 * time.Second, seed: 3, faults: crashOften(0.5)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runPoisonedFleet(t, load, func(t *testing.T, f *poisonedFleet) {
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
 				for _, n := range f.nodes {
 					if quarantined := n.Quarantine.Quarantined(time.Now()); len(quarantined) > 0 {
 						t.Errorf("%s quarantines %v after %d crashes", n.Name, quarantined, len(f.engines.crashes))
