--- a/cmd/quetzalctl/explainer/timeline.go
+++ b/cmd/quetzalctl/explainer/timeline.go
@@ -109,6 +109,7 @@
 	"stale-state":          "the node's published state was older than the revocation limit allows, so it accepted no requests with a key; see when it lost the log",
 	"quarantined":          "a segment of the prompt crashed several upstreams, so requests with it are sent to none; see the line \"segment quarantined\"",
 	"upstream-exited":      "the upstream's process exited as it began to respond; the request may be the cause and is sent to no other upstream",
+	"upstream-rate-limit":  "all upstreams of the service state a rate limit, and this node's shares were used up; see the lines \"rate limit of upstream changed\"",
 	"not-ready":            "the node had no published state yet",
 	"no-upstream":          "no upstream of the service was available",
 	"upstream-failed":      "the attempts failed, and the retry budget or the limit on attempts allowed no further retry",
--- a/cmd/quetzalemu/platformrunner/plugins.go
+++ b/cmd/quetzalemu/platformrunner/plugins.go
@@ -10,6 +10,7 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/quarantiner"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
+	_ "github.com/quetzalroad/quetzalroad/decisions/throttler"
 	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
 	_ "github.com/quetzalroad/quetzalroad/platform/statedecoder"
 	_ "github.com/quetzalroad/quetzalroad/platform/storeclient"
--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -18,6 +18,8 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/repeater"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/offloader"
+	_ "github.com/quetzalroad/quetzalroad/decisions/throttler"
+	_ "github.com/quetzalroad/quetzalroad/decisions/throttler/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/peers/gossiper"
 	_ "github.com/quetzalroad/quetzalroad/peers/peerconnector"
 	_ "github.com/quetzalroad/quetzalroad/peers/readconnector"
--- a/codecs/nodemapper/observations.go
+++ b/codecs/nodemapper/observations.go
@@ -21,6 +21,9 @@
 			Upstream: string(u.Upstream), InterTokenUs: u.InterTokenLatency.Microseconds(), Occupancy: int64(u.Occupancy), ReportAgeUs: u.ReportAge.Microseconds(),
 		})
 	}
+	for _, l := range o.Limits {
+		message.Limits = append(message.Limits, &peerwire.UpstreamLimit{Upstream: string(l.Upstream), Limited: l.Limit.IsSet, PerSecond: l.Limit.PerSecond, AgeUs: l.Age.Microseconds()})
+	}
 	return message
 }
 
@@ -44,6 +47,13 @@
 			})
 		}
 	}
+	for _, l := range message.GetLimits() {
+		if isAmount(l.GetPerSecond()) && isDuration(l.GetAgeUs()) {
+			o.Limits = append(o.Limits, quetzalroad.UpstreamLimit{
+				Upstream: quetzalroad.UpstreamName(l.GetUpstream()), Limit: quetzalroad.RateLimit{PerSecond: l.GetPerSecond(), IsSet: l.GetLimited()}, Age: time.Duration(l.GetAgeUs()) * time.Microsecond,
+			})
+		}
+	}
 	return o
 }
 
--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -8,8 +8,12 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// suspectCost exceeds all other costs, so that a suspect upstream is chosen last.
-const suspectCost = 1e9
+const (
+	// suspectCost exceeds all other costs, so that a suspect upstream is chosen last.
+	suspectCost = 1e9
+	// exhaustedCost exceeds even that, for an upstream to which no request may be sent now.
+	exhaustedCost = 1e12
+)
 
 // chooser chooses the upstream of one request.
 type chooser struct {
@@ -18,23 +22,32 @@
 	request   *quetzalroad.Request
 	// owners are the engines that the request's prefix is assigned to; empty for a short prompt.
 	owners []quetzalroad.Upstream
+	// limited are the engines that state a rate limit. They belong to no pool.
+	limited []quetzalroad.Upstream
 }
 
 // chooseAmong returns the cheapest of a few engines of each group. It compares all of them if those
 // are suspect.
 func (c *chooser) chooseAmong(groups *engineGroups) quetzalroad.Upstream {
 	best, lowest := quetzalroad.Upstream{}, math.Inf(1)
+	consider := func(u quetzalroad.Upstream, cost float64) {
+		if cost < lowest {
+			best, lowest = u, cost
+		}
+	}
 	compare := func(members []quetzalroad.Upstream, inLongPool bool) {
 		for _, u := range members {
-			if cost := c.engineCost(u, inLongPool); cost < lowest {
-				best, lowest = u, cost
-			}
+			consider(u, c.engineCost(u, inLongPool))
 		}
 	}
 	for _, g := range groups.all() {
 		compare(c.separator.sample(g.members), g.inLongPool)
 	}
 	compare(c.separator.sample(c.owners), true)
+	// All of them are compared: what a node does not use of a limit is of no use to others.
+	for _, u := range c.limited {
+		consider(u, c.limitedCost(u, c.limitedShare(groups)))
+	}
 	if lowest >= suspectCost {
 		for _, g := range groups.all() {
 			compare(g.members, g.inLongPool)
@@ -43,6 +56,10 @@
 	return best
 }
 
+func (c *chooser) isLong() bool {
+	return c.request.PromptTokens >= c.separator.longPromptTokens
+}
+
 // cheapestOf returns the upstream of a plain service with the lowest load.
 func (c *chooser) cheapestOf(candidates []quetzalroad.Upstream) quetzalroad.Upstream {
 	best, lowest := candidates[0], math.Inf(1)
@@ -68,7 +85,7 @@
 }
 
 func (c *chooser) engineCost(u quetzalroad.Upstream, inLongPool bool) float64 {
-	if c.request.PromptTokens >= c.separator.longPromptTokens {
+	if c.isLong() {
 		return c.longPromptCost(u, inLongPool)
 	}
 	cost := c.loadCost(u, inLongPool)
@@ -119,10 +136,7 @@
 	if u.Region != s.region {
 		cost += s.crossRegionLoad
 	}
-	if e.Suspect {
-		cost += suspectCost
-	}
-	return cost
+	return cost + c.unusableCost(u.Name, e)
 }
 
 // longPromptCost returns the estimated work until a long prompt is prefilled, in prompt tokens at the
@@ -139,10 +153,7 @@
 	if u.Region != s.region {
 		cost += float64(s.crossRegionCost)
 	}
-	if e.Suspect {
-		cost += suspectCost
-	}
-	return cost
+	return cost + c.unusableCost(u.Name, e)
 }
 
 // uncachedTokens estimates how many tokens of the prompt an engine has to prefill.
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -32,7 +32,9 @@
 // Separator is a balancer that keeps long and short prompts on separate engines. Declare describes
 // its settings.
 type Separator struct {
-	loadTracker      quetzalroad.LoadTracker
+	loadTracker quetzalroad.LoadTracker
+	// throttler is nil if rate limits of engines are not known.
+	throttler        quetzalroad.Throttler
 	region           quetzalroad.Region
 	longPromptTokens int
 	mixTimeConstant  time.Duration
@@ -72,6 +74,7 @@
 // Build implements kernel.Component.
 func (s *Separator) Build(n *kernel.Node) error {
 	s.loadTracker = n.LoadTracker
+	s.throttler = n.Throttler
 	s.region = n.Region
 	s.random.SetSeed(s.seed)
 	n.Balancer = s
@@ -89,6 +92,9 @@
 		return c.cheapestOf(candidates)
 	}
 	s.observe(now, r, candidates[0].MaxConcurrency)
+	if s.hasLimits() {
+		candidates, c.limited = s.splitLimited(now, candidates)
+	}
 	groups := s.groupEngines(now, r.Service.Name, candidates)
 	if r.PromptTokens >= s.longPromptTokens {
 		c.owners = prefixOwners(r.PrefixHash, s.prefixShare(now, r), groups.longPool)
--- a/decisions/dispatcher/attempt.go
+++ b/decisions/dispatcher/attempt.go
@@ -150,6 +150,9 @@
 	if !d.node.RetryPolicy.AllowHedge(now, r.chat.Service.Name) {
 		return nil
 	}
+	if !d.node.Throttler.Acquire(now, r.chat.Service.Name, r.chat.Profile.Tier, target.Name) {
+		return nil
+	}
 	d.node.Recorder.CountRetry(quetzalroad.RetryHedge)
 	return r.startAttempt(ctx, target)
 }
--- a/decisions/dispatcher/call.go
+++ b/decisions/dispatcher/call.go
@@ -90,9 +90,8 @@
 	d.node.RetryPolicy.RecordFirstAttempt(time.Now(), c.Service.Name)
 	history := &attemptHistory{}
 	for {
-		u, ok := d.chooseUpstream(&c.Request, held, history.failedUpstreams)
-		if !ok {
-			refusal := noUpstreamRefusal()
+		u, refusal := d.chooseUpstream(&c.Request, held, history.failedUpstreams)
+		if refusal != nil {
 			refusal.Outcome = history.outcome()
 			return nil, refusal
 		}
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -58,9 +58,8 @@
 	d := r.dispatcher
 	d.node.RetryPolicy.RecordFirstAttempt(time.Now(), r.chat.Service.Name)
 	for {
-		u, ok := d.chooseUpstream(&r.chat.Request, r.reservation, r.history.failedUpstreams)
-		if !ok {
-			refusal := noUpstreamRefusal()
+		u, refusal := d.chooseUpstream(&r.chat.Request, r.reservation, r.history.failedUpstreams)
+		if refusal != nil {
 			refusal.Outcome = r.history.outcome()
 			return r.withOutcome(refusal)
 		}
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -138,8 +138,9 @@
 }
 
 // chooseUpstream chooses an upstream that has not been tried, or any upstream if all have been. The
-// first attempt of a request admitted to another data centre is restricted to its remoteUpstreams.
-func (d *Dispatcher) chooseUpstream(r *quetzalroad.Request, held reservation, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, bool) {
+// first attempt of a request admitted to another data centre is restricted to its remoteUpstreams. It
+// returns a refusal if there is no upstream, or none whose rate limit allows another request.
+func (d *Dispatcher) chooseUpstream(r *quetzalroad.Request, held reservation, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, *quetzalroad.Refusal) {
 	now := time.Now()
 	candidates := held.remoteUpstreams
 	if len(tried) > 0 || len(candidates) == 0 {
@@ -149,9 +150,9 @@
 		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil)
 	}
 	if len(candidates) == 0 {
-		return quetzalroad.Upstream{}, false
+		return quetzalroad.Upstream{}, noUpstreamRefusal()
 	}
-	return d.node.Balancer.Choose(now, r, candidates), true
+	return d.acquireUpstream(now, r, candidates)
 }
 
 // noUpstreamRetryAfter is the retry delay suggested to callers when a service has no usable upstream.
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -94,9 +94,9 @@
 		if refusal := d.checkQuarantine(r.request); refusal != nil {
 			return r.withOutcome(refusal)
 		}
-		u, ok := d.chooseUpstream(&r.request.Request, r.reservation, r.history.failedUpstreams)
-		if !ok {
-			return r.withOutcome(noUpstreamRefusal())
+		u, refusal := d.chooseUpstream(&r.request.Request, r.reservation, r.history.failedUpstreams)
+		if refusal != nil {
+			return r.withOutcome(refusal)
 		}
 		r.history.attempts++
 		r.logUpstreamChosen(u)
@@ -105,7 +105,6 @@
 			r.logAnswered(u)
 			return nil
 		}
-		var refusal *quetzalroad.Refusal
 		if errors.As(err, &refusal) {
 			return r.withOutcome(refusal)
 		}
@@ -202,14 +201,14 @@
 	if err != nil {
 		failure := asAttemptError(u.Name, err)
 		r.recordLoad(u, failure.LoadReport)
-		r.rateLimit = failure.RateLimit
+		r.recordRateLimit(u, failure.RateLimit)
 		return err
 	}
 	defer response.Close()
 	head := response.Head()
 	r.attempt.responded, r.attempt.eventStream = true, head.EventStream
 	r.recordLoad(u, head.LoadReport)
-	r.rateLimit = head.RateLimit
+	r.recordRateLimit(u, head.RateLimit)
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -47,6 +47,7 @@
 	Spiller           quetzalroad.Spiller
 	RetryPolicy       quetzalroad.RetryPolicy
 	Quarantine        quetzalroad.Quarantine
+	Throttler         quetzalroad.Throttler
 	ChatClient        quetzalroad.ChatClient
 	ServiceClient     quetzalroad.ServiceClient
 	Dispatcher        quetzalroad.Dispatcher
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -30,6 +30,7 @@
 	SlotClaimer         Slot = "claims"
 	SlotLoadTracker     Slot = "load"
 	SlotLengthEstimator Slot = "lengths"
+	SlotThrottler       Slot = "throttle"
 	SlotBalancer        Slot = "balancer"
 	SlotLimiter         Slot = "limiter"
 	SlotAdmitter        Slot = "admitter"
@@ -67,6 +68,7 @@
 	{slot: SlotClaimer, doc: "Claims of idempotency keys.", optional: true},
 	{slot: SlotLoadTracker, doc: "Estimates of the load of upstreams."},
 	{slot: SlotLengthEstimator, doc: "Predictions of response lengths."},
+	{slot: SlotThrottler, doc: "The rates that upstreams state, and this node's share of them."},
 	{slot: SlotBalancer, doc: "Load balancing among upstreams."},
 	{slot: SlotLimiter, doc: "The limits of teams and services."},
 	{slot: SlotAdmitter, doc: "Admission control and queueing of requests."},
--- a/refusal.go
+++ b/refusal.go
@@ -42,6 +42,7 @@
 	ReasonStaleState              RefusalReason = "stale-state"
 	ReasonQuarantined             RefusalReason = "quarantined"
 	ReasonUpstreamExited          RefusalReason = "upstream-exited"
+	ReasonUpstreamRateLimit       RefusalReason = "upstream-rate-limit"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/sharing.go
+++ b/sharing.go
@@ -37,6 +37,8 @@
 type Observations struct {
 	Mixes     []ServiceMix
 	Upstreams []UpstreamObservation
+	// Limits are what nodes were lately told of the rate limits of upstreams.
+	Limits []UpstreamLimit
 	// EvidenceDigest is the digest of the sender's evidence of losses; zero if it has none. Evidence is
 	// that evidence, or nil if the other node is known to have it.
 	EvidenceDigest uint64
--- a/state/aggregator/aggregator.go
+++ b/state/aggregator/aggregator.go
@@ -47,10 +47,10 @@
 	sh.entries[n] = entry{at: now, observations: o}
 }
 
-// Sum returns the sum of the mixes, the mean of the latencies and the last load reports over all nodes
+// Sum returns the sum of the mixes, the mean of the latencies, the last load reports and the last limits over all nodes
 // but one. It drops observations that are too old.
 func (a *Aggregator) Sum(now time.Time, except quetzalroad.NodeName) quetzalroad.Observations {
-	s := summer{now: now, mixes: make(map[quetzalroad.ServiceName]quetzalroad.ServiceMix), upstreams: make(map[quetzalroad.UpstreamName]upstreamTotal)}
+	s := summer{now: now, mixes: make(map[quetzalroad.ServiceName]quetzalroad.ServiceMix), upstreams: make(map[quetzalroad.UpstreamName]upstreamTotal), limits: make(map[quetzalroad.UpstreamName]quetzalroad.UpstreamLimit)}
 	for i := range a.shards {
 		sh := &a.shards[i]
 		sh.mu.Lock()
@@ -81,9 +81,17 @@
 	now       time.Time
 	mixes     map[quetzalroad.ServiceName]quetzalroad.ServiceMix
 	upstreams map[quetzalroad.UpstreamName]upstreamTotal
+	// limits holds what was told last of each upstream.
+	limits map[quetzalroad.UpstreamName]quetzalroad.UpstreamLimit
 }
 
 func (s *summer) add(e entry) {
+	for _, l := range e.observations.Limits {
+		l.Age += s.now.Sub(e.at)
+		if known, ok := s.limits[l.Upstream]; !ok || l.Age < known.Age {
+			s.limits[l.Upstream] = l
+		}
+	}
 	for _, m := range e.observations.Mixes {
 		total := s.mixes[m.Service]
 		total.Service = m.Service
@@ -121,6 +129,10 @@
 		}
 		o.Upstreams = append(o.Upstreams, observation)
 	}
+	for _, l := range s.limits {
+		o.Limits = append(o.Limits, l)
+	}
+	slices.SortFunc(o.Limits, func(a, b quetzalroad.UpstreamLimit) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	slices.SortFunc(o.Mixes, func(a, b quetzalroad.ServiceMix) int { return cmp.Compare(a.Service, b.Service) })
 	slices.SortFunc(o.Upstreams, func(a, b quetzalroad.UpstreamObservation) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return o
--- a/state/aggregator/aggregator_test.go
+++ b/state/aggregator/aggregator_test.go
@@ -41,3 +41,17 @@
 		t.Error(diff)
 	}
 }
+
+func TestSumKeepsTheLatestLimit(t *testing.T) {
+	now := time.Now()
+	a := new(Aggregator)
+	limit := func(perSecond float64, age time.Duration) quetzalroad.Observations {
+		return quetzalroad.Observations{Limits: []quetzalroad.UpstreamLimit{{Upstream: "u", Limit: quetzalroad.RateLimit{PerSecond: perSecond, IsSet: true}, Age: age}}}
+	}
+	a.Update("early", now.Add(-time.Second), limit(1, 0))
+	a.Update("late", now, limit(2, 500*time.Millisecond))
+	want := []quetzalroad.UpstreamLimit{{Upstream: "u", Limit: quetzalroad.RateLimit{PerSecond: 2, IsSet: true}, Age: 500 * time.Millisecond}}
+	if diff := cmp.Diff(want, a.Sum(now, "").Limits); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/state/distributor/observations.go
+++ b/state/distributor/observations.go
@@ -26,6 +26,7 @@
 	if d.node.LoadTracker != nil {
 		o.Upstreams = d.node.LoadTracker.LocalObservations(now)
 	}
+	o.Limits = d.node.Throttler.LocalLimits(now)
 	return o
 }
 
@@ -53,4 +54,5 @@
 	if d.node.LoadTracker != nil {
 		d.node.LoadTracker.UpdatePeerObservations(now, o.Upstreams)
 	}
+	d.node.Throttler.UpdatePeerLimits(now, o.Limits)
 }
