--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -151,15 +151,19 @@
 }
 
 // removeMissing removes upstreams whose missing registrations were not written again
-// within the grace period after a log outage.
-func (w *Watcher) removeMissing() {
+// within the grace period after a log outage. It returns the rest of that period if
+// there are such upstreams, else zero.
+func (w *Watcher) removeMissing() time.Duration {
 	registrations := &w.registrations
-	if registrations.lastOutage.Age() < w.expiryGrace {
-		return
-	}
+	rest := w.expiryGrace - registrations.lastOutage.Age()
 	for _, known := range registrations.byKey {
-		if !known.missingSince.IsZero() {
+		switch {
+		case known.missingSince.IsZero():
+		case rest > 0:
+			return rest
+		default:
 			w.removeUpstream(known, "not written again")
 		}
 	}
+	return 0
 }
--- a/state/watcher/streamreader.go
+++ b/state/watcher/streamreader.go
@@ -52,8 +52,9 @@
 	// records that this node has not read.
 	onConfirmed func(at boottimer.Instant)
 
-	// beforeRead, if not nil, is called before each read.
-	beforeRead func()
+	// beforeRead, if not nil, is called before each read, and earlier if it is due: it returns the time
+	// until it has to be called again, or zero if that can wait for the next read.
+	beforeRead func() time.Duration
 
 	// nextOffset is the offset to read from; it is valid once loaded is set.
 	nextOffset quetzalroad.Offset
@@ -79,12 +80,27 @@
 		if err != nil {
 			delay = r.backoff()
 		}
-		if err := sleeper.Sleep(ctx, delay); err != nil {
+		if err := r.sleep(ctx, delay); err != nil {
 			return err
 		}
 	}
 }
 
+// sleep waits until the next read, and calls beforeRead meanwhile whenever it is due.
+func (r *streamReader) sleep(ctx context.Context, delay time.Duration) error {
+	for r.beforeRead != nil {
+		due := r.beforeRead()
+		if due <= 0 || due >= delay {
+			break
+		}
+		if err := sleeper.Sleep(ctx, due); err != nil {
+			return err
+		}
+		delay -= due
+	}
+	return sleeper.Sleep(ctx, delay)
+}
+
 // failing reports whether the last read failed.
 func (r *streamReader) failing() bool {
 	return r.failures > 0
--- a/state/watcher/watcher_test.go
+++ b/state/watcher/watcher_test.go
@@ -347,3 +347,27 @@
 		}
 	})
 }
+
+// Reads are further apart than the grace period's end may wait.
+func TestMissingUpstreamIsRemovedWhenItsGracePeriodEnds(t *testing.T) {
+	const (
+		grace = 2300 * time.Millisecond
+		slack = 100 * time.Millisecond
+		step  = 10 * time.Millisecond
+	)
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		x.SetUnavailable(true)
+		time.Sleep(4 * time.Second)
+		x.Put(quetzalroad.LogStreamUpstreams, "a", nil)
+		x.SetUnavailable(false)
+		recovered := time.Now()
+		// The backoff after a failed read is at most a second.
+		const mostBackoff = time.Second
+		for len(x.drainStates()) > 0 {
+			if time.Since(recovered) > mostBackoff+grace+slack {
+				t.Fatalf("the upstream is still listed %s after the log recovered", time.Since(recovered))
+			}
+			time.Sleep(step)
+		}
+	})
+}
