--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/explainer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/nodelister"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/quarantinemanager"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/runner"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/statusviewer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/uploader"
@@ -45,6 +46,9 @@
 			&uploader.Command{Streams: streams, Kind: "upstreams", Verb: "add", Create: true},
 			&drainer.Command{Streams: streams, Verb: "drain"},
 			&drainer.Command{Streams: streams, Verb: "undrain"})},
+		{Noun: "quarantine", Short: "prompt segments that crash upstreams", Commands: []subcommands.Command{
+			&quarantinemanager.Command{Streams: streams}, &quarantinemanager.Command{Streams: streams, Lift: true},
+		}},
 		{Noun: "node", Short: "nodes", Commands: []subcommands.Command{&nodelister.Command{Streams: streams}}},
 	}
 	for _, g := range groups {
--- a/decisions/quarantiner/attribution_test.go
+++ b/decisions/quarantiner/attribution_test.go
@@ -8,8 +8,6 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-var testThresholds = thresholds{upstreams: 3, waves: 2, manyUpstreams: 5}
-
 // loss returns a loss under segments of one wave.
 func loss(u quetzalroad.UpstreamName, wave int, ids ...string) quetzalroad.UpstreamLoss {
 	l := quetzalroad.UpstreamLoss{Upstream: u}
@@ -83,7 +81,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, attribute(c.losses, c.sound, testThresholds)); diff != "" {
+			if diff := cmp.Diff(c.want, attribute(c.losses, c.sound, defaultThresholds)); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -76,9 +76,9 @@
 
 // Declare implements kernel.Component.
 func (q *Quarantiner) Declare(s *configloader.Section) {
-	s.Int("upstreams", &q.thresholds.upstreams, 3, 2, 1000, "Number of upstreams that have to exit as they begin to respond to requests with a prompt segment before it is quarantined.")
-	s.Int("waves", &q.thresholds.waves, 2, 1, 1000, "Number of successive waves in which these upstreams have to exit; those that exit all at once are one wave.")
-	s.Int("many-upstreams", &q.thresholds.manyUpstreams, 5, 2, 1000, "The same as upstreams for a segment that was seen in complete responses before. For one that never was, so many upstreams are enough, also in one wave.")
+	s.Int("upstreams", &q.thresholds.upstreams, defaultThresholds.upstreams, 2, 1000, "Number of upstreams that have to exit as they begin to respond to requests with a prompt segment before it is quarantined.")
+	s.Int("waves", &q.thresholds.waves, defaultThresholds.waves, 1, 1000, "Number of successive waves in which these upstreams have to exit; those that exit all at once are one wave.")
+	s.Int("many-upstreams", &q.thresholds.manyUpstreams, defaultThresholds.manyUpstreams, 2, 1000, "The same as upstreams for a segment that was seen in complete responses before. For one that never was, so many upstreams are enough, also in one wave.")
 	s.Duration("memory", &q.memory, 10*time.Minute, time.Second, 24*time.Hour, "How long the exit of an upstream counts, and how long a segment stays quarantined after the last request with it.")
 	s.Duration("probe-after", &q.probeDelay, 30*time.Second, time.Second, time.Hour, "Time from the quarantine of a segment until a single request with it is sent again; ten times as long for each further one.")
 	s.Duration("alert-for", &q.alertTime, 15*time.Second, time.Second, time.Hour, "Time within which the exit of two upstreams makes a node read the evidence of others at once.")
--- a/sharing.go
+++ b/sharing.go
@@ -21,6 +21,11 @@
 	Evidence *LossEvidence
 }
 
+// IsNode reports whether a registration is that of a node. One without an address only holds evidence.
+func (r NodeRegistration) IsNode() bool {
+	return r.Address.IsValid() && !r.Address.Addr().IsUnspecified()
+}
+
 // SharedReadRequest asks a node for records that it has read from the platform's log.
 type SharedReadRequest struct {
 	Stream LogStream
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// registeredEvidenceLifetime is the age up to which evidence in the log counts. Nodes that run write
+// theirs again more often; that of others may disprove losses that came later.
+const registeredEvidenceLifetime = 10 * time.Minute
+
+func (d *Distributor) mergeRegisteredEvidence(r quetzalroad.NodeRegistration) {
+	if time.Since(r.WrittenAt) < registeredEvidenceLifetime {
+		d.mergeEvidence(r.Evidence)
+	}
+}
+
 // hasUnwrittenEvidence reports whether this node has to write its evidence to the log.
 func (d *Distributor) hasUnwrittenEvidence() bool {
 	digest := d.node.Quarantine.Digest()
@@ -107,7 +117,7 @@
 		return
 	}
 	for _, registration := range d.decodeRegistrations(records) {
-		d.mergeEvidence(registration.Evidence)
+		d.mergeRegisteredEvidence(registration)
 	}
 	d.evidence.nextRead.Store(int64(bounds.NextRead))
 }
--- a/state/distributor/evidence_test.go
+++ b/state/distributor/evidence_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
+	"github.com/quetzalroad/quetzalroad/decisions/quarantiner"
 	"github.com/quetzalroad/quetzalroad/kernel"
 )
 
@@ -103,3 +106,27 @@
 		}
 	})
 }
+
+func TestOperatorsLiftReleasesTheSegment(t *testing.T) {
+	const noticeTime = 30 * time.Second
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		lose(c.nodes[0], 5, "x")
+		c.eventually(t, noticeTime, "aware of the quarantine", hasQuarantine)
+		evidence, ok := quarantiner.Lift([]quetzalroad.LossEvidence{c.nodes[1].Quarantine.Evidence()}, "x")
+		if !ok {
+			t.Fatal("no losses to lift")
+		}
+		nodes := len(c.nodes[0].Fleet.Nodes())
+		value, err := nodemapper.EncodeRegistration(quetzalroad.NodeRegistration{DataCentre: "operator", Address: netip.MustParseAddrPort("0.0.0.0:0"), WrittenAt: time.Now(), Evidence: &evidence})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "operator", value); err != nil {
+			t.Fatal(err)
+		}
+		c.eventually(t, noticeTime, "aware of the release", func(n *kernel.Node) bool { return !hasQuarantine(n) })
+		if got := len(c.nodes[0].Fleet.Nodes()); got != nodes {
+			t.Errorf("%d nodes after the operator's record, %d before", got, nodes)
+		}
+	})
+}
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -273,8 +273,8 @@
 	var others []quetzalroad.NodeRegistration
 	nodes := []quetzalroad.NodeName{d.self.Name}
 	for _, registration := range d.decodeRegistrations(records) {
-		d.mergeEvidence(registration.Evidence)
-		if registration.Name == d.self.Name || time.Since(registration.WrittenAt) >= d.registrationTTL {
+		d.mergeRegisteredEvidence(registration)
+		if registration.Name == d.self.Name || !registration.IsNode() || time.Since(registration.WrittenAt) >= d.registrationTTL {
 			continue
 		}
 		nodes = append(nodes, registration.Name)
