--- a/proofs/prover/poison_test.go
+++ b/proofs/prover/poison_test.go
@@ -43,7 +43,7 @@
 				if share < leastServed {
 					t.Errorf("%.2f of the sound requests were served from second %.0f on, want %.2f", share, settledAfter.Seconds(), leastServed)
 				}
-				t.Logf("%d crashes, %.3f of the sound requests served", len(f.engines.crashes), share)
+				t.Logf("%d crashes, %.3f of the sound requests served, %d calls to the log", len(f.engines.crashes), share, f.log.CompletedCalls())
 			})
 		})
 	}
