--- a/decisions/dispatcher/quarantine_test.go
+++ b/decisions/dispatcher/quarantine_test.go
@@ -100,13 +100,12 @@
 		if got := len(x.Sent()); got != 1 {
 			t.Errorf("sent %d times, want once", got)
 		}
-		var late error
 		x.Script = nil
 		f := promptRequest("2", "late")
 		x.node.ForwardClient = sendAfter(x, func() { x.quarantine("late") })
 		_, refusal = x.forward(t.Context(), f)
 		if refusal == nil || refusal.Reason != quetzalroad.ReasonQuarantined || refusal.Outcome != quetzalroad.OutcomeNotRun {
-			t.Errorf("refusal %+v, %v, want the quarantine, not run", refusal, late)
+			t.Errorf("refusal %+v, want the quarantine, not run", refusal)
 		}
 		if got := len(x.Sent()); got != 1 {
 			t.Errorf("sent %d times, want once", got)
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -79,8 +79,11 @@
 			follower.Go(func() { d.followEvidence(ctx) })
 		}
 		for d.hasUnwrittenEvidence() {
-			d.writeOwnRegistration(ctx)
-			if err := sleeper.Sleep(ctx, d.evidence.interval); err != nil {
+			delay := d.evidence.interval
+			if !d.writeOwnRegistration(ctx) {
+				delay = d.callTimeout
+			}
+			if err := sleeper.Sleep(ctx, delay); err != nil {
 				return err
 			}
 		}
@@ -95,15 +98,19 @@
 func (d *Distributor) followEvidence(ctx context.Context) {
 	defer d.evidence.following.Store(false)
 	for d.followsEvidence() {
-		d.readEvidence(ctx)
-		if err := sleeper.Sleep(ctx, d.evidence.interval); err != nil {
+		delay := d.evidence.interval
+		if !d.readEvidence(ctx) {
+			delay = d.callTimeout
+		}
+		if err := sleeper.Sleep(ctx, delay); err != nil {
 			return
 		}
 	}
 }
 
-// readEvidence reads the registrations that were written since the last read, and waits for one.
-func (d *Distributor) readEvidence(ctx context.Context) {
+// readEvidence reads the registrations that were written since the last read, and waits for one. It
+// reports whether the log responded.
+func (d *Distributor) readEvidence(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, evidencePollWait+d.callTimeout)
 	defer cancel()
 	from := quetzalroad.Offset(d.evidence.nextRead.Load())
@@ -111,15 +118,16 @@
 	switch {
 	case errors.Is(err, quetzalroad.ErrTrimmed):
 		d.refreshMembers(ctx)
-		return
+		return true
 	case err != nil:
 		d.logger.Info("failed to read the evidence of other nodes", "from", int64(from), "error", err)
-		return
+		return false
 	}
 	for _, registration := range d.decodeRegistrations(records) {
 		d.mergeRegisteredEvidence(registration)
 	}
 	d.evidence.nextRead.Store(int64(bounds.NextRead))
+	return true
 }
 
 // Nodes implements quetzalroad.Fleet.
