--- a/decisions/quarantiner/exits.go
+++ b/decisions/quarantiner/exits.go
@@ -6,9 +6,13 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// alertExits is the number of upstreams whose recent exit makes an alert.
+// alertExits is the number of upstreams whose recent exit makes a long alert.
 const alertExits = 2
 
+// shortAlert is how long the exit of a single upstream is an alert. A node with few requests notices few
+// exits, while others may know of more.
+const shortAlert = 6 * time.Second
+
 // recentExits remembers the upstreams that exited last. The zero value is empty.
 type recentExits struct {
 	// last holds the last different upstreams, the latest first.
@@ -33,8 +37,8 @@
 	return !alert && r.isAlert(now, window)
 }
 
-// isAlert reports whether all remembered upstreams exited within the window.
+// isAlert reports whether all remembered upstreams exited within the window, or one did a moment ago.
 func (r *recentExits) isAlert(now time.Time, window time.Duration) bool {
-	oldest := r.last[alertExits-1].at
-	return !oldest.IsZero() && now.Sub(oldest) < window
+	oldest, latest := r.last[alertExits-1].at, r.last[0].at
+	return (!oldest.IsZero() && now.Sub(oldest) < window) || (!latest.IsZero() && now.Sub(latest) < min(shortAlert, window))
 }
