--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +59,11 @@
 	aggregator aggregator.Aggregator
 	members    members
 	evidence   evidenceSharing
-	caches     map[quetzalroad.LogStream]*streamCache
+	// logFailed is set while the log does not respond to this node. refresh, which is buffered, is
+	// signalled when it does again.
+	logFailed atomic.Bool
+	refresh   chan struct{}
+	caches    map[quetzalroad.LogStream]*streamCache
 }
 
 // Declare implements kernel.Component.
@@ -87,6 +92,7 @@
 	}
 	d.log, d.writer, d.codec, d.transport = n.KeyedLog, n.KeyedWriter, n.StateCodec, n.ReadTransport
 	d.node = n
+	d.refresh = make(chan struct{}, 1)
 	d.logger = n.Logger
 	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.ReadTransport.ListenAddress()
 	d.caches = map[quetzalroad.LogStream]*streamCache{
@@ -170,6 +176,7 @@
 	}
 	sentAt := boottimer.Now()
 	records, bounds, err := d.log.ReadKeyed(ctx, s, from, wait)
+	d.recordLogResult(ctx, err)
 	if err != nil {
 		return nil, bounds, err
 	}
@@ -181,6 +188,21 @@
 	return records, bounds, nil
 }
 
+// recordLogResult has the list of nodes read again once the log responds after a failure: evidence that
+// other nodes wrote meanwhile came with no alert.
+func (d *Distributor) recordLogResult(ctx context.Context, err error) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case err != nil && !errors.Is(err, quetzalroad.ErrTrimmed):
+		d.logFailed.Store(true)
+	case d.logFailed.CompareAndSwap(true, false):
+		select {
+		case d.refresh <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // readThroughReaders reads from the first reader whose view is recent, else from the log. While the
 // log fails, it is asked less often than the readers, which learn of its return.
 func (d *Distributor) readThroughReaders(ctx context.Context, readers []quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
--- a/state/distributor/evidence_test.go
+++ b/state/distributor/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +148,21 @@
 		}
 	})
 }
+
+// A node that is cut off from the log hears of no exit; once it is back, requests reach it again.
+func TestNodeThatWasCutOffLearnsTheQuarantineAtOnce(t *testing.T) {
+	const noticeTime = 3 * time.Second
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		for _, phase := range []time.Duration{0, 7 * time.Second, 13 * time.Second} {
+			time.Sleep(phase)
+			segment := "x-" + phase.String()
+			c.logs[2].unavailable.Store(true)
+			lose(c.nodes[0], 5, segment)
+			time.Sleep(30 * time.Second)
+			c.logs[2].unavailable.Store(false)
+			c.eventually(t, noticeTime, "aware of the quarantine", func(n *kernel.Node) bool {
+				return slices.ContainsFunc(n.Quarantine.Quarantined(time.Now()), func(s quetzalroad.QuarantinedSegment) bool { return s.ID == segment }) || n == c.nodes[1]
+			})
+		}
+	})
+}
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -12,7 +12,6 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
-	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // members are the other nodes of the data centre. The zero value is empty.
@@ -199,7 +198,7 @@
 		if (time.Since(lastWrite) >= d.registrationTTL/3 || d.hasUnwrittenEvidence()) && d.writeOwnRegistration(ctx) {
 			lastWrite = time.Now()
 		}
-		if err := sleeper.Sleep(ctx, delay); err != nil {
+		if err := d.awaitRefresh(ctx, delay); err != nil {
 			return err
 		}
 		d.refreshMembers(ctx)
@@ -210,6 +209,19 @@
 	}
 }
 
+// awaitRefresh waits for a delay, or until the log responds again.
+func (d *Distributor) awaitRefresh(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.refresh:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 // writeOwnRegistration writes this node's registration and reports whether it did.
 func (d *Distributor) writeOwnRegistration(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
