--- a/decisions/quarantiner/attribution.go
+++ b/decisions/quarantiner/attribution.go
@@ -50,7 +50,7 @@
 }
 
 // attribute returns the segments to quarantine, with the number of upstreams that exited under each.
-// Deadly and sound segments occur in the same prompts. So the worst suspect is taken first, and its
+// Segments that crash upstreams come with sound ones. So the worst suspect is taken first, and its
 // losses no longer speak against the others.
 func attribute(losses []quetzalroad.UpstreamLoss, sound map[string]int, t thresholds) map[string]int {
 	quarantined := make(map[string]int)
--- a/state/aggregator/aggregator.go
+++ b/state/aggregator/aggregator.go
@@ -47,8 +47,8 @@
 	sh.entries[n] = entry{at: now, observations: o}
 }
 
-// Sum returns the sum of the mixes, the mean of the latencies, the last load reports and the last limits over all nodes
-// but one. It drops observations that are too old.
+// Sum returns the sum of the mixes, the mean of the latencies, the last load reports and the last limits
+// over all nodes but one. It drops observations that are too old.
 func (a *Aggregator) Sum(now time.Time, except quetzalroad.NodeName) quetzalroad.Observations {
 	s := summer{now: now, mixes: make(map[quetzalroad.ServiceName]quetzalroad.ServiceMix), upstreams: make(map[quetzalroad.UpstreamName]upstreamTotal), limits: make(map[quetzalroad.UpstreamName]quetzalroad.UpstreamLimit)}
 	for i := range a.shards {
