Read the log's epoch from the store's responses and log its changes

The logs could not tell whether a read was answered from the history that a node's offset belongs to. The store states its epoch in a header; a change is now a line in the log. No logic changes.

--- a/interfaces.go
+++ b/interfaces.go
@@ -45,6 +45,8 @@
 
 // StreamBounds is the extent of a log stream as of a read.
 type StreamBounds struct {
+	// Epoch is the one in which the log responded, and the one that the offsets belong to.
+	Epoch Epoch
 	// Earliest is the lowest offset that can still be read.
 	Earliest Offset
 	// End is the offset of the next append.
--- a/state/watcher/streamreader.go
+++ b/state/watcher/streamreader.go
@@ -59,6 +59,8 @@
 	// nextOffset is the offset to read from; it is valid once loaded is set.
 	nextOffset quetzalroad.Offset
 	loaded     bool
+	// epoch is the log's epoch as of the last response.
+	epoch quetzalroad.Epoch
 	// hops is StreamBounds.Hops of the last read; zero before the first read.
 	// interval is divided by it, because the delays of the hops add up.
 	hops int
@@ -160,6 +162,7 @@
 		wait = 0
 	}
 	records, bounds, err := r.watcher.log.ReadKeyed(ctx, r.stream, r.nextOffset, wait)
+	r.observeEpoch(bounds)
 	if err != nil {
 		return err
 	}
@@ -178,6 +181,7 @@
 	defer cancel()
 	sentAt := boottimer.Now()
 	records, bounds, err := r.watcher.log.ReadLatest(ctx, r.stream)
+	r.observeEpoch(bounds)
 	if err != nil {
 		return err
 	}
@@ -189,6 +193,15 @@
 	return nil
 }
 
+// observeEpoch logs a change of the log's epoch.
+func (r *streamReader) observeEpoch(b quetzalroad.StreamBounds) {
+	if b.Epoch == 0 || b.Epoch == r.epoch {
+		return
+	}
+	r.watcher.logger.Warn("log epoch changed", "stream", string(r.stream), "epoch", uint64(b.Epoch), "known", uint64(r.epoch), "next", int64(r.nextOffset), "end", int64(b.End))
+	r.epoch = b.Epoch
+}
+
 func (r *streamReader) applyRecords(records []quetzalroad.KeyedRecord, complete bool) {
 	if r.failing() && r.stream == quetzalroad.LogStreamUpstreams {
 		r.watcher.registrations.markOutage()
