--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	stalled        bool
 	completedCalls int
 	failedCalls    int
+	// restores counts the times that the log was restored from a copy.
+	restores quetzalroad.Epoch
 	// changed is closed and replaced at each write, each compaction and each change of a fault.
 	changed chan struct{}
 }
@@ -137,6 +140,41 @@
 	return records
 }
 
+// LogCopy is a copy of a log's records.
+type LogCopy struct {
+	streams map[quetzalroad.LogStream]*keyedStream
+}
+
+func cloneStreams(streams map[quetzalroad.LogStream]*keyedStream) map[quetzalroad.LogStream]*keyedStream {
+	clones := make(map[quetzalroad.LogStream]*keyedStream, len(streams))
+	for name, stream := range streams {
+		clones[name] = &keyedStream{records: slices.Clone(stream.records), earliest: stream.earliest}
+	}
+	return clones
+}
+
+// Copy returns a copy of all streams, for Restore.
+func (l *KeyedLog) Copy() LogCopy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LogCopy{streams: cloneStreams(l.streams)}
+}
+
+// Restore replaces all streams by a copy, and begins a new epoch. What was written since the copy was made
+// is lost, and its offsets are given out again.
+func (l *KeyedLog) Restore(c LogCopy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams = cloneStreams(c.streams)
+	l.restores++
+	l.notifyLocked()
+}
+
+// epochLocked returns the epoch that the log states. Logs begin with the first.
+func (l *KeyedLog) epochLocked() quetzalroad.Epoch {
+	return 1 + l.restores
+}
+
 // CompletedCalls returns the number of reads and writes that succeeded.
 func (l *KeyedLog) CompletedCalls() int {
 	l.mu.Lock()
@@ -187,7 +225,7 @@
 		combined.records = append(combined.records, stream.records...)
 		records = latestByKey(&combined)
 		end := stream.earliest + quetzalroad.Offset(len(stream.records))
-		bounds = quetzalroad.StreamBounds{End: end, NextRead: end, Hops: 1}
+		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), End: end, NextRead: end, Hops: 1}
 		return true
 	})
 	return records, bounds, err
@@ -200,8 +238,8 @@
 	trimmed := false
 	read := func() bool {
 		stream := l.streamLocked(s)
-		bounds = quetzalroad.StreamBounds{Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records)), NextRead: from, Hops: 1}
-		trimmed = from < stream.earliest
+		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records)), NextRead: from, Hops: 1}
+		trimmed = from < stream.earliest || from > bounds.End
 		if trimmed || from >= bounds.End {
 			return trimmed || waitCtx.Err() != nil
 		}
