Give positions in the log an epoch, and read again what a restore made invalid

Callers got 404 for routes that had been added, and answers of an old state, after the platform's log had come back from an older copy. An offset stands for a place in one history of the log only: after a restore the same offset is given out again. Readers that got 410 read everything again, but served the nodes behind them from a cache that ended before those nodes' offsets, as 'nothing new'; and a node whose offset had been passed again missed records without any error.

Class of fault: log truncation after an unclean restore, with positions that lack an epoch. A position is now the pair of epoch and offset. The epoch tracker stands before the log and refuses responses of earlier epochs; readers tell their epoch with each shared read; a position of another epoch has everything read again.

--- a/cmd/quetzalctl/quarantinemanager/quarantinemanager.go
+++ b/cmd/quetzalctl/quarantinemanager/quarantinemanager.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	if err := o.log.PutKeyed(ctx, quetzalroad.LogStreamNodes, operatorKey, value); err != nil {
+	if _, err := o.log.PutKeyed(ctx, quetzalroad.LogStreamNodes, operatorKey, value); err != nil {
 		return errors.Wrap(err, "write to the list of nodes")
 	}
 	_, err = fmt.Fprintf(o.streams.Out, "lifted the quarantine of %s; nodes follow within half a minute\n", o.segment)
--- a/cmd/quetzalctl/quarantinemanager/quarantinemanager_test.go
+++ b/cmd/quetzalctl/quarantinemanager/quarantinemanager_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, node, value); err != nil {
+	if _, err := log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, node, value); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -33,6 +33,7 @@
 	_ "github.com/quetzalroad/quetzalroad/state/claimer"
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
 	_ "github.com/quetzalroad/quetzalroad/state/drainer"
+	_ "github.com/quetzalroad/quetzalroad/state/epochtracker"
 	_ "github.com/quetzalroad/quetzalroad/state/follower"
 	_ "github.com/quetzalroad/quetzalroad/state/logclient"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
--- a/codecs/nodemapper/evidence_test.go
+++ b/codecs/nodemapper/evidence_test.go
@@ -23,7 +23,7 @@
 
 func TestEvidenceRoundTrip(t *testing.T) {
 	want := quetzalroad.SharedReadRequest{
-		Stream: quetzalroad.LogStreamOperators, From: 7, Node: "node-1", Observations: &quetzalroad.Observations{EvidenceDigest: 9, Evidence: testEvidence()},
+		Stream: quetzalroad.LogStreamOperators, From: quetzalroad.Position{Epoch: 3, Offset: 7}, Node: "node-1", Observations: &quetzalroad.Observations{EvidenceDigest: 9, Evidence: testEvidence()},
 	}
 	if diff := cmp.Diff(want, DecodeReadRequest(EncodeReadRequest(want))); diff != "" {
 		t.Errorf("read request (-want +got):\n%s", diff)
--- a/codecs/nodemapper/nodemapper_test.go
+++ b/codecs/nodemapper/nodemapper_test.go
@@ -41,7 +41,7 @@
 
 func TestReadResponseRoundTripNeverLowersAge(t *testing.T) {
 	want := quetzalroad.SharedReadResponse{
-		Status: quetzalroad.SharedReadOK, NextRead: 9, Age: 1500*time.Millisecond + 300,
+		Status: quetzalroad.SharedReadOK, Epoch: 4, NextRead: 9, InheritedEnd: 2, Age: 1500*time.Millisecond + 300,
 		Records:      []quetzalroad.KeyedRecord{{Key: "a", Offset: 3, Value: []byte("v")}, {Key: "b", Offset: 8}},
 		Observations: &quetzalroad.Observations{Mixes: []quetzalroad.ServiceMix{{Service: "llm", Requests: 1}}},
 	}
@@ -60,9 +60,9 @@
 
 func TestReadRequestRoundTrip(t *testing.T) {
 	for _, want := range []quetzalroad.SharedReadRequest{
-		{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.NoOffset},
-		{Stream: quetzalroad.LogStreamOperators, From: 7, Node: "node-1", Observations: &quetzalroad.Observations{}},
-		{Stream: quetzalroad.LogStreamOperators, From: 7, Node: "node-1", Observations: &quetzalroad.Observations{
+		{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.Position{Offset: quetzalroad.NoOffset}},
+		{Stream: quetzalroad.LogStreamOperators, From: quetzalroad.Position{Epoch: 3, Offset: 7}, Node: "node-1", Observations: &quetzalroad.Observations{}},
+		{Stream: quetzalroad.LogStreamOperators, From: quetzalroad.Position{Epoch: 3, Offset: 7}, Node: "node-1", Observations: &quetzalroad.Observations{
 			Mixes:     []quetzalroad.ServiceMix{{Service: "llm", ShortWork: 1.5, LongWork: 2.5, Requests: 3}},
 			Upstreams: []quetzalroad.UpstreamObservation{{Upstream: "u", InterTokenLatency: 20 * time.Millisecond, Occupancy: 3, ReportAge: time.Millisecond}},
 		}},
--- a/codecs/nodemapper/read.go
+++ b/codecs/nodemapper/read.go
@@ -11,21 +11,25 @@
 
 // EncodeReadRequest encodes the request of a shared read.
 func EncodeReadRequest(r quetzalroad.SharedReadRequest) *peerwire.ReadRequest {
-	return &peerwire.ReadRequest{Stream: string(r.Stream), From: int64(r.From), Node: string(r.Node), Observations: encodeObservations(r.Observations)}
+	return &peerwire.ReadRequest{Stream: string(r.Stream), Epoch: uint64(r.From.Epoch), From: int64(r.From.Offset), Node: string(r.Node), Observations: encodeObservations(r.Observations)}
 }
 
 // DecodeReadRequest decodes the request of a shared read.
 func DecodeReadRequest(message *peerwire.ReadRequest) quetzalroad.SharedReadRequest {
 	return quetzalroad.SharedReadRequest{
-		Stream: quetzalroad.LogStream(message.GetStream()), From: quetzalroad.Offset(message.GetFrom()),
-		Node: quetzalroad.NodeName(message.GetNode()), Observations: decodeObservations(message.GetObservations()),
+		Stream: quetzalroad.LogStream(message.GetStream()),
+		From:   quetzalroad.Position{Epoch: quetzalroad.Epoch(message.GetEpoch()), Offset: quetzalroad.Offset(message.GetFrom())},
+		Node:   quetzalroad.NodeName(message.GetNode()), Observations: decodeObservations(message.GetObservations()),
 	}
 }
 
 // EncodeReadResponse encodes the response to a shared read. The age is rounded up,
 // so that the records never appear fresher than they are.
 func EncodeReadResponse(response quetzalroad.SharedReadResponse) *peerwire.ReadAnswer {
-	message := &peerwire.ReadAnswer{State: peerwire.ReadAnswer_State(response.Status), Through: int64(response.NextRead), AgeUs: response.Age.Microseconds() + 1, Observations: encodeObservations(response.Observations)}
+	message := &peerwire.ReadAnswer{
+		State: peerwire.ReadAnswer_State(response.Status), Epoch: uint64(response.Epoch), Through: int64(response.NextRead), InheritedEnd: int64(response.InheritedEnd),
+		AgeUs: response.Age.Microseconds() + 1, Observations: encodeObservations(response.Observations),
+	}
 	for _, r := range response.Records {
 		message.Records = append(message.Records, &peerwire.KeyedRecord{Key: r.Key, Offset: int64(r.Offset), Value: r.Value})
 	}
@@ -34,11 +38,12 @@
 
 // DecodeReadResponse decodes the response to a shared read.
 func DecodeReadResponse(message *peerwire.ReadAnswer) (quetzalroad.SharedReadResponse, error) {
-	if message.GetAgeUs() < 0 || message.GetThrough() < 0 || message.GetState() < 0 || message.GetState() > peerwire.ReadAnswer_TRIMMED {
+	if message.GetAgeUs() < 0 || message.GetThrough() < 0 || message.GetInheritedEnd() < 0 || message.GetState() < 0 || message.GetState() > peerwire.ReadAnswer_TRIMMED {
 		return quetzalroad.SharedReadResponse{}, errors.Newf("invalid shared read response: state %d, age %d µs, through %d", message.GetState(), message.GetAgeUs(), message.GetThrough())
 	}
 	response := quetzalroad.SharedReadResponse{
-		Status: quetzalroad.SharedReadStatus(message.GetState()), NextRead: quetzalroad.Offset(message.GetThrough()),
+		Status: quetzalroad.SharedReadStatus(message.GetState()), Epoch: quetzalroad.Epoch(message.GetEpoch()),
+		NextRead: quetzalroad.Offset(message.GetThrough()), InheritedEnd: quetzalroad.Offset(message.GetInheritedEnd()),
 		Age: time.Duration(message.GetAgeUs()) * time.Microsecond, Observations: decodeObservations(message.GetObservations()),
 	}
 	for _, r := range message.GetRecords() {
--- a/errors.go
+++ b/errors.go
@@ -11,6 +11,21 @@
 // ErrTrimmed reports that retention has removed the requested records.
 var ErrTrimmed = errors.New("the records asked for are no longer in the stream")
 
+// ErrOutdatedEpoch reports that a response belongs to an earlier epoch of the log than the current one.
+var ErrOutdatedEpoch = errors.New("the response is from an earlier epoch of the log")
+
+// EpochChangedError reports that the log has begun another epoch since a position was valid. The latest
+// record of every key has to be read again.
+type EpochChangedError struct {
+	// From is the epoch of the position, and To that of the log.
+	From, To Epoch
+}
+
+// Error implements error.
+func (e *EpochChangedError) Error() string {
+	return fmt.Sprintf("the log was restored from an older copy: its epoch is %d, that of the position %d", e.To, e.From)
+}
+
 // ConflictError reports that another change of the same object was accepted
 // first.
 type ConflictError struct {
--- a/forward.go
+++ b/forward.go
@@ -191,10 +191,11 @@
 	// ReadLatest returns the latest record of each key. It may include records
 	// appended during the call.
 	ReadLatest(ctx context.Context, s LogStream) ([]KeyedRecord, StreamBounds, error)
-	// ReadKeyed returns records in order, starting at an offset, and waits up to
-	// wait for the first. The error is ErrTrimmed if records from the offset on
-	// were removed.
-	ReadKeyed(ctx context.Context, s LogStream, from Offset, wait time.Duration) ([]KeyedRecord, StreamBounds, error)
+	// ReadKeyed returns records in order, starting at a position, and waits up to
+	// wait for the first. The error is ErrTrimmed if records from the position on
+	// were removed. Once the EpochTracker stands before the log, it is an EpochChangedError if the
+	// position belongs to another epoch.
+	ReadKeyed(ctx context.Context, s LogStream, from Position, wait time.Duration) ([]KeyedRecord, StreamBounds, error)
 }
 
 // The log streams whose records have keys.
@@ -207,8 +208,9 @@
 
 // KeyedWriter writes to the router's own log streams.
 type KeyedWriter interface {
-	// PutKeyed sets the latest value of a key; nil deletes the key.
-	PutKeyed(ctx context.Context, s LogStream, key string, value []byte) error
+	// PutKeyed sets the latest value of a key, and returns the epoch in which it was stored; nil deletes
+	// the key.
+	PutKeyed(ctx context.Context, s LogStream, key string, value []byte) (Epoch, error)
 }
 
 // StateCodec decodes what operators and upstreams publish on the platform.
--- a/interfaces.go
+++ b/interfaces.go
@@ -37,6 +37,11 @@
 	Publish(ctx context.Context, c Change) (ChangeResult, error)
 }
 
+// Next is the position at which to continue reading.
+func (b StreamBounds) Next() Position {
+	return Position{Epoch: b.Epoch, Offset: b.NextRead}
+}
+
 // Record is one entry of a log stream.
 type Record struct {
 	Offset Offset
@@ -57,6 +62,9 @@
 	// Age is the time between the log's last confirmation of these bounds and the call; zero if
 	// the log itself responded.
 	Age time.Duration
+	// InheritedEnd is the offset below which records may come from the copy with which the epoch began;
+	// zero if unknown.
+	InheritedEnd Offset
 	// Hops is the number of hops from the log to the last node that receives these records; one
 	// if this node reads the log itself and passes them to no other node. The time limit for
 	// propagating a change is divided among them.
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -55,8 +55,10 @@
 	PeerTransport     quetzalroad.PeerTransport
 	Peers             quetzalroad.Peers
 
-	KeyedLog      quetzalroad.KeyedLog
-	KeyedWriter   quetzalroad.KeyedWriter
+	KeyedLog    quetzalroad.KeyedLog
+	KeyedWriter quetzalroad.KeyedWriter
+	// LogEpochs is nil if the node has no keyed log.
+	LogEpochs     quetzalroad.EpochTracker
 	ReadTransport quetzalroad.ReadTransport
 	StateCodec    quetzalroad.StateCodec
 	RouteTable    quetzalroad.RouteTable
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -22,6 +22,7 @@
 	SlotLog             Slot = "log"
 	SlotVMList          Slot = "vm-list"
 	SlotKeyedLog        Slot = "keyed-log"
+	SlotLogEpochs       Slot = "log-epochs"
 	SlotStateCodec      Slot = "entries"
 	SlotReadTransport   Slot = "read-transport"
 	SlotLogSharing      Slot = "log-sharing"
@@ -60,6 +61,7 @@
 	{slot: SlotLog, doc: "The platform's log.", optional: true},
 	{slot: SlotVMList, doc: "The platform's list of VMs, which lags behind reality.", optional: true},
 	{slot: SlotKeyedLog, doc: "Reading of the platform's log streams that retain only the latest record of each key.", optional: true},
+	{slot: SlotLogEpochs, doc: "Recognition of a platform's log that was restored from an older copy."},
 	{slot: SlotStateCodec, doc: "Decoding of what operators and upstreams publish on the platform.", optional: true},
 	{slot: SlotReadTransport, doc: "The connections for reading the platform's log through other nodes.", optional: true},
 	{slot: SlotLogSharing, doc: "Selection of the nodes that read the platform's log on behalf of others.", optional: true},
--- a/peers/readconnector/connector_test.go
+++ b/peers/readconnector/connector_test.go
@@ -44,8 +44,8 @@
 	client, server := newConnector(t), newConnector(t)
 	defer client.listener.Close()
 	handler := &stubHandler{
-		t: t, want: quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStreamUpstreams, From: 7},
-		response: quetzalroad.SharedReadResponse{Status: quetzalroad.SharedReadOK, NextRead: 9, Records: []quetzalroad.KeyedRecord{{Key: "k", Offset: 8, Value: []byte("v")}}},
+		t: t, want: quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.Position{Epoch: 3, Offset: 7}},
+		response: quetzalroad.SharedReadResponse{Status: quetzalroad.SharedReadOK, Epoch: 4, NextRead: 9, InheritedEnd: 2, Records: []quetzalroad.KeyedRecord{{Key: "k", Offset: 8, Value: []byte("v")}}},
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
--- a/proofs/faker/forwardnode.go
+++ b/proofs/faker/forwardnode.go
@@ -6,6 +6,8 @@
 
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+
+	_ "github.com/quetzalroad/quetzalroad/state/epochtracker"
 )
 
 // ForwardNodeName is the name of the node that BuildForwardNode builds, in data
--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -83,13 +83,15 @@
 }
 
 // PutKeyed implements quetzalroad.KeyedWriter.
-func (l *KeyedLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) error {
-	return l.serve(ctx, func() bool {
+func (l *KeyedLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) (epoch quetzalroad.Epoch, err error) {
+	err = l.serve(ctx, func() bool {
+		epoch = l.epochLocked()
 		stream := l.streamLocked(s)
 		stream.records = append(stream.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: stream.earliest + quetzalroad.Offset(len(stream.records))})
 		l.notifyLocked()
 		return true
 	})
+	return epoch, err
 }
 
 // SetUnavailable makes every call fail, or work again.
@@ -232,18 +234,18 @@
 }
 
 // ReadKeyed implements quetzalroad.KeyedLog.
-func (l *KeyedLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) (records []quetzalroad.KeyedRecord, bounds quetzalroad.StreamBounds, err error) {
+func (l *KeyedLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) (records []quetzalroad.KeyedRecord, bounds quetzalroad.StreamBounds, err error) {
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	trimmed := false
 	read := func() bool {
 		stream := l.streamLocked(s)
-		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records)), NextRead: from, Hops: 1}
-		trimmed = from < stream.earliest || from > bounds.End
-		if trimmed || from >= bounds.End {
+		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records)), NextRead: from.Offset, Hops: 1}
+		trimmed = from.Offset < stream.earliest || from.Offset > bounds.End
+		if trimmed || from.Offset >= bounds.End {
 			return trimmed || waitCtx.Err() != nil
 		}
-		records = append([]quetzalroad.KeyedRecord(nil), stream.records[from-stream.earliest:]...)
+		records = append([]quetzalroad.KeyedRecord(nil), stream.records[from.Offset-stream.earliest:]...)
 		bounds.NextRead = bounds.End
 		return true
 	}
--- a/sharing.go
+++ b/sharing.go
@@ -29,8 +29,9 @@
 // SharedReadRequest asks a node for records that it has read from the platform's log.
 type SharedReadRequest struct {
 	Stream LogStream
-	// From is the first offset to return; NoOffset requests the latest record of each key.
-	From Offset
+	// From is the position of the first record to return; NoOffset requests the latest record of each key.
+	// Nodes of builds that know no epochs leave the epoch out.
+	From Position
 	// Node is the node that sends the request; empty if it sends no observations.
 	Node NodeName
 	// Observations are those of Node; nil if it sends none.
@@ -88,7 +89,8 @@
 	SharedReadRefused SharedReadStatus = iota
 	// SharedReadOK means that the response contains records.
 	SharedReadOK
-	// SharedReadTrimmed means that records from the offset on may be missing.
+	// SharedReadTrimmed means that records from the position on may be missing, or that it belongs to
+	// another epoch.
 	SharedReadTrimmed
 )
 
@@ -97,8 +99,12 @@
 	Status SharedReadStatus
 	// Records are the latest of their keys, in order of offset. Those that changed nothing are
 	// left out.
-	Records  []KeyedRecord
+	Records []KeyedRecord
+	// Epoch is the one in which the node read the log.
+	Epoch    Epoch
 	NextRead Offset
+	// InheritedEnd is that of StreamBounds.
+	InheritedEnd Offset
 	// Age is the time between the log's last confirmation of the records and the response.
 	Age time.Duration
 	// Observations are those of the other nodes that read from the same one; nil if the request
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -37,6 +37,7 @@
 	writer    quetzalroad.KeyedWriter
 	codec     quetzalroad.StateCodec
 	transport quetzalroad.ReadTransport
+	epochs    quetzalroad.EpochTracker
 	logger    *slog.Logger
 	self      quetzalroad.NodeRegistration
 
@@ -87,9 +88,10 @@
 
 // Build implements kernel.Component.
 func (d *Distributor) Build(n *kernel.Node) error {
-	if n.KeyedLog == nil || n.KeyedWriter == nil || n.StateCodec == nil || n.ReadTransport == nil {
-		return errors.New("the distributor requires the slots keyed-log, entries and read-transport")
+	if n.KeyedLog == nil || n.KeyedWriter == nil || n.LogEpochs == nil || n.StateCodec == nil || n.ReadTransport == nil {
+		return errors.New("the distributor requires the slots keyed-log, log-epochs, entries and read-transport")
 	}
+	d.epochs = n.LogEpochs
 	d.log, d.writer, d.codec, d.transport = n.KeyedLog, n.KeyedWriter, n.StateCodec, n.ReadTransport
 	d.node = n
 	d.refresh = make(chan struct{}, 1)
@@ -131,7 +133,7 @@
 func (d *Distributor) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	ownRole := d.ownRole()
 	if ownRole.hasReader() {
-		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.NoOffset})
+		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.Position{Offset: quetzalroad.NoOffset}})
 		if err == nil {
 			return records, bounds, nil
 		}
@@ -141,7 +143,7 @@
 	if err != nil {
 		return nil, bounds, err
 	}
-	d.caches[s].load(records, bounds.NextRead, sentAt)
+	d.caches[s].load(records, bounds.Next(), sentAt)
 	bounds.Hops = ownRole.hops()
 	if !d.members.areKnown() {
 		// This node may turn out to read for others.
@@ -151,7 +153,7 @@
 }
 
 // ReadKeyed implements quetzalroad.KeyedLog.
-func (d *Distributor) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+func (d *Distributor) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	if wait > 0 {
 		if err := d.members.awaitKnown(ctx, min(wait, d.settleDelay+d.callTimeout)); err != nil {
 			return nil, quetzalroad.StreamBounds{}, err
@@ -193,7 +195,7 @@
 func (d *Distributor) recordLogResult(ctx context.Context, err error) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-	case err != nil && !errors.Is(err, quetzalroad.ErrTrimmed):
+	case err != nil && !isReload(err):
 		d.logFailed.Store(true)
 	case d.logFailed.CompareAndSwap(true, false):
 		select {
@@ -203,6 +205,12 @@
 	}
 }
 
+// isReload reports whether an error of a read means that the latest record of every key has to be read.
+func isReload(err error) bool {
+	var epochChanged *quetzalroad.EpochChangedError
+	return errors.Is(err, quetzalroad.ErrTrimmed) || errors.As(err, &epochChanged)
+}
+
 // readThroughReaders reads from the first reader whose view is recent, else from the log. While the
 // log fails, it is asked less often than the readers, which learn of its return.
 func (d *Distributor) readThroughReaders(ctx context.Context, readers []quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
@@ -210,11 +218,11 @@
 	var lastErr error
 	for _, reader := range readers[:min(len(readers), maxReaderTries)] {
 		records, bounds, err := d.readShared(ctx, reader, d.withObservations(q))
-		if err == nil || errors.Is(err, quetzalroad.ErrTrimmed) {
+		if err == nil || isReload(err) {
 			d.avoidOutdated(q.Stream, outdated)
 			return records, bounds, err
 		}
-		if errors.Is(err, errTooOld) {
+		if errors.Is(err, errTooOld) || errors.Is(err, quetzalroad.ErrOutdatedEpoch) {
 			outdated = append(outdated, reader.Name)
 		}
 		lastErr = err
@@ -224,7 +232,7 @@
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
 	records, bounds, err := d.log.ReadKeyed(ctx, q.Stream, q.From, 0)
-	if err != nil && !errors.Is(err, quetzalroad.ErrTrimmed) {
+	if err != nil && !isReload(err) {
 		d.members.recordFallbackFailure()
 		return nil, bounds, err
 	}
@@ -255,33 +263,58 @@
 // readShared reads from the cache of a reader.
 func (d *Distributor) readShared(ctx context.Context, reader quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	timeout := d.readTimeout
-	if q.From == quetzalroad.NoOffset {
+	complete := q.From.Offset == quetzalroad.NoOffset
+	if complete {
 		timeout = d.loadTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := d.transport.RequestRead(ctx, reader.Address, q)
-	switch {
-	case err != nil:
+	if err != nil {
 		d.members.avoid(reader.Name, time.Now().Add(d.avoidDuration))
-	case response.Status == quetzalroad.SharedReadTrimmed:
-		return nil, quetzalroad.StreamBounds{}, quetzalroad.ErrTrimmed
-	case response.Status != quetzalroad.SharedReadOK:
-		err = errRefused
-	case response.Age > d.maxAgeOf(q.Stream):
-		err = errTooOld
+	} else {
+		err = d.checkResponse(q, response)
 	}
-	if err != nil {
-		d.logger.Info("shared read failed", "reader", string(reader.Name), "stream", string(q.Stream), "from", int64(q.From), "age", response.Age, "error", err)
+	switch {
+	case err != nil && isReload(err):
+		return nil, quetzalroad.StreamBounds{}, err
+	case err != nil:
+		d.logger.Info("shared read failed", "reader", string(reader.Name), "stream", string(q.Stream), "epoch", uint64(q.From.Epoch), "from", int64(q.From.Offset),
+			"reader-epoch", uint64(response.Epoch), "age", response.Age, "error", err)
 		return nil, quetzalroad.StreamBounds{}, err
 	}
 	if response.Observations != nil {
 		d.applyObservations(*response.Observations)
 	}
-	bounds := quetzalroad.StreamBounds{End: response.NextRead, NextRead: max(q.From, response.NextRead), Age: response.Age, Hops: sharedReadHops}
+	bounds := quetzalroad.StreamBounds{
+		Epoch: response.Epoch, End: response.NextRead, NextRead: response.NextRead, InheritedEnd: response.InheritedEnd, Age: response.Age, Hops: sharedReadHops,
+	}
+	if !complete {
+		bounds.NextRead = max(q.From.Offset, response.NextRead)
+	}
 	return response.Records, bounds, nil
 }
 
+// checkResponse returns why the response to a shared read can't be used; nil if it can.
+func (d *Distributor) checkResponse(q quetzalroad.SharedReadRequest, r quetzalroad.SharedReadResponse) error {
+	if r.Status == quetzalroad.SharedReadRefused {
+		return errRefused
+	}
+	if err := d.epochs.ObservePeer(r.Epoch); err != nil {
+		return err
+	}
+	complete := q.From.Offset == quetzalroad.NoOffset
+	switch {
+	case !complete && r.Epoch != q.From.Epoch:
+		return &quetzalroad.EpochChangedError{From: q.From.Epoch, To: r.Epoch}
+	case r.Status == quetzalroad.SharedReadTrimmed:
+		return quetzalroad.ErrTrimmed
+	case r.Age > d.maxAgeOf(q.Stream):
+		return errTooOld
+	}
+	return nil
+}
+
 // maxAgeOf returns the maximum age of a reader's view of a stream. Readers read the list of nodes
 // seldom.
 func (d *Distributor) maxAgeOf(s quetzalroad.LogStream) time.Duration {
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -41,10 +41,10 @@
 	return nil
 }
 
-func (l *nodeLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) error {
+func (l *nodeLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) (quetzalroad.Epoch, error) {
 	l.calls.Add(1)
 	if l.unavailable.Load() {
-		return faker.ErrUnavailable
+		return 0, faker.ErrUnavailable
 	}
 	return l.KeyedLog.PutKeyed(ctx, s, key, value)
 }
@@ -58,7 +58,7 @@
 	return l.KeyedLog.ReadLatest(ctx, s)
 }
 
-func (l *nodeLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+func (l *nodeLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	l.calls.Add(1)
 	if l.unavailable.Load() {
 		return nil, quetzalroad.StreamBounds{}, faker.ErrUnavailable
@@ -210,7 +210,7 @@
 			if i == reader {
 				want = quetzalroad.SharedReadOK
 			}
-			got, err := client.RequestRead(t.Context(), nodeAddress(i), quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.NoOffset})
+			got, err := client.RequestRead(t.Context(), nodeAddress(i), quetzalroad.SharedReadRequest{Stream: quetzalroad.LogStreamUpstreams, From: quetzalroad.Position{Offset: quetzalroad.NoOffset}})
 			if err != nil || got.Status != want {
 				t.Errorf("node %d: status %d, error %v, want status %d; the reader is node %d", i, got.Status, err, want, reader)
 			}
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -24,8 +24,8 @@
 	// evidence in this node's registration.
 	readerDigest  atomic.Uint64
 	writtenDigest atomic.Uint64
-	// nextRead is the offset from which to follow the stream of nodes.
-	nextRead atomic.Int64
+	// next is the position from which to follow the stream of nodes; nil before the first read.
+	next atomic.Pointer[quetzalroad.Position]
 	// following is set while a goroutine follows it.
 	following atomic.Bool
 }
@@ -113,23 +113,32 @@
 func (d *Distributor) readEvidence(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, evidencePollWait+d.callTimeout)
 	defer cancel()
-	from := quetzalroad.Offset(d.evidence.nextRead.Load())
+	var from quetzalroad.Position
+	if next := d.evidence.next.Load(); next != nil {
+		from = *next
+	}
 	records, bounds, err := d.log.ReadKeyed(callCtx, quetzalroad.LogStreamNodes, from, evidencePollWait)
 	switch {
-	case errors.Is(err, quetzalroad.ErrTrimmed):
+	case err != nil && isReload(err):
 		d.refreshMembers(ctx)
 		return true
 	case err != nil:
-		d.logger.Info("failed to read the evidence of other nodes", "from", int64(from), "error", err)
+		d.logger.Info("failed to read the evidence of other nodes", "epoch", uint64(from.Epoch), "from", int64(from.Offset), "error", err)
 		return false
 	}
 	for _, registration := range d.decodeRegistrations(records) {
 		d.mergeRegisteredEvidence(registration)
 	}
-	d.evidence.nextRead.Store(int64(bounds.NextRead))
+	d.setEvidencePosition(bounds)
 	return true
 }
 
+// setEvidencePosition sets the position from which to follow the stream of nodes.
+func (d *Distributor) setEvidencePosition(b quetzalroad.StreamBounds) {
+	next := b.Next()
+	d.evidence.next.Store(&next)
+}
+
 // Nodes implements quetzalroad.Fleet.
 func (d *Distributor) Nodes() []quetzalroad.NodeName {
 	d.members.mu.Lock()
--- a/state/distributor/evidence_test.go
+++ b/state/distributor/evidence_test.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "operator", value); err != nil {
+		if _, err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "operator", value); err != nil {
 			t.Fatal(err)
 		}
 		c.eventually(t, noticeTime, "aware of the release", func(n *kernel.Node) bool { return !hasQuarantine(n) })
--- /dev/null
+++ b/state/distributor/membership.go
@@ -0,0 +1,123 @@
+package distributor
+
+import (
+	"context"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
+)
+
+// maintainMembership periodically writes this node's registration and reads the others. As several nodes
+// may start together, it first waits for the registrations of the others.
+func (d *Distributor) maintainMembership(ctx context.Context) error {
+	var lastWrite time.Time
+	delay := d.settleDelay
+	for {
+		if (time.Since(lastWrite) >= d.registrationTTL/3 || d.hasUnwrittenEvidence()) && d.writeOwnRegistration(ctx) {
+			lastWrite = time.Now()
+		}
+		if err := d.awaitRefresh(ctx, delay); err != nil {
+			return err
+		}
+		d.refreshMembers(ctx)
+		delay = d.refreshInterval
+		if lastWrite.IsZero() {
+			delay = min(delay, d.callTimeout)
+		}
+	}
+}
+
+// awaitRefresh waits for a delay, or until the log responds again.
+func (d *Distributor) awaitRefresh(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.refresh:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// writeOwnRegistration writes this node's registration and reports whether it did.
+func (d *Distributor) writeOwnRegistration(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
+	defer cancel()
+	self := d.self
+	self.WrittenAt = time.Now()
+	digest := d.node.Quarantine.Digest()
+	if digest != 0 {
+		evidence := d.node.Quarantine.Evidence()
+		self.Evidence = &evidence
+	}
+	var epoch quetzalroad.Epoch
+	value, err := nodemapper.EncodeRegistration(self)
+	if err == nil {
+		epoch, err = d.writer.PutKeyed(ctx, quetzalroad.LogStreamNodes, string(self.Name), value)
+	}
+	if err != nil {
+		d.logger.Warn("failed to write own node registration", "stream", string(quetzalroad.LogStreamNodes), "error", err)
+		return false
+	}
+	d.logger.Info("wrote own node registration", "stream", string(quetzalroad.LogStreamNodes), "epoch", uint64(epoch))
+	d.evidence.writtenDigest.Store(digest)
+	return true
+}
+
+// deleteOwnRegistration deletes this node's registration when the node stops.
+func (d *Distributor) deleteOwnRegistration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
+	defer cancel()
+	if _, err := d.writer.PutKeyed(ctx, quetzalroad.LogStreamNodes, string(d.self.Name), nil); err != nil {
+		d.logger.Warn("failed to delete own node registration", "stream", string(quetzalroad.LogStreamNodes), "error", err)
+	}
+}
+
+// decodeRegistrations returns the registrations in the records, without deleted and undecodable ones.
+func (d *Distributor) decodeRegistrations(records []quetzalroad.KeyedRecord) []quetzalroad.NodeRegistration {
+	var registrations []quetzalroad.NodeRegistration
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		registration, err := nodemapper.DecodeRegistration(r)
+		if err != nil {
+			d.logger.Warn("ignoring undecodable node registration", "key", r.Key, "offset", int64(r.Offset), "error", err)
+			continue
+		}
+		registrations = append(registrations, registration)
+	}
+	return registrations
+}
+
+// refreshMembers reads the registrations of the other nodes of the data centre, through a reader if
+// there is one. If the read fails, the known ones are kept.
+func (d *Distributor) refreshMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.callTimeout)
+	defer cancel()
+	defer d.members.readAttempted.Store(true)
+	records, bounds, err := d.ReadLatest(ctx, quetzalroad.LogStreamNodes)
+	if err != nil {
+		d.logger.Warn("failed to read node registrations", "stream", string(quetzalroad.LogStreamNodes), "error", err)
+		return
+	}
+	var others []quetzalroad.NodeRegistration
+	nodes := []quetzalroad.NodeName{d.self.Name}
+	for _, registration := range d.decodeRegistrations(records) {
+		d.mergeRegisteredEvidence(registration)
+		if registration.Name == d.self.Name || !registration.IsNode() || time.Since(registration.WrittenAt) >= d.registrationTTL {
+			continue
+		}
+		nodes = append(nodes, registration.Name)
+		if registration.DataCentre == d.self.DataCentre {
+			others = append(others, registration)
+		}
+	}
+	d.members.set(others)
+	d.members.setNodes(nodes)
+	d.setEvidencePosition(bounds)
+	ownRole := d.ownRole()
+	d.logger.Info("node list refreshed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", ownRole.readsLog, "reader", string(ownRole.readerName()))
+}
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -12,7 +12,7 @@
 }
 
 // applyState applies a published state unless it is older than the current one.
-func (w *Watcher) applyState(r quetzalroad.KeyedRecord) {
+func (w *Watcher) applyState(r quetzalroad.KeyedRecord, epoch quetzalroad.Epoch) {
 	state, ok, err := w.codec.DecodeState(r)
 	if err != nil {
 		w.logger.Error("can't decode the published state; keeping the current one", "key", r.Key, "offset", int64(r.Offset), "version", w.version.Load(), "error", err)
@@ -23,7 +23,7 @@
 	}
 	if current := w.version.Load(); state.Version <= current {
 		if state.Version < current {
-			w.logger.Warn("ignoring older published state", "offset", int64(r.Offset), "seen", state.Version, "version", current)
+			w.logger.Warn("ignoring older published state", "offset", int64(r.Offset), "epoch", uint64(epoch), "seen", state.Version, "version", current)
 		}
 		return
 	}
@@ -35,7 +35,7 @@
 	w.routes.replace(state.Routes)
 	w.store.SetAppliedOffset(r.Offset)
 	w.version.Store(state.Version)
-	w.logger.Info("state in force", "version", state.Version, "offset", int64(r.Offset),
+	w.logger.Info("state in force", "version", state.Version, "epoch", uint64(epoch), "offset", int64(r.Offset),
 		"routes", len(state.Routes), "services", len(state.Services), "teams", len(state.Teams))
 }
 
--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -41,14 +41,14 @@
 	t.lastOutage = boottimer.Now()
 }
 
-// applyRegistrations applies records; with complete set, keys without one were deleted.
-func (w *Watcher) applyRegistrations(records []quetzalroad.KeyedRecord, complete bool) {
+// applyRegistrations applies the records of one read.
+func (w *Watcher) applyRegistrations(b batch) {
 	registrations := &w.registrations
 	if registrations.byKey == nil {
 		registrations.byKey = make(map[string]*registration)
 	}
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
+	present := make(map[string]bool, len(b.records))
+	for _, r := range b.records {
 		present[r.Key] = r.Value != nil
 		if r.Value == nil {
 			w.handleMissing(r.Key, int64(r.Offset))
@@ -56,7 +56,7 @@
 		}
 		w.applyRegistration(r)
 	}
-	if !complete {
+	if !b.complete {
 		return
 	}
 	for key := range registrations.byKey {
--- a/state/watcher/streamreader.go
+++ b/state/watcher/streamreader.go
@@ -37,6 +37,17 @@
 	return at.Age()
 }
 
+// batch holds the records of one read, in order.
+type batch struct {
+	records []quetzalroad.KeyedRecord
+	// complete reports whether they are the latest of every key, so that a key without a record was deleted.
+	complete bool
+	// epoch is the one in which they were read. Records below inheritedEnd may come from the copy with
+	// which it began.
+	epoch        quetzalroad.Epoch
+	inheritedEnd quetzalroad.Offset
+}
+
 // streamReader reads one stream until its context ends.
 type streamReader struct {
 	watcher *Watcher
@@ -45,9 +56,8 @@
 	// between two reads. One of them is zero.
 	pollWait time.Duration
 	interval time.Duration
-	// apply is called with records in order. If complete is set, they are the
-	// latest of every key, so that a key without a record was deleted.
-	apply func(records []quetzalroad.KeyedRecord, complete bool)
+	// apply is called with the records of each read.
+	apply func(b batch)
 	// onConfirmed, if not nil, is called with the time at which the log had no
 	// records that this node has not read.
 	onConfirmed func(at boottimer.Instant)
@@ -56,11 +66,12 @@
 	// until it has to be called again, or zero if that can wait for the next read.
 	beforeRead func() time.Duration
 
-	// nextOffset is the offset to read from; it is valid once loaded is set.
-	nextOffset quetzalroad.Offset
-	loaded     bool
-	// epoch is the log's epoch as of the last response.
-	epoch quetzalroad.Epoch
+	// next is the position to read from; it is valid once loaded is set.
+	next   quetzalroad.Position
+	loaded bool
+	// inheritedEnd is the offset below which records of the epoch of next may come from the copy with which
+	// it began.
+	inheritedEnd quetzalroad.Offset
 	// hops is StreamBounds.Hops of the last read; zero before the first read.
 	// interval is divided by it, because the delays of the hops add up.
 	hops int
@@ -113,9 +124,9 @@
 	w := r.watcher
 	switch {
 	case err != nil && !r.failing():
-		w.logger.Warn("log lost", "stream", string(r.stream), "next", int64(r.nextOffset), "age", w.Age(), "error", err)
+		w.logger.Warn("log lost", "stream", string(r.stream), "next", int64(r.next.Offset), "age", w.Age(), "error", err)
 	case err == nil && r.failing():
-		w.logger.Info("log regained", "stream", string(r.stream), "next", int64(r.nextOffset))
+		w.logger.Info("log regained", "stream", string(r.stream), "next", int64(r.next.Offset))
 	}
 	if r.stream == quetzalroad.LogStreamUpstreams && (err != nil || r.failing()) {
 		w.registrations.markOutage()
@@ -144,8 +155,14 @@
 		return r.load(ctx)
 	}
 	err := r.readNew(ctx)
-	if errors.Is(err, quetzalroad.ErrTrimmed) {
-		r.watcher.logger.Warn("records were dropped from the log; reading the latest of every key", "stream", string(r.stream), "next", int64(r.nextOffset))
+	var epochChanged *quetzalroad.EpochChangedError
+	switch {
+	case errors.As(err, &epochChanged):
+		r.watcher.logger.Warn("log restored from an older copy; reading the latest of every key", "stream", string(r.stream),
+			"epoch", uint64(epochChanged.To), "known", uint64(epochChanged.From), "dropped-next", int64(r.next.Offset), "kept-version", r.watcher.version.Load())
+		return r.load(ctx)
+	case errors.Is(err, quetzalroad.ErrTrimmed):
+		r.watcher.logger.Warn("records were dropped from the log; reading the latest of every key", "stream", string(r.stream), "next", int64(r.next.Offset))
 		return r.load(ctx)
 	}
 	return err
@@ -161,15 +178,14 @@
 		// Don't wait for a change: the view's age grows until a read confirms it.
 		wait = 0
 	}
-	records, bounds, err := r.watcher.log.ReadKeyed(ctx, r.stream, r.nextOffset, wait)
-	r.observeEpoch(bounds)
+	records, bounds, err := r.watcher.log.ReadKeyed(ctx, r.stream, r.next, wait)
 	if err != nil {
 		return err
 	}
-	r.applyRecords(records, false)
-	r.nextOffset = bounds.NextRead
+	r.applyBatch(batch{records: records, epoch: bounds.Epoch, inheritedEnd: r.inheritedEnd})
+	r.next = bounds.Next()
 	r.hops = bounds.Hops
-	if r.nextOffset >= bounds.End {
+	if r.next.Offset >= bounds.End {
 		r.confirm(sentAt.Sub(bounds.Age))
 	}
 	return nil
@@ -181,32 +197,33 @@
 	defer cancel()
 	sentAt := boottimer.Now()
 	records, bounds, err := r.watcher.log.ReadLatest(ctx, r.stream)
-	r.observeEpoch(bounds)
 	if err != nil {
 		return err
 	}
-	r.applyRecords(records, true)
-	r.nextOffset = bounds.NextRead
+	restored := r.loaded && bounds.Epoch != r.next.Epoch
+	if restored || !r.loaded {
+		r.inheritedEnd = max(bounds.InheritedEnd, 0)
+		if r.inheritedEnd == 0 {
+			r.inheritedEnd = bounds.NextRead
+		}
+	}
+	if restored && r.stream == quetzalroad.LogStreamUpstreams {
+		// Registrations that were lost with the latest records are written again.
+		r.watcher.registrations.markOutage()
+	}
+	r.applyBatch(batch{records: records, complete: true, epoch: bounds.Epoch, inheritedEnd: r.inheritedEnd})
+	r.next = bounds.Next()
 	r.hops = bounds.Hops
 	r.loaded = true
 	r.confirm(sentAt.Sub(bounds.Age))
 	return nil
 }
 
-// observeEpoch logs a change of the log's epoch.
-func (r *streamReader) observeEpoch(b quetzalroad.StreamBounds) {
-	if b.Epoch == 0 || b.Epoch == r.epoch {
-		return
-	}
-	r.watcher.logger.Warn("log epoch changed", "stream", string(r.stream), "epoch", uint64(b.Epoch), "known", uint64(r.epoch), "next", int64(r.nextOffset), "end", int64(b.End))
-	r.epoch = b.Epoch
-}
-
-func (r *streamReader) applyRecords(records []quetzalroad.KeyedRecord, complete bool) {
+func (r *streamReader) applyBatch(b batch) {
 	if r.failing() && r.stream == quetzalroad.LogStreamUpstreams {
 		r.watcher.registrations.markOutage()
 	}
-	r.apply(records, complete)
+	r.apply(b)
 }
 
 func (r *streamReader) confirm(at boottimer.Instant) {
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -143,9 +143,9 @@
 // followState applies the published state as operators write it.
 func (w *Watcher) followState(ctx context.Context) error {
 	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamOperators, pollWait: w.statePollWait, onConfirmed: w.confirmed.advance}
-	reader.apply = func(records []quetzalroad.KeyedRecord, _ bool) {
-		for _, r := range records {
-			w.applyState(r)
+	reader.apply = func(b batch) {
+		for _, r := range b.records {
+			w.applyState(r, b.epoch)
 		}
 	}
 	return reader.run(ctx)
