Register again after the log lost the nodes' registrations

A node wrote its registration once a minute and believed in what it had written. After a restore of the log, nodes that had registered in the lost seconds were missing from the list of nodes, and the evidence that nodes without a reader had written was gone with them: a node that started then let requests through that crash upstreams.

Each node now writes its registration again once after the epoch changed, at a random moment of two seconds, and the list is read after that: 195 nodes make 195 writes, and no tenth of a second sees a quarter of them.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -52,6 +52,7 @@
 	refreshInterval    time.Duration
 	registrationTTL    time.Duration
 	settleDelay        time.Duration
+	rewriteSpread      time.Duration
 	callTimeout        time.Duration
 	fallbackRetryDelay time.Duration
 
@@ -82,6 +83,7 @@
 	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes.")
 	s.Duration("lifetime", &d.registrationTTL, 3*time.Minute, time.Second, 24*time.Hour, "Age at which a node's registration expires; a node rewrites its own after a third of it.")
 	s.Duration("settle", &d.settleDelay, 400*time.Millisecond, 0, time.Minute, "Delay between the first two reads of the list of nodes, as several nodes may start together.")
+	s.Duration("rewrite-spread", &d.rewriteSpread, 2*time.Second, 0, time.Minute, "Time over which the nodes spread the writes of their registrations after the log was restored from an older copy.")
 	s.Duration("evidence-every", &d.evidence.interval, 250*time.Millisecond, 10*time.Millisecond, time.Minute, "Minimum time between two writes of this node's evidence of upstreams that exited, and between two reads of that of others.")
 	s.Duration("call-timeout", &d.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log that reads or writes node registrations.")
 }
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -27,9 +27,8 @@
 type nodeLog struct {
 	*faker.KeyedLog
 	unavailable atomic.Bool
-	// reads counts the reads that were answered, and calls all calls.
-	reads atomic.Int64
-	calls atomic.Int64
+	// reads counts the reads that were answered, writes the writes that were tried, and calls all calls.
+	reads, writes, calls atomic.Int64
 }
 
 // Declare implements kernel.Component.
@@ -43,6 +42,7 @@
 
 func (l *nodeLog) PutKeyed(ctx context.Context, s quetzalroad.LogStream, key string, value []byte) (quetzalroad.Epoch, error) {
 	l.calls.Add(1)
+	l.writes.Add(1)
 	if l.unavailable.Load() {
 		return 0, faker.ErrUnavailable
 	}
--- a/state/distributor/membership.go
+++ b/state/distributor/membership.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // maintainMembership periodically writes this node's registration and reads the others. As several nodes
@@ -17,9 +19,16 @@
 		if (time.Since(lastWrite) >= d.registrationTTL/3 || d.hasUnwrittenEvidence()) && d.writeOwnRegistration(ctx) {
 			lastWrite = time.Now()
 		}
-		if err := d.awaitRefresh(ctx, delay); err != nil {
+		restored, err := d.awaitRefresh(ctx, delay)
+		if err != nil {
 			return err
 		}
+		if restored {
+			lastWrite = time.Time{}
+			if err := d.rewriteOwnRegistration(ctx, &lastWrite); err != nil {
+				return err
+			}
+		}
 		d.refreshMembers(ctx)
 		delay = d.refreshInterval
 		if lastWrite.IsZero() {
@@ -28,17 +37,39 @@
 	}
 }
 
-// awaitRefresh waits for a delay, or until the log responds again.
-func (d *Distributor) awaitRefresh(ctx context.Context, delay time.Duration) error {
+// awaitRefresh waits for a delay, until the log responds again, or until it was restored from an older
+// copy, and reports whether it was.
+func (d *Distributor) awaitRefresh(ctx context.Context, delay time.Duration) (restored bool, err error) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-d.refresh:
+	case <-d.epochs.Changed():
+		return true, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
+	}
+	return false, nil
+}
+
+// rewriteOwnRegistration writes this node's registration, with its evidence, again after it may have been
+// lost with the log's latest records. The nodes do so at random moments of an interval, and read the list
+// of nodes after it: first the readers, then the nodes that read through them.
+func (d *Distributor) rewriteOwnRegistration(ctx context.Context, lastWrite *time.Time) error {
+	delay := time.Duration(rand.Float64() * float64(d.rewriteSpread))
+	if err := sleeper.Sleep(ctx, delay); err != nil {
+		return err
+	}
+	if d.writeOwnRegistration(ctx) {
+		*lastWrite = time.Now()
+	}
+	// The nodes behind a reader learn of the restore with their next read.
+	rest := d.rewriteSpread - delay + d.pollInterval + d.settleDelay
+	if d.ownRole().hasReader() {
+		rest += d.settleDelay
 	}
-	return nil
+	return sleeper.Sleep(ctx, rest)
 }
 
 // writeOwnRegistration writes this node's registration and reports whether it did.
--- a/state/distributor/restore_test.go
+++ b/state/distributor/restore_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // configDeadline is the time within which an acknowledged state has to be in force.
@@ -67,3 +68,76 @@
 		c.eventually(t, configDeadline, "at version 3", isAtVersion(3))
 	})
 }
+
+// emptyCopy returns the copy of a log in which no node has registered yet.
+func emptyCopy() faker.LogCopy {
+	var log faker.KeyedLog
+	log.Put(quetzalroad.LogStreamOperators, "config", publishedState(1))
+	log.Put(quetzalroad.LogStreamUpstreams, "a", registration(1, false))
+	return log.Copy()
+}
+
+func TestNodesRegisterAgainWithoutAHerdOnceTheLogLostTheirRegistrations(t *testing.T) {
+	const (
+		count = 195
+		// spread is the default of rewrite-spread, step the resolution of the check, and mostInStep the most
+		// writes in it, which is a quarter of all.
+		spread     = 2 * time.Second
+		step       = 100 * time.Millisecond
+		mostInStep = count / 4
+		// mostCalls bounds the calls of one node to the log in the ten seconds after the restore. A reader
+		// reads three streams, each at most every 600 ms.
+		mostCalls = 60
+	)
+	runInCluster(t, count, func(t *testing.T, c *cluster) {
+		c.log.Restore(emptyCopy())
+		var before int64
+		callsBefore := make([]int64, count)
+		for i, l := range c.logs {
+			before += l.writes.Load()
+			callsBefore[i] = l.calls.Load()
+		}
+		start, previous := time.Now(), before
+		for time.Since(start) < spread+5*time.Second {
+			time.Sleep(step)
+			var writes int64
+			for _, l := range c.logs {
+				writes += l.writes.Load()
+			}
+			if got := writes - previous; got > mostInStep {
+				t.Errorf("%d nodes wrote within %s", got, step)
+			}
+			previous = writes
+		}
+		if got := previous - before; got != count {
+			t.Errorf("%d writes after the restore, want one of each of %d nodes", got, count)
+		}
+		c.eventually(t, configDeadline, "aware of all nodes", func(n *kernel.Node) bool { return len(n.Fleet.Nodes()) == count })
+		records, _, err := c.log.ReadLatest(t.Context(), quetzalroad.LogStreamNodes)
+		if err != nil || len(records) != count {
+			t.Errorf("%d nodes in the log, want %d (%v)", len(records), count, err)
+		}
+		for i, l := range c.logs {
+			if got := l.calls.Load() - callsBefore[i]; got > mostCalls {
+				t.Errorf("node %d called the log %d times", i, got)
+			}
+		}
+	})
+}
+
+// Evidence that is only in the log's lost records would end with the nodes that hold it.
+func TestNodeThatStartsAfterARestoreKnowsTheQuarantine(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		lose(c.nodes[0], 5, "x")
+		time.Sleep(2 * time.Second)
+		c.log.Restore(emptyCopy())
+		time.Sleep(5 * time.Second)
+		n := c.startNode(t, 3)
+		for n.Ready() != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !hasQuarantine(n) {
+			t.Error("a node is ready that does not know the quarantine")
+		}
+	})
+}
