Apply a version that is given out again with other content after a restore

A state that was acknowledged and lost with the log's latest records is written again, perhaps with other content under the same version. Nodes that had the lost one in force took the new one for a repetition and kept routes that nobody else had. A version now has one content in each epoch; in a later epoch an equal version with other content is applied, an older one never.

--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -1,6 +1,8 @@
 package watcher
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/quetzalroad/quetzalroad"
 )
 
@@ -9,9 +11,12 @@
 type publishedNames struct {
 	services map[quetzalroad.ServiceName]bool
 	teams    map[quetzalroad.TeamName]bool
+	// epoch is the latest one in which the applied state was read, and digest the hash of its record.
+	epoch  quetzalroad.Epoch
+	digest uint64
 }
 
-// applyState applies a published state unless it is older than the current one.
+// applyState applies a published state unless it is older than the current one, or the same.
 func (w *Watcher) applyState(r quetzalroad.KeyedRecord, epoch quetzalroad.Epoch) {
 	state, ok, err := w.codec.DecodeState(r)
 	if err != nil {
@@ -21,12 +26,17 @@
 	if !ok {
 		return
 	}
-	if current := w.version.Load(); state.Version <= current {
-		if state.Version < current {
-			w.logger.Warn("ignoring older published state", "offset", int64(r.Offset), "epoch", uint64(epoch), "seen", state.Version, "version", current)
-		}
+	digest := xxhash.Sum64(r.Value)
+	switch current := w.version.Load(); {
+	case state.Version < current:
+		w.logger.Warn("ignoring older published state", "offset", int64(r.Offset), "epoch", uint64(epoch), "seen", state.Version, "version", current)
+		return
+	case state.Version == current && (epoch <= w.published.epoch || digest == w.published.digest):
+		w.published.epoch = max(epoch, w.published.epoch)
 		return
 	}
+	// A version that was lost with the log's latest records may be given out again with other content.
+	w.published.epoch, w.published.digest = epoch, digest
 	w.replaceServices(state.Services)
 	w.replaceTeams(state.Teams)
 	w.routes.limits.Store(&state.Limits)
--- a/state/watcher/restore_test.go
+++ b/state/watcher/restore_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
 // restoreTimeout is the time within which a node has to follow a log that was restored.
@@ -51,3 +52,46 @@
 		}
 	})
 }
+
+// restoreWith restores the log from a copy, during an outage of two seconds, and writes to it before it is back.
+func (x *fixture) restoreWith(c faker.LogCopy, write func()) {
+	x.SetUnavailable(true)
+	time.Sleep(2 * time.Second)
+	x.Restore(c)
+	write()
+	x.SetUnavailable(false)
+	time.Sleep(restoreTimeout)
+}
+
+func TestVersionInForceOutlivesARestore(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.publish(publishedState(3))
+		time.Sleep(time.Second)
+		x.restoreWith(older, func() { x.publish(publishedState(2)) })
+		if got := x.routedService(t, "/v/x"); got != "service-3" {
+			t.Errorf("routed to %q after an older version was restored, want service-3", got)
+		}
+	})
+}
+
+// What was published in the lost seconds is published again, perhaps with other content.
+func TestVersionGivenOutAgainWithOtherContentIsApplied(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.publish(publishedState(3))
+		time.Sleep(time.Second)
+		another := publishedState(3)
+		another.Routes = publishedState(4).Routes
+		x.restoreWith(older, func() { x.publish(another) })
+		if got := x.routedService(t, "/v/x"); got != "service-4" {
+			t.Errorf("routed to %q, want service-4 as published after the restore", got)
+		}
+		// In one epoch a version has one content.
+		x.publish(publishedState(3))
+		time.Sleep(time.Second)
+		if got := x.routedService(t, "/v/x"); got != "service-4" {
+			t.Errorf("routed to %q after the same version came again, want service-4", got)
+		}
+	})
+}
