Keep upstreams that left out of the directory after a restore of the log

The copy from which the log is restored still holds the registrations of upstreams that left meanwhile. A node whose last sequence number was lower than the copy's, as readers leave out repeated registrations, listed them again and sent them work. The other way round, an upstream whose registration was lost and that registered again after the grace period, with the sequence number it had, was never listed again, nor kept if its registrations came in any order.

A registration that may come from the copy now brings back no upstream that had been removed; one that was written after it does. What a registration's start and sequence number said before still goes before the copy.

--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -19,6 +19,10 @@
 	draining bool
 	// inDirectory reports whether the upstream is listed in the directory.
 	inDirectory bool
+	// removedIn is the epoch in which the upstream was last removed from the directory.
+	removedIn quetzalroad.Epoch
+	// expired is set if it was removed because its registration was not written again after an outage.
+	expired bool
 	// missingSince is when the registration was found missing after a log
 	// outage; zero if it is present or the upstream was removed.
 	missingSince boottimer.Instant
@@ -30,6 +34,8 @@
 	// byKey also keeps the keys of removed upstreams, so that a late record of
 	// one is recognised as old.
 	byKey map[string]*registration
+	// epoch is the one in which registrations were last read.
+	epoch quetzalroad.Epoch
 	// lastOutage is the last time the log was unavailable or just recovered.
 	lastOutage boottimer.Instant
 	// loaded reports whether all registrations have been read once.
@@ -44,6 +50,7 @@
 // applyRegistrations applies the records of one read.
 func (w *Watcher) applyRegistrations(b batch) {
 	registrations := &w.registrations
+	registrations.epoch = b.epoch
 	if registrations.byKey == nil {
 		registrations.byKey = make(map[string]*registration)
 	}
@@ -54,7 +61,7 @@
 			w.handleMissing(r.Key, int64(r.Offset))
 			continue
 		}
-		w.applyRegistration(r)
+		w.applyRegistration(r, r.Offset < b.inheritedEnd)
 	}
 	if !b.complete {
 		return
@@ -67,9 +74,9 @@
 	registrations.loaded.Store(true)
 }
 
-// applyRegistration applies a registration unless it is older than the known one of its key, or
-// repeats the last one of an upstream that was removed.
-func (w *Watcher) applyRegistration(r quetzalroad.KeyedRecord) {
+// applyRegistration applies a registration unless it says nothing new. inherited reports whether it may
+// come from the copy with which the epoch began.
+func (w *Watcher) applyRegistration(r quetzalroad.KeyedRecord, inherited bool) {
 	decoded, err := w.codec.DecodeRegistration(r)
 	if err != nil {
 		w.logger.Warn("ignoring undecodable upstream registration", "key", r.Key, "offset", int64(r.Offset), "error", err)
@@ -80,23 +87,51 @@
 		known = new(registration)
 		w.registrations.byKey[r.Key] = known
 	}
-	if decoded.StartedAt.Before(known.startedAt) || (decoded.StartedAt.Equal(known.startedAt) && known.name != "" && decoded.Sequence < known.sequence) {
+	name := incarnationName(r.Key, decoded.StartedAt)
+	if known.name == name {
+		// It isn't missing, though it may be an older one.
+		known.missingSince = boottimer.Instant{}
+	}
+	if known.isNewerThan(decoded) {
 		w.logger.Info("ignoring older upstream registration", "upstream", string(known.name), "offset", int64(r.Offset), "sequence", decoded.Sequence, "known", known.sequence)
 		return
 	}
-	name := incarnationName(r.Key, decoded.StartedAt)
-	if known.name != name {
+	switch {
+	case known.name != name:
 		w.removeUpstream(known, "reborn")
 		*known = registration{name: name}
-	} else if !known.inDirectory && decoded.Sequence == known.sequence {
+	case !known.inDirectory && !w.revives(known, decoded, inherited):
+		known.sequence = decoded.Sequence
 		return
 	}
 	known.startedAt, known.sequence = decoded.StartedAt, decoded.Sequence
-	known.missingSince = boottimer.Instant{}
 	known.draining = known.draining || decoded.Upstream.Draining
 	w.putUpstream(known, decoded.Upstream, int64(r.Offset))
 }
 
+// isNewerThan reports whether a later registration than the decoded one was applied.
+func (r *registration) isNewerThan(decoded quetzalroad.UpstreamRegistration) bool {
+	switch {
+	case decoded.StartedAt.Before(r.startedAt):
+		return true
+	case decoded.StartedAt.Equal(r.startedAt):
+		return r.name != "" && decoded.Sequence < r.sequence
+	}
+	return false
+}
+
+// revives reports whether a registration shows that a removed upstream is still in use. One that was
+// restored with a copy of the log does not.
+func (w *Watcher) revives(known *registration, decoded quetzalroad.UpstreamRegistration, inherited bool) bool {
+	switch {
+	case w.registrations.epoch != known.removedIn:
+		return !inherited
+	case known.expired:
+		return true
+	}
+	return decoded.Sequence > known.sequence
+}
+
 // incarnationName returns a name that is unique to one incarnation of an upstream,
 // so that nothing known about an earlier one is applied to a later one.
 func incarnationName(key string, startedAt time.Time) quetzalroad.UpstreamName {
@@ -137,6 +172,7 @@
 		}
 		return
 	}
+	known.expired = false
 	w.removeUpstream(known, "registration deleted")
 }
 
@@ -145,6 +181,7 @@
 		return
 	}
 	known.inDirectory = false
+	known.removedIn = w.registrations.epoch
 	known.missingSince = boottimer.Instant{}
 	w.store.Put(quetzalroad.ObjectUpstream, string(known.name), quetzalroad.Object{})
 	w.logger.Info("upstream gone", "upstream", string(known.name), "reason", reason, "sequence", known.sequence)
@@ -162,6 +199,7 @@
 		case rest > 0:
 			return rest
 		default:
+			known.expired = true
 			w.removeUpstream(known, "not written again")
 		}
 	}
--- a/state/watcher/restore_test.go
+++ b/state/watcher/restore_test.go
@@ -95,3 +95,95 @@
 		}
 	})
 }
+
+func TestUpstreamThatLeftDoesNotReturnWithARestore(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		// The copy holds a later sequence number than the node has read.
+		before := x.Copy()
+		x.Put(quetzalroad.LogStreamUpstreams, "a", registration(5, false))
+		older := x.Copy()
+		x.Restore(before)
+		time.Sleep(5 * time.Second)
+		x.Put(quetzalroad.LogStreamUpstreams, "a", nil)
+		time.Sleep(5 * time.Second)
+		if got := x.drainStates(); len(got) != 0 {
+			t.Fatalf("upstreams %v after the only one left", got)
+		}
+		x.restoreWith(older, func() {})
+		if _, listed := x.drainStates()[incarnation("a")]; listed {
+			t.Error("an upstream that left is listed after a restore")
+		}
+		x.Put(quetzalroad.LogStreamUpstreams, "a", registration(5, false))
+		time.Sleep(restoreTimeout)
+		if _, listed := x.drainStates()[incarnation("a")]; !listed {
+			t.Error("an upstream that registered after the restore is not listed")
+		}
+	})
+}
+
+func TestDrainAnnouncedInLostRecordsHolds(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.Put(quetzalroad.LogStreamUpstreams, "a", registration(2, true))
+		time.Sleep(5 * time.Second)
+		x.restoreWith(older, func() { x.Put(quetzalroad.LogStreamUpstreams, "a", registration(1, false)) })
+		want := map[quetzalroad.UpstreamName]bool{incarnation("a"): true}
+		if diff := cmp.Diff(want, x.drainStates()); diff != "" {
+			t.Errorf("upstreams (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestUpstreamWhoseRegistrationWasLostIsKeptUntilItRegistersAgain(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		time.Sleep(5 * time.Second)
+		x.Restore(older)
+		for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+			if _, listed := x.drainStates()[incarnation("b")]; !listed {
+				t.Fatalf("removed %s after the restore", time.Since(start))
+			}
+		}
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		time.Sleep(10 * time.Second)
+		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+			t.Error("not listed although it registered again")
+		}
+	})
+}
+
+func TestUpstreamThatRegistersAgainLateIsListedAgain(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		time.Sleep(5 * time.Second)
+		x.Restore(older)
+		time.Sleep(10 * time.Second)
+		if _, listed := x.drainStates()[incarnation("b")]; listed {
+			t.Fatal("listed ten seconds after its registration was lost")
+		}
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		time.Sleep(restoreTimeout)
+		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+			t.Error("not listed although it registered again")
+		}
+	})
+}
+
+// An older registration shows that the upstream's key is in use.
+func TestUpstreamThatRegistersAgainInAnyOrderIsKept(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		older := x.Copy()
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(2, false))
+		time.Sleep(5 * time.Second)
+		x.Restore(older)
+		time.Sleep(1500 * time.Millisecond)
+		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
+		time.Sleep(10 * time.Second)
+		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+			t.Error("removed although it registered again")
+		}
+	})
+}
