Count revisions of upstreams on each node instead of deriving them from offsets

The pools of engines and the views of a service are cached by the revisions of the upstreams and by the applied offset. Both came from offsets of the log, which are given out again after a restore: another registration of the same upstream at the same offset, or another state, left the caches as they were. The watcher now counts its own changes; no other node sees these numbers. The test failed before.

--- a/interfaces.go
+++ b/interfaces.go
@@ -25,7 +25,8 @@
 	Profiles() []Profile
 	Services() []Service
 	Upstreams() []Upstream
-	// AppliedOffset is the offset of the last applied record.
+	// AppliedOffset is the offset of the last applied record; with a log whose offsets may be given out
+	// again, a number that grows with each applied state.
 	AppliedOffset() Offset
 }
 
--- a/names.go
+++ b/names.go
@@ -40,7 +40,8 @@
 const NoOffset Offset = -1
 
 // Revision identifies one accepted version of a published object. It is derived from the offset
-// of the record that created it. Zero means that the object does not exist.
+// of the record that created it, or counted by each node if the log may give offsets out again. Zero
+// means that the object does not exist.
 type Revision int64
 
 // RevisionAt returns the revision created by the record at offset o. Offsets start at 0, so
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -43,7 +43,7 @@
 	w.routes.requiresKey.Store(len(state.Teams) > 0)
 	w.routes.ranks.Store(newTierRanks(state))
 	w.routes.replace(state.Routes)
-	w.store.SetAppliedOffset(r.Offset)
+	w.store.SetAppliedOffset(quetzalroad.Offset(w.changes.Add(1)))
 	w.version.Store(state.Version)
 	w.logger.Info("state in force", "version", state.Version, "epoch", uint64(epoch), "offset", int64(r.Offset),
 		"routes", len(state.Routes), "services", len(state.Services), "teams", len(state.Teams))
--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -150,7 +150,7 @@
 	if existed && previous == u {
 		return
 	}
-	u.Revision = quetzalroad.RevisionAt(quetzalroad.Offset(offset))
+	u.Revision = quetzalroad.Revision(w.changes.Add(1))
 	w.store.Put(quetzalroad.ObjectUpstream, string(known.name), quetzalroad.Object{Upstream: &u})
 	known.inDirectory = true
 	w.logger.Info("upstream changed", "upstream", string(u.Name), "service", string(u.Service), "address", u.Address.String(),
--- a/state/watcher/restore_test.go
+++ b/state/watcher/restore_test.go
@@ -187,3 +187,34 @@
 		}
 	})
 }
+
+// Views of the directory are cached by revision and by applied offset.
+func TestRevisionsAreNotGivenOutAgain(t *testing.T) {
+	runWithWatcher(t, func(t *testing.T, x *fixture) {
+		type seen struct {
+			revision quetzalroad.Revision
+			applied  quetzalroad.Offset
+		}
+		look := func() seen {
+			u, _ := x.node.Directory.Upstream(incarnation("a"))
+			return seen{revision: u.Revision, applied: x.node.Directory.AppliedOffset()}
+		}
+		older := x.Copy()
+		larger := registration(2, false)
+		larger.Upstream.MaxConcurrency = 9
+		x.Put(quetzalroad.LogStreamUpstreams, "a", larger)
+		x.publish(publishedState(2))
+		time.Sleep(5 * time.Second)
+		before := look()
+		smaller := registration(3, false)
+		smaller.Upstream.MaxConcurrency = 1
+		x.restoreWith(older, func() {
+			x.Put(quetzalroad.LogStreamUpstreams, "a", smaller)
+			x.publish(publishedState(3))
+		})
+		after := look()
+		if before.revision == after.revision || before.applied == after.applied {
+			t.Errorf("%+v before and %+v after other records under the same offsets", before, after)
+		}
+	})
+}
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -52,6 +52,9 @@
 	registrations registrationTable
 	// version is the applied version of the published state; zero before the first.
 	version atomic.Int64
+	// changes counts the changes of the store, in the order in which this node applied them. Offsets would
+	// not do as revisions, as a restored log gives them out again.
+	changes atomic.Int64
 	// confirmed is when the log last confirmed the local view of the state.
 	confirmed confirmation
 }
