Ignore nodes' registrations with impossible ports or times far ahead

A registration that another writer had left with port 0 was taken for a reader; one written far ahead of now never expired. One record of the list of nodes that can't be read ended quetzalctl quarantine list and lift.

--- a/cmd/quetzalctl/quarantinemanager/quarantinemanager.go
+++ b/cmd/quetzalctl/quarantinemanager/quarantinemanager.go
@@ -122,9 +122,9 @@
 	return nil
 }
 
-// readEvidence returns the evidence of all nodes.
-func readEvidence(ctx context.Context, l log) ([]quetzalroad.LossEvidence, error) {
-	records, _, err := l.ReadLatest(ctx, quetzalroad.LogStreamNodes)
+// readEvidence returns the evidence of all nodes. It reports records that can't be read and leaves them out.
+func readEvidence(ctx context.Context, o *options) ([]quetzalroad.LossEvidence, error) {
+	records, _, err := o.log.ReadLatest(ctx, quetzalroad.LogStreamNodes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the list of nodes")
 	}
@@ -132,7 +132,10 @@
 	for _, r := range records {
 		registration, err := nodemapper.DecodeRegistration(r)
 		if err != nil {
-			return nil, errors.Wrapf(err, "record %q of the list of nodes", r.Key)
+			if _, err := fmt.Fprintf(o.streams.ErrOut, "ignoring record %q of the list of nodes: %v\n", r.Key, err); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if registration.Evidence != nil {
 			all = append(all, *registration.Evidence)
@@ -151,7 +154,7 @@
 }
 
 func runList(ctx context.Context, o *options) error {
-	all, err := readEvidence(ctx, o.log)
+	all, err := readEvidence(ctx, o)
 	if err != nil {
 		return err
 	}
@@ -170,7 +173,7 @@
 }
 
 func runLift(ctx context.Context, o *options) error {
-	all, err := readEvidence(ctx, o.log)
+	all, err := readEvidence(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/cmd/quetzalctl/quarantinemanager/quarantinemanager_test.go
+++ b/cmd/quetzalctl/quarantinemanager/quarantinemanager_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,6 +65,21 @@
 	}
 }
 
+func TestListSaysWhichRecordsItCantRead(t *testing.T) {
+	log := new(faker.KeyedLog)
+	if _, err := log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "odd", []byte("[")); err != nil {
+		t.Fatal(err)
+	}
+	writeEvidence(t, log, "n1", 4, "deadly")
+	o, out := newOptions(log, "")
+	if err := runList(t.Context(), o); err != nil {
+		t.Fatal(err)
+	}
+	if got := out.String(); !strings.Contains(got, `record "odd"`) || !strings.Contains(got, "deadly\t4\t4\tfalse\ttrue\n") {
+		t.Errorf("output %q", got)
+	}
+}
+
 func TestLiftDisprovesTheLosses(t *testing.T) {
 	log := new(faker.KeyedLog)
 	writeEvidence(t, log, "n1", 4, "deadly")
--- a/codecs/nodemapper/nodemapper_test.go
+++ b/codecs/nodemapper/nodemapper_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 func TestIncompleteRegistrationIsRejected(t *testing.T) {
 	for _, value := range []string{
 		``, `[]`, `{}`, `{"data-centre": "x", "address": "10.1.0.1"}`, `{"address": "10.1.0.1:1"}`, `{"data-centre": "x", "address": "10.1.0.1:1", "capacity": -1}`,
+		`{"data-centre": "x", "address": "10.1.0.1:0"}`, `{"data-centre": "x", "address": "10.1.0.1:65536"}`, `{"data-centre": "x", "address": "10.1.0.1:1", "capacity": 1e400}`,
+		`{"data-centre": "x", "address": "10.1.0.1:1", "extra": ` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + `}`,
 	} {
 		if registration, err := DecodeRegistration(quetzalroad.KeyedRecord{Key: "n", Value: []byte(value)}); err == nil {
 			t.Errorf("%s was decoded as %+v", value, registration)
--- a/codecs/nodemapper/registration.go
+++ b/codecs/nodemapper/registration.go
@@ -47,6 +47,9 @@
 	if r.Key == "" || j.DataCentre == "" || !j.Address.IsValid() || j.ReadCapacity < 0 {
 		return quetzalroad.NodeRegistration{}, errors.New("node registration: name, data-centre or address is missing, or capacity is negative")
 	}
+	if j.Address.Port() == 0 && !j.Address.Addr().IsUnspecified() {
+		return quetzalroad.NodeRegistration{}, errors.Newf("node registration: no node can listen at %s", j.Address)
+	}
 	registration := quetzalroad.NodeRegistration{
 		Name: quetzalroad.NodeName(r.Key), DataCentre: quetzalroad.DataCentre(j.DataCentre),
 		Address: j.Address, ReadCapacity: j.ReadCapacity, WrittenAt: j.WrittenAt,
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/nodemapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/proofs/faker"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
@@ -452,3 +454,25 @@
 		}
 	})
 }
+
+// A registration with a time far ahead would never expire, and its node would be taken for a reader for good.
+func TestRegistrationWrittenFarAheadIsIgnored(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		value, err := nodemapper.EncodeRegistration(quetzalroad.NodeRegistration{DataCentre: "west-1", Address: nodeAddress(9), WrittenAt: time.Now().Add(1000 * time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "odd", value); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "nested", []byte(strings.Repeat("[", 200_000))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		for i, n := range c.nodes {
+			if got := len(n.Fleet.Nodes()); got != 3 {
+				t.Errorf("node %d knows %d nodes, want 3", i, got)
+			}
+		}
+	})
+}
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -53,7 +53,7 @@
 const registeredEvidenceLifetime = 10 * time.Minute
 
 func (d *Distributor) mergeRegisteredEvidence(r quetzalroad.NodeRegistration) {
-	if time.Since(r.WrittenAt) < registeredEvidenceLifetime {
+	if writtenWithin(r, registeredEvidenceLifetime) {
 		d.mergeEvidence(r.Evidence)
 	}
 }
--- a/state/distributor/membership.go
+++ b/state/distributor/membership.go
@@ -123,6 +123,12 @@
 	return registrations
 }
 
+// writtenWithin reports whether a registration was written within a duration before now, or after now, as
+// the clocks of VMs differ. One that was written long after now by its own account would never expire.
+func writtenWithin(r quetzalroad.NodeRegistration, d time.Duration) bool {
+	return time.Since(r.WrittenAt).Abs() < d
+}
+
 // refreshMembers reads the registrations of the other nodes of the data centre, through a reader if
 // there is one. If the read fails, the known ones are kept.
 func (d *Distributor) refreshMembers(ctx context.Context) {
@@ -138,7 +144,7 @@
 	nodes := []quetzalroad.NodeName{d.self.Name}
 	for _, registration := range d.decodeRegistrations(records) {
 		d.mergeRegisteredEvidence(registration)
-		if registration.Name == d.self.Name || !registration.IsNode() || time.Since(registration.WrittenAt) >= d.registrationTTL {
+		if registration.Name == d.self.Name || !registration.IsNode() || !writtenWithin(registration, d.registrationTTL) {
 			continue
 		}
 		nodes = append(nodes, registration.Name)
