--- a/codecs/chatmapper/response.go
+++ b/codecs/chatmapper/response.go
@@ -65,6 +65,9 @@
 // DecodeChunk decodes one chunk of an engine's streamed response. It reads only
 // the few fields that the router uses, because it runs for every token.
 func DecodeChunk(data []byte) (quetzalroad.ChatEvent, error) {
+	if isNestedDeeperThan(data, maxChunkDepth) {
+		return quetzalroad.ChatEvent{}, errors.Newf("chunk nested deeper than %d levels", maxChunkDepth)
+	}
 	if !gjson.ValidBytes(data) {
 		return quetzalroad.ChatEvent{}, errors.New("malformed chunk")
 	}
@@ -88,6 +91,32 @@
 	return e, nil
 }
 
+// maxChunkDepth limits the nesting of a chunk. Its validation is recursive, and a stack that grows too
+// large ends the process.
+const maxChunkDepth = 128
+
+// isNestedDeeperThan reports whether objects and arrays of a JSON text are nested deeper than a limit.
+func isNestedDeeperThan(data []byte, limit int) bool {
+	depth, inString := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		}
+		if depth > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // ChunkRewriter adapts chunks for a caller: it sets the response id, removes the
 // usage unless the caller requested it, and adds the tokens generated before a
 // resumption to it.
