Return to an upstream that refused a request on a new connection only

A refusal names its request, so that one that comes once more on a kept connection is not taken for the response to the next request. It was if the next request was the same one: with few upstreams left, a retry goes to one that refused before, over the same connection, and its 'not run' was believed while the upstream ran the request. The caller was told so, or a second upstream ran it too. A retry to such an upstream now opens a connection.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -194,7 +195,7 @@
 func (r *forwardRun) exchange(ctx context.Context, u quetzalroad.Upstream, start time.Time) error {
 	d := r.dispatcher
 	a := &quetzalroad.Attempt{
-		Upstream: u, Request: r.request, ResumeAfter: r.lastEventID,
+		Upstream: u, Request: r.request, ResumeAfter: r.lastEventID, NewConnection: slices.Contains(r.history.failedUpstreams, u.Name),
 		BeforeSend: func() error { return r.checkBeforeSend(u) },
 	}
 	response, err := d.node.ForwardClient.Send(ctx, a)
--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,6 +170,26 @@
 	})
 }
 
+func TestForwardReturnsToAnUpstreamThatRefusedOnANewConnection(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		for _, id := range testUpstreams[1:] {
+			x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, id, nil)
+		}
+		time.Sleep(5 * time.Second)
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			return nil, notRunError(a)
+		}
+		x.forward(t.Context(), newForwardRequest("once"))
+		var got []bool
+		for _, a := range x.Sent() {
+			got = append(got, a.NewConnection)
+		}
+		if len(got) < 2 || got[0] || slices.Contains(got[1:], false) {
+			t.Errorf("attempts on new connections: %v, want all but the first", got)
+		}
+	})
+}
+
 func TestForwardDoesNotRelayNotRunStatusWithoutConfirmation(t *testing.T) {
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		runForwardTest(t, func(t *testing.T, x *forwardFixture) {
--- a/forward.go
+++ b/forward.go
@@ -56,6 +56,9 @@
 	// Timeout is the time the upstream has left. The client sets it immediately
 	// before sending.
 	Timeout time.Duration
+	// NewConnection is set if the upstream has refused the request before. On a connection that was in use
+	// then, the refusal may arrive once more and would be taken for the response.
+	NewConnection bool
 	// ReadTimeout bounds the wait for the response head and between two chunks of
 	// the body; zero for no bound.
 	ReadTimeout time.Duration
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -88,13 +88,9 @@
 	return x, nil
 }
 
-// acquireConn returns an idle connection or opens a new one.
+// acquireConn returns an idle connection, unless the attempt needs a new one, or opens one.
 func (c *Client) acquireConn(ctx context.Context, a *quetzalroad.Attempt) (*persistConn, error) {
-	idleTimeout := c.idleTimeout
-	if !a.Request.Idempotent {
-		idleTimeout = min(idleTimeout, c.nonIdempotentIdleTimeout)
-	}
-	if pc := c.shard(a.Upstream.Name).get(a.Upstream.Name, idleTimeout); pc != nil {
+	if pc := c.idleConn(a); pc != nil {
 		return pc, nil
 	}
 	netConn, err := c.dial(ctx, a.Upstream)
@@ -104,6 +100,18 @@
 	return newPersistConn(netConn), nil
 }
 
+// idleConn returns an idle connection that the attempt may use; nil if there is none.
+func (c *Client) idleConn(a *quetzalroad.Attempt) *persistConn {
+	if a.NewConnection {
+		return nil
+	}
+	idleTimeout := c.idleTimeout
+	if !a.Request.Idempotent {
+		idleTimeout = min(idleTimeout, c.nonIdempotentIdleTimeout)
+	}
+	return c.shard(a.Upstream.Name).get(a.Upstream.Name, idleTimeout)
+}
+
 func (c *Client) dial(ctx context.Context, u quetzalroad.Upstream) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: c.dialTimeout,
