Believe a refusal on a reused connection only if it names its request

On the product's own chat and services a response names no request, and a refusal that an upstream sent once more on a kept connection was taken for that to the next request: the caller was told 'not run' while the upstream ran it. Upstreams may repeat X-Request-Id, as the emulated engine now does. A refusal that doesn't, on a connection that carried a request before, leaves the outcome unknown. Requests that may run once only have had a connection of their own. The test fails with every response taken for the request's own.

--- a/cmd/quetzalemu/engineserver/server.go
+++ b/cmd/quetzalemu/engineserver/server.go
@@ -76,6 +76,7 @@
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/upstreams/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -77,7 +77,7 @@
 	}
 	if exchange.Response.StatusCode != http.StatusOK {
 		defer exchange.Close()
-		return nil, statusError(u.Name, exchange.Response)
+		return nil, statusError(u.Name, exchange)
 	}
 	return newStream(c, u.Name, exchange), nil
 }
@@ -94,7 +94,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("Priority", strconv.Itoa(int(chat.Profile.Tier)))
-	request.Header.Set("X-Request-Id", string(chat.ID))
+	request.Header.Set(httpclient.RequestIDHeader, string(chat.ID))
 	if d := chat.Deadline(); !d.IsZero() {
 		request.Header.Set("Quetzalroad-Deadline", d.UTC().Format(time.RFC3339Nano))
 	}
@@ -110,16 +110,17 @@
 }
 
 // statusError returns the error for a response whose status is not 200.
-func statusError(u quetzalroad.UpstreamName, response *http.Response) *quetzalroad.AttemptError {
+func statusError(u quetzalroad.UpstreamName, e *httpclient.Exchange) *quetzalroad.AttemptError {
+	response := e.Response
 	// A body that can't be read completely still explains part of the error.
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	failure := &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %s", response.Status)}
 	switch {
-	case httpclient.ReportsNotRun(response):
+	case e.ReportsNotRun():
 		failure.NotRun = true
 		failure.RetryReason = quetzalroad.RetryNotRun
 	case response.StatusCode >= 400 && response.StatusCode < 500 && response.StatusCode != http.StatusTooManyRequests && response.StatusCode != http.StatusRequestTimeout:
-		failure.NotRun = true
+		failure.NotRun = e.IsOwnResponse()
 		failure.Cause = &quetzalroad.RejectedError{Status: response.StatusCode, Body: body}
 	}
 	return failure
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -89,6 +89,10 @@
 	return request, nil
 }
 
+// RequestIDHeader names a request. An upstream that repeats it in its response shows which request it
+// responds to. Some set an id of their own instead, so that another id shows nothing.
+const RequestIDHeader = "X-Request-Id"
+
 // Exchange is one request and its response.
 type Exchange struct {
 	// Response is nil until the response head has arrived.
@@ -98,15 +102,22 @@
 	readTimer   *time.Timer
 	// written is set once any byte of the request may have been written.
 	written atomic.Bool
+	// reused is set if the connection had carried another request before.
+	reused atomic.Bool
+	// requestID is the request's RequestIDHeader.
+	requestID string
 }
 
 // Do sends a request on a new connection if unpooled is set, else on a pooled
 // one. The exchange is never nil; the caller must close it if err is nil.
 func (c *Client) Do(ctx context.Context, request *http.Request, unpooled bool) (*Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	e := &Exchange{cancel: cancel, readTimeout: c.ReadTimeout}
+	e := &Exchange{cancel: cancel, readTimeout: c.ReadTimeout, requestID: request.Header.Get(RequestIDHeader)}
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { e.written.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			e.written.Store(true)
+			e.reused.Store(info.Reused)
+		},
 	}
 	if c.ReadTimeout > 0 {
 		e.readTimer = time.AfterFunc(c.ReadTimeout, func() { cancel(ErrReadTimeout) })
@@ -196,9 +207,16 @@
 // the outcome of a request.
 const OutcomeHeader = "Quetzalroad-Outcome"
 
-// ReportsNotRun reports whether an upstream refused a request with status 429 or
-// 503 and stated that it did not run it.
-func ReportsNotRun(r *http.Response) bool {
+// ReportsNotRun reports whether the upstream refused the request with status 429 or 503 and stated that it
+// did not run it.
+func (e *Exchange) ReportsNotRun() bool {
+	r := e.Response
 	refused := r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests
-	return refused && r.Header.Get(OutcomeHeader) == string(quetzalroad.OutcomeNotRun)
+	return refused && r.Header.Get(OutcomeHeader) == string(quetzalroad.OutcomeNotRun) && e.IsOwnResponse()
+}
+
+// IsOwnResponse reports whether the response is certainly that to the request: it names the request, or is
+// the first one on its connection.
+func (e *Exchange) IsOwnResponse() bool {
+	return !e.reused.Load() || e.Response.Header.Get(RequestIDHeader) == e.requestID
 }
--- /dev/null
+++ b/upstreams/httpclient/refusal_test.go
@@ -0,0 +1,115 @@
+package httpclient
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// startRepeatingUpstream refuses the first request of each connection, and sends the refusal once more
+// in place of the response to the second. It names requests if echo is set.
+func startRepeatingUpstream(t *testing.T, echo bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go repeatRefusal(c, echo)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+func repeatRefusal(c net.Conn, echo bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	refusal := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if refusal == "" {
+			refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + OutcomeHeader + ": not-run\r\n"
+			if echo {
+				refusal += RequestIDHeader + ": " + request.Header.Get(RequestIDHeader) + "\r\n"
+			}
+			refusal += "\r\n"
+		}
+		// The test checks what the client makes of it.
+		_, _ = io.WriteString(c, refusal)
+	}
+}
+
+func TestRefusalSentOnceMoreIsNotBelieved(t *testing.T) {
+	for name, echo := range map[string]bool{"names its request": true, "names no request": false} {
+		t.Run(name, func(t *testing.T) {
+			url := startRepeatingUpstream(t, echo)
+			c := new(Client)
+			c.Open()
+			defer c.Close()
+			send := func(id string) (notRun bool) {
+				request, err := NewRequest(http.MethodPost, url, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				request.Header.Set(RequestIDHeader, id)
+				e, err := c.Do(t.Context(), request, false)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer e.Close()
+				if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
+					t.Fatal(err)
+				}
+				return e.ReportsNotRun()
+			}
+			if !send("1") {
+				t.Fatal("the refusal on a new connection was not believed")
+			}
+			if send("2") {
+				t.Error("the refusal of an earlier request was believed")
+			}
+		})
+	}
+}
+
+func TestRefusalThatNamesItsRequestIsBelievedOnAReusedConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+		w.Header().Set(OutcomeHeader, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	c := new(Client)
+	c.Open()
+	defer c.Close()
+	for _, id := range []string{"1", "2"} {
+		request, err := NewRequest(http.MethodPost, server.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(RequestIDHeader, id)
+		e, err := c.Do(t.Context(), request, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !e.ReportsNotRun() {
+			t.Errorf("the refusal of request %s was not believed", id)
+		}
+		if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
+			t.Fatal(err)
+		}
+		e.Close()
+	}
+}
--- a/upstreams/serviceconnector/connector.go
+++ b/upstreams/serviceconnector/connector.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	request.Header = ForwardableHeader(serviceRequest.Header)
-	request.Header.Set("X-Request-Id", string(serviceRequest.ID))
+	request.Header.Set(httpclient.RequestIDHeader, string(serviceRequest.ID))
 	if request.Header.Get("User-Agent") == "" {
 		request.Header["User-Agent"] = nil
 	}
@@ -114,7 +114,7 @@
 
 func (c *Connector) readResponse(u quetzalroad.UpstreamName, serviceRequest *quetzalroad.ServiceRequest, e *httpclient.Exchange) (*quetzalroad.ServiceResponse, error) {
 	response := e.Response
-	if httpclient.ReportsNotRun(response) {
+	if e.ReportsNotRun() {
 		return nil, &quetzalroad.AttemptError{Upstream: u, NotRun: true, RetryReason: quetzalroad.RetryNotRun, Cause: errors.Newf("status %s", response.Status)}
 	}
 	if serviceRequest.Idempotent && (response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) {
