End a stream at an event without an id once events had ids

A stream had begun and broke off, and the next upstream sent its error as an event, or an upstream wrote an error's head into the middle of an unframed stream. Such a block ends with an empty line like an event and was passed on; the stream then ended as if it were complete. Events of a stream that has ids follow one another, so that a block without one is now malformed: the stream is resumed elsewhere or broken off. Comments still pass. An error status of the next upstream was refused before.

--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -275,6 +275,54 @@
 	})
 }
 
+func TestErrorOfTheNextUpstreamIsNotPartOfTheStream(t *testing.T) {
+	text := []quetzalroad.BodyChunk{{Data: []byte("data: overloaded\n\n")}}
+	for name, second := range map[string]faker.ScriptedResponse{
+		"error status":              {Status: http.StatusInternalServerError, Chunks: text},
+		"not run, unconfirmed":      {Status: http.StatusServiceUnavailable, Chunks: text},
+		"error status, as a stream": {Status: http.StatusNotFound, EventStream: true, Chunks: text},
+		"no stream":                 {Chunks: text},
+		"error as an event":         {EventStream: true, Chunks: text},
+		"head inside the stream":    {EventStream: true, Chunks: []quetzalroad.BodyChunk{{Data: []byte("HTTP/1.1 500 Internal Server Error\r\n\r\n")}}},
+		"error after an event":      {EventStream: true, Chunks: append(eventChunks(3, 3), text...)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+				x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+					if a.ResumeAfter == 0 {
+						return &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(1, 2), Interrupted: true}, nil
+					}
+					response := second
+					return &response, nil
+				}
+				sink, refusal := x.forward(t.Context(), newForwardRequest("stream"))
+				if refusal == nil || refusal.Outcome != quetzalroad.OutcomeUnknown {
+					t.Errorf("refusal %v, want an interrupted stream", refusal)
+				}
+				if body := string(sink.Body); body != "12" && body != "123" {
+					t.Errorf("body %q", body)
+				}
+			})
+		})
+	}
+}
+
+func TestErrorInTheMiddleOfAStreamIsNotPartOfIt(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			chunks := append(eventChunks(a.ResumeAfter+1, 2), quetzalroad.BodyChunk{Data: []byte(": open\n\n")}, quetzalroad.BodyChunk{Data: []byte("HTTP/1.1 500 Internal Server Error\r\n\r\n")})
+			if a.ResumeAfter > 0 {
+				chunks = eventChunks(a.ResumeAfter+1, 4)
+			}
+			return &faker.ScriptedResponse{EventStream: true, Chunks: chunks}, nil
+		}
+		sink, refusal := x.forward(t.Context(), newForwardRequest("stream"))
+		if refusal != nil || string(sink.Body) != "12: open\n\n34" {
+			t.Errorf("refusal %v, body %q", refusal, sink.Body)
+		}
+	})
+}
+
 func TestForwardRejectsStreamThatSkipsEvent(t *testing.T) {
 	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -118,18 +119,39 @@
 			r.dispatcher.node.LoadTracker.ObserveInterToken(u.Name, now, gap)
 		}
 		lastEventAt = now
-		if chunk.EventID > 0 {
-			if chunk.EventID <= r.lastEventID {
-				continue
-			}
-			if r.responseStarted && chunk.EventID != r.lastEventID+1 {
-				return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Newf("event %d received after event %d", chunk.EventID, r.lastEventID)}
-			}
-			r.lastEventID = chunk.EventID
+		if chunk.EventID > 0 && chunk.EventID <= r.lastEventID {
+			continue
+		}
+		if err := r.checkOrder(u, chunk); err != nil {
+			return err
 		}
+		r.lastEventID = max(r.lastEventID, chunk.EventID)
 		r.eventCount++
 		if err := r.write(head, chunk.Data); err != nil {
 			return err
 		}
 	}
 }
+
+// checkOrder returns an error if an event does not follow the last one that the caller received. In a
+// stream of events with ids, one without is not the stream's: it holds the text of an error, say.
+func (r *forwardRun) checkOrder(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
+	switch {
+	case event.EventID == 0 && (r.lastEventID == 0 || isComment(event.Data)):
+		return nil
+	case event.EventID == r.lastEventID+1 || (event.EventID > 0 && !r.responseStarted):
+		return nil
+	}
+	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Newf("event %d received after event %d", event.EventID, r.lastEventID)}
+}
+
+// isComment reports whether an event consists of comments, which upstreams send to keep connections open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
