Take a chunk without choices for the text of an error

An engine whose stream broke off after its head wrote an error into it that has no field 'error'. The chunk was passed on to the caller as part of the completion.

--- a/codecs/chatmapper/chatmapper_test.go
+++ b/codecs/chatmapper/chatmapper_test.go
@@ -129,3 +129,18 @@
 		}
 	}
 }
+
+// An engine that breaks off may write the text of an error into its stream.
+func TestTextOfAnErrorIsNoChunk(t *testing.T) {
+	for _, data := range []string{
+		`{"error": {"message": "overloaded"}}`, `{"error": "overloaded"}`, `{"message": "overloaded", "code": 503}`, `{"detail": [{"msg": "overloaded"}]}`, `{"choices": null}`,
+		`"overloaded"`, `HTTP/1.1 500 Internal Server Error`, `null`, ``,
+	} {
+		if e, err := DecodeChunk([]byte(data)); err == nil {
+			t.Errorf("%s was decoded as %+v", data, e)
+		}
+	}
+	if _, err := DecodeChunk([]byte(`{"choices": [], "usage": {"completion_tokens": 3}}`)); err != nil {
+		t.Errorf("the chunk with the usage: %v", err)
+	}
+}
--- a/codecs/chatmapper/response.go
+++ b/codecs/chatmapper/response.go
@@ -78,6 +78,9 @@
 	if engineError := root.Get("error"); engineError.Exists() && engineError.Type != gjson.Null {
 		return quetzalroad.ChatEvent{}, errors.Newf("the engine reports an error: %s", engineError.Raw)
 	}
+	if !root.Get("choices").IsArray() {
+		return quetzalroad.ChatEvent{}, errors.New("chunk without choices")
+	}
 	e := quetzalroad.ChatEvent{Chunk: data, CompletionTokens: int(root.Get("usage.completion_tokens").Int())}
 	for _, choice := range root.Get("choices").Array() {
 		delta := choice.Get("delta")
