Restore the emulated store from an older copy, and draw it in the soak

The emulated store states its epoch, can be restored from a copy of an age, and writes again what operators and servers had written. The soak draws such a restore with a random sequence of its own, so that the faults of known seeds stay as they were.

--- a/cmd/quetzalemu/storeserver/store.go
+++ b/cmd/quetzalemu/storeserver/store.go
@@ -54,6 +54,16 @@
 	topics  map[string]*topic
 	mode    Mode
 	changed chan struct{}
+	// history holds all appends, and restores counts the times that the store was restored from a copy.
+	history  []appended
+	restores int
+}
+
+// appended is an append with its time.
+type appended struct {
+	at    time.Time
+	topic string
+	record
 }
 
 func (s *Store) topicLocked(name string) *topic {
@@ -85,15 +95,23 @@
 func (s *Store) Append(topicName, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topicLocked(topicName)
+	s.appendLocked(topicName, record{key, value})
+	s.notifyLocked()
+}
+
+func (s *Store) appendLocked(topicName string, r record) {
+	s.history = append(s.history, appended{at: time.Now(), topic: topicName, record: r})
+	s.topicLocked(topicName).append(r)
+}
+
+func (t *topic) append(r record) {
 	offset := t.firstOffset + uint64(len(t.records))
-	t.records = append(t.records, record{key, value})
-	if value == "" {
-		delete(t.latest, key)
-	} else {
-		t.latest[key] = latestValue{value, offset}
+	t.records = append(t.records, r)
+	if r.value == "" {
+		delete(t.latest, r.key)
+		return
 	}
-	s.notifyLocked()
+	t.latest[r.key] = latestValue{r.value, offset}
 }
 
 // The topics of operators and servers, and the key of the config.
@@ -125,11 +143,15 @@
 	s.notifyLocked()
 }
 
+// epochHeader states in every response how often the store was restored, counted from one.
+const epochHeader = "Store-Era"
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	for {
 		s.mu.Lock()
 		mode := s.mode
+		w.Header().Set(epochHeader, strconv.Itoa(1+s.restores))
 		if s.changed == nil {
 			s.changed = make(chan struct{})
 		}
@@ -248,6 +270,7 @@
 		s.mu.Lock()
 		t := s.topicLocked(topicName)
 		firstOffset, endOffset := t.firstOffset, t.firstOffset+uint64(len(t.records))
+		w.Header().Set(epochHeader, strconv.Itoa(1+s.restores))
 		var records []record
 		if from >= firstOffset && from < endOffset {
 			records = append(records, t.records[from-firstOffset:]...)
@@ -258,7 +281,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		switch {
-		case from < firstOffset:
+		case from < firstOffset, from > endOffset:
 			writeJSON(w, http.StatusGone, map[string]any{"firstOffset": firstOffset})
 			return
 		case len(records) > 0 || timedOut:
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -70,6 +70,12 @@
 		i.Store.SetMode(storeserver.ModeAvailable)
 	case scheduler.StoreCompaction:
 		i.Store.TruncateAll()
+	case scheduler.StoreRestore:
+		i.recordDisruption(allNodes, f, now.Add(f.Duration))
+		i.Store.SetMode(storeserver.ModeUnavailable)
+		i.sleep(ctx, f.Duration)
+		i.Store.Restore(time.Duration(1+f.Target%maxCopyAge) * time.Second)
+		i.Store.SetMode(storeserver.ModeAvailable)
 	case scheduler.ServerLosesResponses, scheduler.ServerInterruptsStreams, scheduler.ServerRespondsTwice, scheduler.ServerFull:
 		i.recordDisruption(allNodes, f, now.Add(f.Duration))
 		server.SetFaults(serverFaults[f.Kind])
@@ -92,6 +98,9 @@
 	}
 }
 
+// maxCopyAge is the age in seconds of the oldest copy from which the store is restored.
+const maxCopyAge = 9
+
 // allNodes is the node index that stands for all nodes in RecordDisruption.
 const allNodes = -1
 
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	StoreBusy         Kind = "store-busy"
 	StoreUnresponsive Kind = "store-silent"
 	StoreCompaction   Kind = "store-forget"
+	StoreRestore      Kind = "store-restored"
 
 	ServerLosesResponses    Kind = "server-loses-answers"
 	ServerInterruptsStreams Kind = "server-cuts-streams"
@@ -51,7 +52,7 @@
 var plannedKinds = []Kind{NodeStop, ServerDrain, ConfigChange, KeyRotation, StoreCompaction}
 
 // Kinds lists all kinds of faults.
-var Kinds = append([]Kind{ServerSendsEndlessBytes}, drawnKinds...)
+var Kinds = append([]Kind{ServerSendsEndlessBytes, StoreRestore}, drawnKinds...)
 
 // drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
 // existing seeds depend.
@@ -122,27 +123,28 @@
 		}
 	}
 	if len(kinds) > len(plannedKinds) {
-		faults = append(faults, generateEndless(seed, period)...)
+		faults = append(faults, generateOneKind(ServerSendsEndlessBytes, ^seed, seed, period)...)
+		faults = append(faults, generateOneKind(StoreRestore, seed, ^seed, period)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
 
-// meanEndlessInterval is the mean time between two faults of kind ServerSendsEndlessBytes.
-const meanEndlessInterval = 8 * time.Second
+// meanSeparateInterval is the mean time between two faults of a kind that has a random sequence of its own.
+const meanSeparateInterval = 8 * time.Second
 
-// generateEndless returns the faults of kind ServerSendsEndlessBytes. They have a random sequence
-// of their own, so that the other faults of existing seeds stay the same.
-func generateEndless(seed uint64, period time.Duration) []Fault {
-	random := rand.New(rand.NewPCG(seed, ^seed))
+// generateOneKind returns the faults of a kind that was added later. It has a random sequence of its own,
+// so that the other faults of existing seeds stay the same.
+func generateOneKind(k Kind, stream, seed uint64, period time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var faults []Fault
 	for start := time.Second; ; {
-		start += time.Duration(random.ExpFloat64() * float64(meanEndlessInterval))
+		start += time.Duration(random.ExpFloat64() * float64(meanSeparateInterval))
 		if start >= period {
 			return faults
 		}
 		faults = append(faults, Fault{
-			Start: start, Kind: ServerSendsEndlessBytes, Target: random.IntN(targetCount),
+			Start: start, Kind: k, Target: random.IntN(targetCount),
 			Duration: minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration))),
 		})
 	}
