Let the nodes behind a reader wait for it after a restore of the log

Nodes that knew of the new epoch refused their reader's answers until the reader had read each stream again, and turned to the log: 68 of 195 nodes read it themselves in the seconds after a restore. They now ask their reader again for as long as an old view is allowed anyway. The list of nodes is kept until all have had time to register again, so that roles don't change meanwhile. The test counts the calls; it failed before, and has nine readers at most now.

--- a/epoch.go
+++ b/epoch.go
@@ -1,5 +1,7 @@
 package quetzalroad
 
+import "time"
+
 // Epoch numbers the histories of a log. A log that is restored from an older copy begins a new epoch: its
 // latest records are lost, and their offsets are given out again. Zero means that the log states no epoch.
 type Epoch uint64
@@ -14,6 +16,8 @@
 type EpochTracker interface {
 	// Epoch returns the current epoch.
 	Epoch() Epoch
+	// Age returns the time since this node has known the current epoch.
+	Age() time.Duration
 	// ObservePeer notes the epoch in which another node read the log. The error is ErrOutdatedEpoch if it
 	// is an earlier one than the current.
 	ObservePeer(e Epoch) error
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -56,6 +56,9 @@
 	callTimeout        time.Duration
 	fallbackRetryDelay time.Duration
 
+	// listEpoch is the epoch of the log in which the nodes have registered; zero before the list of nodes
+	// was first read.
+	listEpoch atomic.Uint64
 	// node gives access to the trackers, whose slots are filled after this one.
 	node       *kernel.Node
 	aggregator aggregator.Aggregator
@@ -136,8 +139,8 @@
 	ownRole := d.ownRole()
 	if ownRole.hasReader() {
 		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.Position{Offset: quetzalroad.NoOffset}})
-		if err == nil {
-			return records, bounds, nil
+		if err == nil || d.readerFollowsSoon(err) {
+			return records, bounds, err
 		}
 	}
 	sentAt := boottimer.Now()
@@ -229,7 +232,7 @@
 		}
 		lastErr = err
 	}
-	if len(outdated) > 0 && d.members.sinceFallbackFailure() < d.fallbackRetryDelay {
+	if len(outdated) > 0 && (d.members.sinceFallbackFailure() < d.fallbackRetryDelay || d.readerFollowsSoon(lastErr)) {
 		return nil, quetzalroad.StreamBounds{}, lastErr
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
@@ -243,6 +246,12 @@
 	return records, bounds, err
 }
 
+// readerFollowsSoon reports whether a shared read failed only because the reader has not read the stream
+// since the log was restored, a moment ago. The nodes behind it don't turn to the log meanwhile.
+func (d *Distributor) readerFollowsSoon(err error) bool {
+	return errors.Is(err, quetzalroad.ErrOutdatedEpoch) && d.epochs.Age() < d.maxAge
+}
+
 // maxReaderTries is the number of readers that are tried before the log.
 const maxReaderTries = 2
 
--- a/state/distributor/membership.go
+++ b/state/distributor/membership.go
@@ -28,6 +28,7 @@
 			if err := d.rewriteOwnRegistration(ctx, &lastWrite); err != nil {
 				return err
 			}
+			d.listEpoch.Store(uint64(d.epochs.Epoch()))
 		}
 		d.refreshMembers(ctx)
 		delay = d.refreshInterval
@@ -50,7 +51,12 @@
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
-	return false, nil
+	select {
+	case <-d.epochs.Changed():
+		return true, nil
+	default:
+		return false, nil
+	}
 }
 
 // rewriteOwnRegistration writes this node's registration, with its evidence, again after it may have been
@@ -140,10 +146,19 @@
 		d.logger.Warn("failed to read node registrations", "stream", string(quetzalroad.LogStreamNodes), "error", err)
 		return
 	}
+	registrations := d.decodeRegistrations(records)
+	for _, registration := range registrations {
+		d.mergeRegisteredEvidence(registration)
+	}
+	d.setEvidencePosition(bounds)
+	if !d.listEpoch.CompareAndSwap(0, uint64(bounds.Epoch)) && d.listEpoch.Load() != uint64(bounds.Epoch) {
+		// The nodes have yet to register again.
+		d.logger.Info("keeping the known nodes, as the log was restored", "epoch", uint64(bounds.Epoch), "known", d.listEpoch.Load())
+		return
+	}
 	var others []quetzalroad.NodeRegistration
 	nodes := []quetzalroad.NodeName{d.self.Name}
-	for _, registration := range d.decodeRegistrations(records) {
-		d.mergeRegisteredEvidence(registration)
+	for _, registration := range registrations {
 		if registration.Name == d.self.Name || !registration.IsNode() || !writtenWithin(registration, d.registrationTTL) {
 			continue
 		}
@@ -154,7 +169,6 @@
 	}
 	d.members.set(others)
 	d.members.setNodes(nodes)
-	d.setEvidencePosition(bounds)
 	ownRole := d.ownRole()
 	d.logger.Info("node list refreshed", "data-centre", string(d.self.DataCentre), "others", len(others), "reads", ownRole.readsLog, "reader", string(ownRole.readerName()))
 }
--- a/state/distributor/restore_test.go
+++ b/state/distributor/restore_test.go
@@ -85,9 +85,11 @@
 		spread     = 2 * time.Second
 		step       = 100 * time.Millisecond
 		mostInStep = count / 4
-		// mostCalls bounds the calls of one node to the log in the ten seconds after the restore. A reader
-		// reads three streams, each at most every 600 ms.
-		mostCalls = 60
+		// mostReaders is the number of nodes that read the log, at 24 nodes for each. They read three streams,
+		// at most every 600 ms; a node behind them writes its registration.
+		mostReaders           = 9
+		mostCallsOfReader     = 60
+		mostCallsBehindReader = 1
 	)
 	runInCluster(t, count, func(t *testing.T, c *cluster) {
 		c.log.Restore(emptyCopy())
@@ -117,11 +119,19 @@
 		if err != nil || len(records) != count {
 			t.Errorf("%d nodes in the log, want %d (%v)", len(records), count, err)
 		}
+		readers := 0
 		for i, l := range c.logs {
-			if got := l.calls.Load() - callsBefore[i]; got > mostCalls {
+			switch got := l.calls.Load() - callsBefore[i]; {
+			case got <= mostCallsBehindReader:
+			case got <= mostCallsOfReader:
+				readers++
+			default:
 				t.Errorf("node %d called the log %d times", i, got)
 			}
 		}
+		if readers > mostReaders {
+			t.Errorf("%d nodes read the log themselves", readers)
+		}
 	})
 }
 
--- a/state/epochtracker/belief.go
+++ b/state/epochtracker/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
@@ -44,6 +45,13 @@
 	return b.epoch
 }
 
+// age returns the time since the current epoch was first stated.
+func (b *belief) age() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.since.Age()
+}
+
 // observe notes the epoch that the log stated in its response to a request.
 func (b *belief) observe(e quetzalroad.Epoch, sentAt boottimer.Instant) verdict {
 	b.mu.Lock()
--- a/state/epochtracker/epochtracker.go
+++ b/state/epochtracker/epochtracker.go
@@ -68,6 +68,11 @@
 	return t.belief.current()
 }
 
+// Age implements quetzalroad.EpochTracker.
+func (t *Tracker) Age() time.Duration {
+	return t.belief.age()
+}
+
 // Changed implements quetzalroad.EpochTracker.
 func (t *Tracker) Changed() <-chan struct{} {
 	return t.signal
