Turn to the log at once if a reader has not followed the restored state

Nodes behind a reader that stays cut off from the log after its return had the next version in force after 4.7 s in a simulation of 195 nodes, where 3 s are allowed: having learned of the new epoch from the log, they went on waiting for their reader. They wait now only for the streams that readers read seldom. The test failed before.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -139,7 +139,7 @@
 	ownRole := d.ownRole()
 	if ownRole.hasReader() {
 		records, bounds, err := d.readShared(ctx, ownRole.readers[0], quetzalroad.SharedReadRequest{Stream: s, From: quetzalroad.Position{Offset: quetzalroad.NoOffset}})
-		if err == nil || d.readerFollowsSoon(err) {
+		if err == nil || d.readerFollowsSoon(s, err) {
 			return records, bounds, err
 		}
 	}
@@ -232,7 +232,7 @@
 		}
 		lastErr = err
 	}
-	if len(outdated) > 0 && (d.members.sinceFallbackFailure() < d.fallbackRetryDelay || d.readerFollowsSoon(lastErr)) {
+	if len(outdated) > 0 && (d.members.sinceFallbackFailure() < d.fallbackRetryDelay || d.readerFollowsSoon(q.Stream, lastErr)) {
 		return nil, quetzalroad.StreamBounds{}, lastErr
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
@@ -247,9 +247,10 @@
 }
 
 // readerFollowsSoon reports whether a shared read failed only because the reader has not read the stream
-// since the log was restored, a moment ago. The nodes behind it don't turn to the log meanwhile.
-func (d *Distributor) readerFollowsSoon(err error) bool {
-	return errors.Is(err, quetzalroad.ErrOutdatedEpoch) && d.epochs.Age() < d.maxAge
+// since the log was restored, a moment ago. The nodes behind it don't turn to the log meanwhile. Readers
+// read the published state all the time: one that has not done so is cut off from the log.
+func (d *Distributor) readerFollowsSoon(s quetzalroad.LogStream, err error) bool {
+	return s != quetzalroad.LogStreamOperators && errors.Is(err, quetzalroad.ErrOutdatedEpoch) && d.epochs.Age() < d.maxAge
 }
 
 // maxReaderTries is the number of readers that are tried before the log.
--- a/state/distributor/restore_test.go
+++ b/state/distributor/restore_test.go
@@ -151,3 +151,74 @@
 		}
 	})
 }
+
+// propagate publishes a version and returns the times until the nodes have it in force, in ascending order.
+func (c *cluster) propagate(t *testing.T, version int64, among []*kernel.Node) []time.Duration {
+	t.Helper()
+	start := time.Now()
+	c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(version))
+	var delays []time.Duration
+	for pending := among; len(pending) > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > 2*configDeadline {
+			t.Errorf("%d of %d nodes are not at version %d after %s", len(pending), len(among), version, 2*configDeadline)
+			break
+		}
+		var rest []*kernel.Node
+		for _, n := range pending {
+			if n.Freshness.Version() < version {
+				rest = append(rest, n)
+				continue
+			}
+			delays = append(delays, time.Since(start))
+		}
+		pending = rest
+	}
+	return delays
+}
+
+func TestVersionPublishedRightAfterARestoreIsInForceOnTime(t *testing.T) {
+	const count = 195
+	for name, disrupt := range map[string]func(c *cluster, readers []int){
+		"calm": func(*cluster, []int) {},
+		"readers stalled": func(c *cluster, readers []int) {
+			for _, i := range readers[:len(readers)/2] {
+				c.network.SetStalled(nodeAddress(i), true)
+				c.logs[i].unavailable.Store(true)
+			}
+		},
+		"readers cut off from the log": func(c *cluster, readers []int) {
+			for _, i := range readers[:len(readers)/2] {
+				c.logs[i].unavailable.Store(true)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, count, func(t *testing.T, c *cluster) {
+				readers := c.readingNodes(4 * time.Second)
+				older := c.log.Copy()
+				c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(2))
+				c.eventually(t, configDeadline, "at version 2", isAtVersion(2))
+				c.log.SetUnavailable(true)
+				time.Sleep(2 * time.Second)
+				c.log.Restore(older)
+				c.log.SetUnavailable(false)
+				disrupt(c, readers)
+				var reachable []*kernel.Node
+				for i, n := range c.nodes {
+					if !c.logs[i].unavailable.Load() {
+						reachable = append(reachable, n)
+					}
+				}
+				delays := c.propagate(t, 3, reachable)
+				if len(delays) == 0 {
+					t.Fatal("no node has the version in force")
+				}
+				last := delays[len(delays)-1]
+				t.Logf("median %s, 99th percentile %s, last %s of %d nodes", delays[len(delays)/2], delays[len(delays)*99/100], last, len(delays))
+				if last > configDeadline {
+					t.Errorf("in force everywhere after %s, want %s", last, configDeadline)
+				}
+			})
+		})
+	}
+}
