Restate idempotency keys that a restored log has lost before granting others

On the product's own log, a booking ran twice: its claim was among the records that a restore from an older copy lost, other claims took their offsets, and a node that started later knew nothing of it and was granted the key.

The claims stream is now read in an epoch. In a new one a node reads it from the beginning, restates the claims that it knows and that weren't there, and grants no key until all nodes have had time for that (claims.settle, 6 s); what was asked meanwhile is not run. A restated claim goes before any made since. A log that states no epoch is followed as before.

Not covered: a node that is cut off from the log for the whole settle time and is the only one that knows of a claim; and each node that starts on a log that was ever restored waits for the settle time before it grants keys.

--- a/cmd/quetzalemu/logserver/server.go
+++ b/cmd/quetzalemu/logserver/server.go
@@ -21,6 +21,9 @@
 	defaultLimit = 500
 )
 
+// firstEpoch is the epoch of a log that was never restored from an older copy.
+const firstEpoch = 1
+
 // record is one record of a stream.
 type record struct {
 	appendedAt time.Time
@@ -83,6 +86,7 @@
 type readJSON struct {
 	Earliest int64        `json:"earliest"`
 	Next     int64        `json:"next"`
+	Epoch    uint64       `json:"epoch"`
 	Records  []recordJSON `json:"records"`
 }
 
@@ -180,7 +184,7 @@
 			s.earliest++
 		}
 	}
-	response := readJSON{Earliest: s.earliest, Next: s.earliest + int64(len(s.records)), Records: []recordJSON{}}
+	response := readJSON{Epoch: firstEpoch, Earliest: s.earliest, Next: s.earliest + int64(len(s.records)), Records: []recordJSON{}}
 	for offset := max(from, s.earliest); offset < response.Next && len(response.Records) < limit; offset++ {
 		response.Records = append(response.Records, recordJSON{Offset: offset, Data: s.records[offset-s.earliest].data})
 	}
--- a/codecs/claimmapper/batch.go
+++ b/codecs/claimmapper/batch.go
@@ -24,13 +24,21 @@
 const (
 	// EntryClaim claims the key.
 	EntryClaim EntryKind = "claim"
+	// EntryRestatement repeats a claim that was granted before the log was restored from an older copy. It
+	// takes precedence over claims made since.
+	EntryRestatement EntryKind = "restate"
 	// EntryCompletion records the outcome of the request.
 	EntryCompletion EntryKind = "done"
 	// EntryRelease releases the key, as its request was certainly not run.
 	EntryRelease EntryKind = "release"
 )
 
-// Entry is a claim, completion or release of one key.
+// IsClaim reports whether an entry of the kind holds a claim.
+func (k EntryKind) IsClaim() bool {
+	return k == EntryClaim || k == EntryRestatement
+}
+
+// Entry is a claim, restatement, completion or release of one key.
 type Entry struct {
 	Kind EntryKind
 	Key  quetzalroad.KeyHash
@@ -84,7 +92,7 @@
 
 func encodeEntry(e Entry) entryJSON {
 	j := entryJSON{Kind: string(e.Kind), Key: hex.EncodeToString(e.Key[:]), ID: string(e.ID), OutcomeUnknown: e.OutcomeUnknown}
-	if e.Kind == EntryClaim {
+	if e.Kind.IsClaim() {
 		j.RequestHash = hex.EncodeToString(e.RequestHash[:])
 		claimedAt := e.ClaimedAt.UTC()
 		j.ClaimedAt = &claimedAt
@@ -125,7 +133,7 @@
 		return Entry{}, err
 	}
 	switch e.Kind {
-	case EntryClaim:
+	case EntryClaim, EntryRestatement:
 		if j.ClaimedAt == nil {
 			return Entry{}, errors.New("claim has no time")
 		}
--- a/codecs/claimmapper/batch_test.go
+++ b/codecs/claimmapper/batch_test.go
@@ -14,6 +14,7 @@
 	want := Batch{Node: "node-1", Entries: []Entry{
 		{Kind: EntryClaim, Key: quetzalroad.HashKey("k"), RequestHash: quetzalroad.HashKey("c"), ID: "r/1", ClaimedAt: time.Unix(5, 7).UTC()},
 		{Kind: EntryCompletion, Key: quetzalroad.HashKey("k"), ID: "r/1", Response: &quetzalroad.ServiceResponse{Status: 201, Header: http.Header{"Location": {"/x"}}, Body: []byte("ok")}},
+		{Kind: EntryRestatement, Key: quetzalroad.HashKey("n"), RequestHash: quetzalroad.HashKey("c"), ID: "r/4", ClaimedAt: time.Unix(6, 7).UTC()},
 		{Kind: EntryCompletion, Key: quetzalroad.HashKey("l"), ID: "r/2", OutcomeUnknown: true},
 		{Kind: EntryRelease, Key: quetzalroad.HashKey("m"), ID: "r/3"},
 	}}
--- a/interfaces.go
+++ b/interfaces.go
@@ -86,7 +86,8 @@
 	// Append adds a record. After an error the record may or may not have been stored.
 	Append(ctx context.Context, s LogStream, data []byte) (Offset, error)
 	// Read returns records from an offset on, and waits up to wait for the first. If retention
-	// removed the records at that offset, the first one returned has a higher offset.
+	// removed the records at that offset, the first one returned has a higher offset. The records belong
+	// to the epoch of the bounds, in which the offset may mean another record than before.
 	Read(ctx context.Context, s LogStream, from Offset, wait time.Duration) ([]Record, StreamBounds, error)
 }
 
--- a/proofs/faker/log.go
+++ b/proofs/faker/log.go
@@ -42,6 +42,8 @@
 	responseLossRate float64
 	random           *rand.Rand
 	appendCounts     map[quetzalroad.LogStream]int
+	// truncations counts the times that a stream lost its tail.
+	truncations quetzalroad.Epoch
 	// changed is closed and reset to nil when a record is appended or a fault changes; a read creates it.
 	changed chan struct{}
 }
@@ -109,6 +111,7 @@
 	defer l.mu.Unlock()
 	stream := l.streamLocked(s)
 	stream.records = stream.records[:from-stream.earliest]
+	l.truncations++
 	l.notifyLocked()
 }
 
@@ -223,7 +226,7 @@
 		l.changed = make(chan struct{})
 	}
 	stream := l.streamLocked(s)
-	bounds := quetzalroad.StreamBounds{Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records))}
+	bounds := quetzalroad.StreamBounds{Epoch: 1 + l.truncations, Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records))}
 	start := max(from, stream.earliest) - stream.earliest
 	var records []quetzalroad.Record
 	if int(start) < len(stream.records) {
--- a/proofs/prover/restore_test.go
+++ b/proofs/prover/restore_test.go
@@ -35,10 +35,32 @@
 			_, _ = x.Nodes[1].Dispatcher.Call(context.Background(), newBooking(x.Nodes[1], other, other+string(rune('a'+i))))
 		}
 		late := x.addNode("late", "west")
-		time.Sleep(5 * time.Second)
-		_, _ = late.Dispatcher.Call(context.Background(), newBooking(late, "b2", "key"))
+		// By now all nodes have restated what the log lost.
+		time.Sleep(15 * time.Second)
+		response, err := late.Dispatcher.Call(context.Background(), newBooking(late, "b2", "key"))
+		if err != nil || string(response.Body) != "key" {
+			t.Errorf("response %v, error %v; want that of the first request", response, err)
+		}
 		if runs := x.ServiceClient.Executions("key"); runs != 1 {
 			t.Errorf("the booking ran %d times", runs)
 		}
+		if _, err := late.Dispatcher.Call(context.Background(), newBooking(late, "b3", "new-key")); err != nil {
+			t.Errorf("a new key: %v", err)
+		}
+	})
+}
+
+// All nodes are asked for each key, while records of the last claims are lost.
+func TestBookingsRunOnceWhileTheLogIsRestoredAgainAndAgain(t *testing.T) {
+	runWithNodes(t, 4, func(_ *testing.T, x *fixture) {
+		go func() {
+			for range 3 {
+				time.Sleep(2 * time.Second)
+				end := x.Log.EndOffset(quetzalroad.LogStreamClaims)
+				x.Log.Truncate(quetzalroad.LogStreamClaims, end-min(end, 20))
+			}
+		}()
+		x.checkExecutions(x.bookOnEveryNode(500, 20*time.Second))
+		time.Sleep(10 * time.Second)
 	})
 }
--- a/state/claimer/claimer.go
+++ b/state/claimer/claimer.go
@@ -50,13 +50,16 @@
 	pollWait         time.Duration
 	retryDelay       time.Duration
 	flushTimeout     time.Duration
+	settleTime       time.Duration
 	maxResponseBytes int
 
 	table table
 	batch batcher
-	// nextOffset is the offset to read from; caughtUp is set once the stream was read to its end.
-	nextOffset atomic.Int64
-	caughtUp   atomic.Bool
+	// position is where to read on. It is used only by the goroutine that reads claims.
+	position position
+	// caughtUp is set once the stream was read to its end in the current epoch of the log and, if that has
+	// lost records, once the nodes have had time to restate their claims.
+	caughtUp atomic.Bool
 	// inProgress maps this node's request IDs, from claim to outcome, to attempt IDs. Each attempt to
 	// claim a key has its own ID.
 	inProgress sync.Map
@@ -72,6 +75,7 @@
 	s.Duration("poll-wait", &c.pollWait, 2*time.Second, 10*time.Millisecond, time.Minute, "How long the log may hold a read open to wait for new records.")
 	s.Duration("retry-pause", &c.retryDelay, 100*time.Millisecond, time.Millisecond, time.Minute, "Delay after a failed read or append.")
 	s.Duration("flush-timeout", &c.flushTimeout, 15*time.Second, 0, time.Hour, "How long a stopping node waits until its outcomes are appended to the log.")
+	s.Duration("settle", &c.settleTime, 6*time.Second, 0, time.Hour, "How long no key is claimed after the log was restored from an older copy, while the nodes restate the claims that it lost; more than twice poll-wait.")
 	s.Int("max-kept-bytes", &c.maxResponseBytes, 2048, 0, 64<<10, "Largest response body, in bytes, stored in the log for repeated requests.")
 }
 
@@ -238,23 +242,23 @@
 }
 
 func (c *Claimer) readOnce(ctx context.Context) error {
-	wait := c.pollWait
-	if !c.caughtUp.Load() {
-		wait = 0
-	}
-	records, bounds, err := c.log.Read(ctx, quetzalroad.LogStreamClaims, quetzalroad.Offset(c.nextOffset.Load()), wait)
+	records, bounds, err := c.log.Read(ctx, quetzalroad.LogStreamClaims, c.position.next.Offset, c.readWait())
 	if err != nil {
 		return err
 	}
+	if bounds.Epoch != c.position.next.Epoch {
+		c.beginEpoch(bounds.Epoch)
+		return nil
+	}
 	for _, r := range records {
-		if r.Offset < quetzalroad.Offset(c.nextOffset.Load()) {
+		if r.Offset < c.position.next.Offset {
 			continue
 		}
 		c.apply(r)
-		c.nextOffset.Store(int64(r.Offset) + 1)
+		c.position.next.Offset = r.Offset + 1
 	}
-	if c.nextOffset.Load() >= int64(bounds.End) {
-		c.caughtUp.Store(true)
+	if c.position.next.Offset >= bounds.End {
+		c.reachEnd()
 	}
 	return nil
 }
@@ -280,15 +284,22 @@
 	switch e.Kind {
 	case claimmapper.EntryClaim:
 		state := sh.applyClaim(e, c.window)
-		result, waiting := sh.waiting[e.ID]
-		if waiting {
+		sh.markRead(e, c.position.next.Epoch)
+		if result, waiting := sh.waiting[e.ID]; waiting {
 			delete(sh.waiting, e.ID)
-			result <- state
-			return
+			if c.caughtUp.Load() {
+				result <- state
+				return
+			}
+			// Another node may have held the key before the log was restored.
+			sh.abandon(e.ID, time.Now())
 		}
 		if _, abandoned := sh.abandoned[e.ID]; abandoned && state == quetzalroad.ClaimGranted {
 			c.batch.add(claimmapper.Entry{Kind: claimmapper.EntryRelease, Key: e.Key, ID: e.ID})
 		}
+	case claimmapper.EntryRestatement:
+		sh.applyRestatement(e)
+		sh.markRead(e, c.position.next.Epoch)
 	case claimmapper.EntryCompletion:
 		sh.applyOutcome(e)
 	case claimmapper.EntryRelease:
--- a/state/claimer/table.go
+++ b/state/claimer/table.go
@@ -29,6 +29,10 @@
 	requestHash quetzalroad.KeyHash
 	claimedAt   time.Time
 	status      status
+	// readIn is the epoch of the log in which a record of the claim was last read.
+	readIn quetzalroad.Epoch
+	// restated is set if the claim was granted before the log was restored from an older copy.
+	restated bool
 	// response is set if status is statusCompleted and the response was stored.
 	response *quetzalroad.ServiceResponse
 	// watchers are closed when the status changes or the key is released.
@@ -81,6 +85,31 @@
 	return existing.stateFor(e.RequestHash, e.ClaimedAt, window)
 }
 
+// applyRestatement assigns a key to the request that held it before the log was restored, whoever has
+// claimed it since: no claim is granted until all have been restated.
+func (sh *shard) applyRestatement(e claimmapper.Entry) {
+	existing := sh.entries[e.Key]
+	switch {
+	case existing != nil && existing.holder == e.ID:
+		existing.restated = true
+		return
+	case existing != nil && existing.restated:
+		return
+	case existing != nil:
+		existing.notify()
+	case sh.entries == nil:
+		sh.entries = make(map[quetzalroad.KeyHash]*entry)
+	}
+	sh.entries[e.Key] = &entry{holder: e.ID, requestHash: e.RequestHash, claimedAt: e.ClaimedAt, restated: true}
+}
+
+// markRead notes the epoch in which a record of a claim was read.
+func (sh *shard) markRead(e claimmapper.Entry, epoch quetzalroad.Epoch) {
+	if existing := sh.entries[e.Key]; existing != nil && existing.holder == e.ID {
+		existing.readIn = epoch
+	}
+}
+
 // stateFor returns the state of the claim for a request made at a later time. A claim whose outcome
 // is lost counts as held.
 func (e *entry) stateFor(requestHash quetzalroad.KeyHash, at time.Time, window time.Duration) quetzalroad.ClaimState {
--- a/state/claimer/table_test.go
+++ b/state/claimer/table_test.go
@@ -74,3 +74,20 @@
 		runtime.KeepAlive(all)
 	}
 }
+
+func TestRestatedClaimTakesPrecedenceOverLaterOnes(t *testing.T) {
+	var table table
+	sh := table.shard(quetzalroad.HashKey("key"))
+	now := time.Unix(1000, 0)
+	sh.applyClaim(claim("key", "later", now), time.Hour)
+	restated := claim("key", "first", now)
+	restated.Kind = claimmapper.EntryRestatement
+	sh.applyRestatement(restated)
+	sh.applyRelease(claim("key", "later", now))
+	another := claim("key", "another", now)
+	another.Kind = claimmapper.EntryRestatement
+	sh.applyRestatement(another)
+	if got := sh.entries[quetzalroad.HashKey("key")]; got == nil || got.holder != "first" {
+		t.Errorf("holder %+v, want the first restated one", got)
+	}
+}
--- a/state/epochtracker/epochtracker_test.go
+++ b/state/epochtracker/epochtracker_test.go
@@ -106,10 +106,8 @@
 	return l.epoch, l.err
 }
 
-func newTracker(log *stubLog) *Tracker {
-	t := new(Tracker)
-	t.wrap(log, log, slog.New(slog.DiscardHandler))
-	return t
+func newTracker(log *stubLog) *keyedLogTracker {
+	return &keyedLogTracker{observer: observer{logger: slog.New(slog.DiscardHandler)}, log: log, writer: log}
 }
 
 func TestPositionOfAnotherEpochIsRefusedWithAndWithoutTrimmedRecords(t *testing.T) {
--- a/state/logclient/client.go
+++ b/state/logclient/client.go
@@ -3,7 +3,9 @@
 //	POST /v1/streams/{stream}/records            the record as body
 //	  → 200 {"offset":7}
 //	GET  /v1/streams/{stream}/records?from=7&wait=10s&limit=500
-//	  → 200 {"earliest":0,"next":9,"records":[{"offset":7,"data":"base64"}]}
+//	  → 200 {"earliest":0,"next":9,"epoch":1,"records":[{"offset":7,"data":"base64"}]}
+//
+// The epoch rises when the log was restored from an older copy; it may be missing.
 package logclient
 
 import (
@@ -75,6 +77,7 @@
 type readResponse struct {
 	Earliest int64        `json:"earliest"`
 	Next     int64        `json:"next"`
+	Epoch    uint64       `json:"epoch"`
 	Records  []recordJSON `json:"records"`
 }
 
@@ -109,7 +112,7 @@
 	for i, r := range response.Records {
 		records[i] = quetzalroad.Record{Offset: quetzalroad.Offset(r.Offset), Data: r.Data}
 	}
-	bounds := quetzalroad.StreamBounds{Earliest: quetzalroad.Offset(response.Earliest), End: quetzalroad.Offset(response.Next)}
+	bounds := quetzalroad.StreamBounds{Epoch: quetzalroad.Epoch(response.Epoch), Earliest: quetzalroad.Offset(response.Earliest), End: quetzalroad.Offset(response.Next)}
 	return records, bounds, nil
 }
 
