Notice a lost tail of the product's log by its epoch

Nodes reported that the log had lost records only if they read it before it had grown past their offset again; after that they followed it without the records in between, and nobody was told. The epoch tells. The test failed before.

--- a/proofs/prover/restore_test.go
+++ b/proofs/prover/restore_test.go
@@ -64,3 +64,21 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// The end of the log is beyond the applied offset again before any node reads it.
+func TestLostTailIsNoticedAfterTheLogHasGrownPastIt(t *testing.T) {
+	runWithNodes(t, 2, func(t *testing.T, x *fixture) {
+		x.publishChanges(5)
+		end := x.Log.EndOffset(quetzalroad.LogStreamState)
+		x.Log.Truncate(quetzalroad.LogStreamState, end-3)
+		for range 6 {
+			x.Log.AppendDirectly(quetzalroad.LogStreamState, nil)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range x.Nodes {
+			if n.Vars.Get("log-tail-lost") == nil {
+				t.Errorf("%s did not count log-tail-lost", n.Name)
+			}
+		}
+	})
+}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -70,8 +70,10 @@
 	assembly snapshotAssembly
 	// snapshotOffset is the highest offset covered by a complete snapshot.
 	snapshotOffset quetzalroad.Offset
-	// tailLost is set once the log has reported an end below the applied offset.
+	// tailLost is set once the log has reported an end below the applied offset, or another epoch.
 	tailLost bool
+	// epoch is the log's epoch as of the last read; zero before the first.
+	epoch quetzalroad.Epoch
 }
 
 // Declare implements kernel.Component.
@@ -187,17 +189,19 @@
 }
 
 // updateBounds updates what is known about the ends of the stream. An end below the
-// applied offset means that the log lost its tail: it is logged, but the state stays.
+// applied offset, or another epoch, means that the log lost its tail: it is logged, but the state stays.
 func (f *Follower) updateBounds(b quetzalroad.StreamBounds) {
 	f.endKnown = true
 	applied := f.machine.store.AppliedOffset()
 	if b.End-1 > f.highestKnown {
 		f.highestKnown = b.End - 1
 	}
-	if b.End <= applied && !f.tailLost {
+	restored := f.epoch != 0 && b.Epoch != f.epoch
+	f.epoch = b.Epoch
+	if restored || (b.End <= applied && !f.tailLost) {
 		f.tailLost = true
 		f.vars.Add("log-tail-lost", 1)
-		f.logger.Error("log end is below the applied offset; the log lost records", "log-next", int64(b.End), "applied", int64(applied))
+		f.logger.Error("log end is below the applied offset; the log lost records", "epoch", uint64(b.Epoch), "log-next", int64(b.End), "applied", int64(applied))
 	}
 	if b.Earliest > applied+1 && !f.hasGap {
 		f.hasGap = true
