--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -201,7 +201,7 @@
 	if restored || (b.End <= applied && !f.tailLost) {
 		f.tailLost = true
 		f.vars.Add("log-tail-lost", 1)
-		f.logger.Error("log end is below the applied offset; the log lost records", "epoch", uint64(b.Epoch), "log-next", int64(b.End), "applied", int64(applied))
+		f.logger.Error("the log lost records: its end is below the applied offset, or it was restored from an older copy", "epoch", uint64(b.Epoch), "log-next", int64(b.End), "applied", int64(applied))
 	}
 	if b.Earliest > applied+1 && !f.hasGap {
 		f.hasGap = true
