--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -63,19 +63,8 @@
 	case scheduler.ServerLinkBlackhole, scheduler.ServerLinkReset, scheduler.ServerLinkOneWay, scheduler.ServerLinkDelay:
 		i.recordDisruption(allNodes, f, now.Add(f.Duration))
 		i.disruptLink(ctx, f, server.Proxy)
-	case scheduler.StoreBusy, scheduler.StoreUnresponsive:
-		i.recordDisruption(allNodes, f, now.Add(f.Duration))
-		i.Store.SetMode(storeModes[f.Kind])
-		i.sleep(ctx, f.Duration)
-		i.Store.SetMode(storeserver.ModeAvailable)
-	case scheduler.StoreCompaction:
-		i.Store.TruncateAll()
-	case scheduler.StoreRestore:
-		i.recordDisruption(allNodes, f, now.Add(f.Duration))
-		i.Store.SetMode(storeserver.ModeUnavailable)
-		i.sleep(ctx, f.Duration)
-		i.Store.Restore(time.Duration(1+f.Target%maxCopyAge) * time.Second)
-		i.Store.SetMode(storeserver.ModeAvailable)
+	case scheduler.StoreBusy, scheduler.StoreUnresponsive, scheduler.StoreCompaction, scheduler.StoreRestore:
+		i.injectStoreFault(ctx, f)
 	case scheduler.ServerLosesResponses, scheduler.ServerInterruptsStreams, scheduler.ServerRespondsTwice, scheduler.ServerFull:
 		i.recordDisruption(allNodes, f, now.Add(f.Duration))
 		server.SetFaults(serverFaults[f.Kind])
@@ -98,13 +87,28 @@
 	}
 }
 
+// injectStoreFault injects one fault of the store, which affects all nodes.
+func (i *injector) injectStoreFault(ctx context.Context, f scheduler.Fault) {
+	if f.Kind == scheduler.StoreCompaction {
+		i.Store.TruncateAll()
+		return
+	}
+	i.recordDisruption(allNodes, f, time.Now().Add(f.Duration))
+	i.Store.SetMode(storeModes[f.Kind])
+	i.sleep(ctx, f.Duration)
+	if f.Kind == scheduler.StoreRestore {
+		i.Store.Restore(time.Duration(1+f.Target%maxCopyAge) * time.Second)
+	}
+	i.Store.SetMode(storeserver.ModeAvailable)
+}
+
 // maxCopyAge is the age in seconds of the oldest copy from which the store is restored.
 const maxCopyAge = 9
 
 // allNodes is the node index that stands for all nodes in RecordDisruption.
 const allNodes = -1
 
-var storeModes = map[scheduler.Kind]storeserver.Mode{scheduler.StoreBusy: storeserver.ModeUnavailable, scheduler.StoreUnresponsive: storeserver.ModeUnresponsive}
+var storeModes = map[scheduler.Kind]storeserver.Mode{scheduler.StoreBusy: storeserver.ModeUnavailable, scheduler.StoreUnresponsive: storeserver.ModeUnresponsive, scheduler.StoreRestore: storeserver.ModeUnavailable}
 
 var serverFaults = map[scheduler.Kind]backendserver.Faults{
 	scheduler.ServerLosesResponses:    {DropResponses: true},
--- a/proofs/faker/forwardnode.go
+++ b/proofs/faker/forwardnode.go
@@ -7,6 +7,7 @@
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 
+	// All nodes track the epoch of their log.
 	_ "github.com/quetzalroad/quetzalroad/state/epochtracker"
 )
 
