--- a/state/distributor/membership.go
+++ b/state/distributor/registrations.go
@@ -25,9 +25,13 @@
 		}
 		if restored {
 			lastWrite = time.Time{}
-			if err := d.rewriteOwnRegistration(ctx, &lastWrite); err != nil {
+			written, err := d.registerAgain(ctx)
+			if err != nil {
 				return err
 			}
+			if written {
+				lastWrite = time.Now()
+			}
 			d.listEpoch.Store(uint64(d.epochs.Epoch()))
 		}
 		d.refreshMembers(ctx)
@@ -59,23 +63,21 @@
 	}
 }
 
-// rewriteOwnRegistration writes this node's registration, with its evidence, again after it may have been
-// lost with the log's latest records. The nodes do so at random moments of an interval, and read the list
-// of nodes after it: first the readers, then the nodes that read through them.
-func (d *Distributor) rewriteOwnRegistration(ctx context.Context, lastWrite *time.Time) error {
+// registerAgain writes this node's registration, with its evidence, again after it may have been lost with
+// the log's latest records, and reports whether it did. The nodes do so at random moments of an interval,
+// and read the list of nodes after it: first the readers, then the nodes that read through them.
+func (d *Distributor) registerAgain(ctx context.Context) (written bool, err error) {
 	delay := time.Duration(rand.Float64() * float64(d.rewriteSpread))
 	if err := sleeper.Sleep(ctx, delay); err != nil {
-		return err
-	}
-	if d.writeOwnRegistration(ctx) {
-		*lastWrite = time.Now()
+		return false, err
 	}
+	written = d.writeOwnRegistration(ctx)
 	// The nodes behind a reader learn of the restore with their next read.
 	rest := d.rewriteSpread - delay + d.pollInterval + d.settleDelay
 	if d.ownRole().hasReader() {
 		rest += d.settleDelay
 	}
-	return sleeper.Sleep(ctx, rest)
+	return written, sleeper.Sleep(ctx, rest)
 }
 
 // writeOwnRegistration writes this node's registration and reports whether it did.
--- a/state/watcher/restore_test.go
+++ b/state/watcher/restore_test.go
@@ -53,6 +53,12 @@
 	})
 }
 
+// lists reports whether the directory has the upstream that registered under a key.
+func (x *fixture) lists(key string) bool {
+	_, listed := x.drainStates()[incarnation(key)]
+	return listed
+}
+
 // restoreWith restores the log from a copy, during an outage of two seconds, and writes to it before it is back.
 func (x *fixture) restoreWith(c faker.LogCopy, write func()) {
 	x.SetUnavailable(true)
@@ -110,12 +116,12 @@
 			t.Fatalf("upstreams %v after the only one left", got)
 		}
 		x.restoreWith(older, func() {})
-		if _, listed := x.drainStates()[incarnation("a")]; listed {
+		if x.lists("a") {
 			t.Error("an upstream that left is listed after a restore")
 		}
 		x.Put(quetzalroad.LogStreamUpstreams, "a", registration(5, false))
 		time.Sleep(restoreTimeout)
-		if _, listed := x.drainStates()[incarnation("a")]; !listed {
+		if !x.lists("a") {
 			t.Error("an upstream that registered after the restore is not listed")
 		}
 	})
@@ -141,13 +147,13 @@
 		time.Sleep(5 * time.Second)
 		x.Restore(older)
 		for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
-			if _, listed := x.drainStates()[incarnation("b")]; !listed {
+			if !x.lists("b") {
 				t.Fatalf("removed %s after the restore", time.Since(start))
 			}
 		}
 		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
 		time.Sleep(10 * time.Second)
-		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+		if !x.lists("b") {
 			t.Error("not listed although it registered again")
 		}
 	})
@@ -160,12 +166,12 @@
 		time.Sleep(5 * time.Second)
 		x.Restore(older)
 		time.Sleep(10 * time.Second)
-		if _, listed := x.drainStates()[incarnation("b")]; listed {
+		if x.lists("b") {
 			t.Fatal("listed ten seconds after its registration was lost")
 		}
 		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
 		time.Sleep(restoreTimeout)
-		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+		if !x.lists("b") {
 			t.Error("not listed although it registered again")
 		}
 	})
@@ -182,7 +188,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		x.Put(quetzalroad.LogStreamUpstreams, "b", registration(1, false))
 		time.Sleep(10 * time.Second)
-		if _, listed := x.drainStates()[incarnation("b")]; !listed {
+		if !x.lists("b") {
 			t.Error("removed although it registered again")
 		}
 	})
--- a/upstreams/httpclient/refusal_test.go
+++ b/upstreams/httpclient/refusal_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// isBelieved sends a request, which is refused, and reports whether the client believes that it was not run.
+func isBelieved(t *testing.T, c *Client, url, id string) bool {
+	t.Helper()
+	request, err := NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(RequestIDHeader, id)
+	e, err := c.Do(t.Context(), request, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return e.ReportsNotRun()
+}
+
 func TestRefusalSentOnceMoreIsNotBelieved(t *testing.T) {
 	for name, echo := range map[string]bool{"names its request": true, "names no request": false} {
 		t.Run(name, func(t *testing.T) {
@@ -58,26 +77,10 @@
 			c := new(Client)
 			c.Open()
 			defer c.Close()
-			send := func(id string) (notRun bool) {
-				request, err := NewRequest(http.MethodPost, url, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				request.Header.Set(RequestIDHeader, id)
-				e, err := c.Do(t.Context(), request, false)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer e.Close()
-				if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
-					t.Fatal(err)
-				}
-				return e.ReportsNotRun()
-			}
-			if !send("1") {
+			if !isBelieved(t, c, url, "1") {
 				t.Fatal("the refusal on a new connection was not believed")
 			}
-			if send("2") {
+			if isBelieved(t, c, url, "2") {
 				t.Error("the refusal of an earlier request was believed")
 			}
 		})
@@ -95,21 +98,8 @@
 	c.Open()
 	defer c.Close()
 	for _, id := range []string{"1", "2"} {
-		request, err := NewRequest(http.MethodPost, server.URL, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set(RequestIDHeader, id)
-		e, err := c.Do(t.Context(), request, false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if !e.ReportsNotRun() {
+		if !isBelieved(t, c, server.URL, id) {
 			t.Errorf("the refusal of request %s was not believed", id)
 		}
-		if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
-			t.Fatal(err)
-		}
-		e.Close()
 	}
 }
