Test nodes behind a reader of a build that states no epochs

Such a reader's records can't be placed in an epoch; nodes of this build read the log themselves or through another node of theirs.

--- a/proofs/faker/readnetwork.go
+++ b/proofs/faker/readnetwork.go
@@ -44,6 +44,21 @@
 type ReadTransport struct {
 	Network *ReadNetwork
 	Address netip.AddrPort
+	// WithoutEpochs leaves the epoch of the log out of this node's responses, as earlier builds do.
+	WithoutEpochs bool
+}
+
+// epochlessHandler is a handler of a build that knows no epochs.
+type epochlessHandler struct {
+	quetzalroad.ReadHandler
+}
+
+// HandleRead implements quetzalroad.ReadHandler.
+func (h epochlessHandler) HandleRead(q quetzalroad.SharedReadRequest) quetzalroad.SharedReadResponse {
+	q.From.Epoch = 0
+	response := h.ReadHandler.HandleRead(q)
+	response.Epoch, response.InheritedEnd = 0, 0
+	return response
 }
 
 // Declare implements kernel.Component.
@@ -60,6 +75,9 @@
 
 // Serve implements quetzalroad.ReadTransport.
 func (t *ReadTransport) Serve(ctx context.Context, h quetzalroad.ReadHandler) error {
+	if t.WithoutEpochs {
+		h = epochlessHandler{h}
+	}
 	n := t.Network
 	n.mu.Lock()
 	if n.handlers == nil {
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -75,6 +75,8 @@
 	network faker.ReadNetwork
 	logs    []*nodeLog
 	nodes   []*kernel.Node
+	// earlierBuilds are the nodes whose responses leave the epoch out.
+	earlierBuilds map[int]bool
 }
 
 func nodeAddress(i int) netip.AddrPort {
@@ -93,9 +95,15 @@
 
 // runInCluster runs a test on nodes that have started and found each other.
 func runInCluster(t *testing.T, count int, check func(t *testing.T, c *cluster)) {
+	t.Helper()
+	runInMixedCluster(t, count, nil, check)
+}
+
+// runInMixedCluster runs a test on nodes of which some are of an earlier build.
+func runInMixedCluster(t *testing.T, count int, earlierBuilds map[int]bool, check func(t *testing.T, c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := new(cluster)
+		c := &cluster{earlierBuilds: earlierBuilds}
 		c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(1))
 		c.log.Put(quetzalroad.LogStreamUpstreams, "a", registration(1, false))
 		for i := range count {
@@ -128,7 +136,7 @@
 		"node":        `{"name": "` + name + `", "data-centre": "west-1", "region": "west"}`,
 		"log-sharing": `{"plugin": "distributor"}`,
 	}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: l},
-		kernel.Override{Slot: kernel.SlotReadTransport, Component: &faker.ReadTransport{Network: &c.network, Address: nodeAddress(i)}})
+		kernel.Override{Slot: kernel.SlotReadTransport, Component: &faker.ReadTransport{Network: &c.network, Address: nodeAddress(i), WithoutEpochs: c.earlierBuilds[i]}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/state/distributor/restore_test.go
+++ b/state/distributor/restore_test.go
@@ -222,3 +222,24 @@
 		})
 	}
 }
+
+// During a roll, a reader may be of a build that states no epochs. Its records can't be placed.
+func TestNodesBehindAReaderOfAnEarlierBuildFollowTheLog(t *testing.T) {
+	for name, earlierBuilds := range map[string]map[int]bool{
+		"all": {0: true, 1: true, 2: true, 3: true, 4: true, 5: true, 6: true, 7: true}, "half": {0: true, 2: true, 4: true, 6: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInMixedCluster(t, 8, earlierBuilds, func(t *testing.T, c *cluster) {
+				older := c.log.Copy()
+				c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(2))
+				c.eventually(t, configDeadline, "at version 2", isAtVersion(2))
+				c.log.Restore(older)
+				c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(3))
+				c.log.Put(quetzalroad.LogStreamOperators, "another-key", "no state")
+				c.eventually(t, configDeadline, "at version 3", isAtVersion(3))
+				c.log.Put(quetzalroad.LogStreamUpstreams, "a", registration(2, true))
+				c.eventually(t, drainDeadline, "aware of the drain", allDraining)
+			})
+		})
+	}
+}
