Show that a part that crashes servers early or comes late is never kept from them

Cause: a loss counts only once the whole head of the answer has arrived (decisions/dispatcher, isResponding), and only the first 16 parts of a prompt are suspects (decisions/quarantiner). Done: review/4 sends such prompts beside sound ones, in two variants.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+lab="$root/target/review/lab"
+if [ ! -x "$lab" ] || [ ! -x "$root/target/quetzalroad" ]; then
+  echo "build the deploy file's program and run review/build.sh first" >&2
+  exit 2
+fi
+exec "$lab" deadly-part "$root" "$here/record.txt"
