--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,11 +23,10 @@
 
 // cases are the scenarios by name.
 var cases = map[string]func(l *lab) error{
-	"last-keys":     runLastKeys,
-	"drill-restart": runDrillRestart,
-	"descriptors":   runDescriptors,
-	"deadly-part":   runPoison,
-	"many-routes":   runManyRoutes,
+	"last-keys":   runLastKeys,
+	"descriptors": runDescriptors,
+	"deadly-part": runPoison,
+	"many-routes": runManyRoutes,
 }
 
 func main() {
