Count a head that breaks off as the beginning of a response

Servers that crash while they write the head of their answer took some 40 of their kind with them in 22 s: the prompt part under which they crashed was never quarantined.

Cause: an attempt counted as being answered only once the whole head had arrived. What is more, the parser takes the last line of a head that breaks off for a whole one, so that most such heads were 'malformed-answer' and no lost connection at all; neither an exit was looked for nor evidence kept.

Evidence: the nodes' logs of the case show 'malformed MIME header: missing colon' for each of these attempts. Ruled out: that the check for the exit fails (the same servers refuse connections when it is made). TestHeadThatBreaksOffIsALostConnection gave 'malformed-answer' or no sign of a response for heads cut inside a line before this change, on new and kept connections.

Now the reader of the head remembers with which error reading ended; that error is the attempt's, and ResponseBegun states whether any byte came.

TestBodyThatBreaksOffIsNotComplete covers the other places where an answer may break off (length, chunk size, chunk, last chunk, trailer); it passed before, too: none of them looked whole.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -201,6 +201,7 @@
 	response, err := d.node.ForwardClient.Send(ctx, a)
 	if err != nil {
 		failure := asAttemptError(u.Name, err)
+		r.attempt.responded = failure.ResponseBegun
 		r.recordLoad(u, failure.LoadReport)
 		r.recordRateLimit(u, failure.RateLimit)
 		return err
--- a/refusal.go
+++ b/refusal.go
@@ -97,6 +97,8 @@
 	// Unsent is set if nothing reached the upstream, so that another attempt adds no load to
 	// upstreams. It is only set together with NotRun.
 	Unsent bool
+	// ResponseBegun is set if a part of the response's head has arrived.
+	ResponseBegun bool
 	// RetryReason is the code under which a retry after this failure is counted.
 	RetryReason RetryReason
 	// LoadReport is the load report sent by the upstream; nil if there was none.
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -30,6 +30,8 @@
 	metadata quetzalroad.ResponseMetadata
 	events   *eventReader
 	chunkBuf []byte
+	// headBegun is set if the connection ended inside a head.
+	headBegun bool
 	// hasEvents is set once an event was returned.
 	hasEvents bool
 	// written is set once any byte of the request may have been written, and sent
@@ -138,7 +140,13 @@
 	request := &http.Request{Method: x.attempt.Request.Method}
 	for {
 		x.resetReadDeadline()
+		x.conn.limiter.received = x.conn.reader.Buffered() > 0
 		response, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil && x.conn.limiter.lost != nil {
+			// The parser takes the last line of a head that breaks off for a whole one, and may find it malformed.
+			x.headBegun = x.conn.limiter.received
+			return nil, errors.Wrap(x.conn.limiter.lost, "read the head of the response")
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
@@ -272,7 +280,7 @@
 		err = errors.WithSecondaryError(cause, err)
 	}
 	unsent := !x.written.Load()
-	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, NotRun: unsent, Unsent: unsent, RetryReason: reason, Cause: err}
+	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, NotRun: unsent, Unsent: unsent, ResponseBegun: x.headBegun, RetryReason: reason, Cause: err}
 }
 
 func retryReason(err error) quetzalroad.RetryReason {
--- a/upstreams/forwardclient/headlimiter.go
+++ b/upstreams/forwardclient/headlimiter.go
@@ -19,11 +19,14 @@
 	// inHead is set while a head is being read, and remaining is how many bytes it may still take.
 	inHead    bool
 	remaining int
+	// received reports whether any byte of the head came, and lost is the error with which reading it ended.
+	received bool
+	lost     error
 }
 
 // begin starts a head of at most maxBytes, besides what was buffered before.
 func (l *headLimiter) begin(maxBytes int) {
-	l.inHead, l.remaining = true, maxBytes
+	l.inHead, l.remaining, l.received, l.lost = true, maxBytes, false, nil
 }
 
 // end removes the bound, for the body.
@@ -41,5 +44,7 @@
 	}
 	n, err := l.src.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.received = l.received || n > 0
+	l.lost = err
 	return n, err
 }
