--- a/codecs/nodemapper/evidence.go
+++ b/codecs/nodemapper/evidence.go
@@ -1,6 +1,7 @@
 package nodemapper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
@@ -10,8 +11,10 @@
 const (
 	// maxLosses, maxLossSegments and maxWave bound the evidence that is taken over from another node.
 	maxLosses       = 256
-	maxLossSegments = 64
+	maxLossSegments = 8192
 	maxWave         = 1 << 20
+	// maxListedSegments is the number of segments beyond which earlier builds take no loss over.
+	maxListedSegments = 64
 )
 
 func encodeEvidence(e *quetzalroad.LossEvidence) *peerwire.LossEvidence {
@@ -19,14 +22,7 @@
 		return nil
 	}
 	message := new(peerwire.LossEvidence)
-	for _, l := range e.Losses {
-		encoded := &peerwire.UpstreamLoss{Upstream: string(l.Upstream), AtMs: l.At.UnixMilli()}
-		for _, s := range l.Segments {
-			encoded.Segments = append(encoded.Segments, s.ID)
-			encoded.Waves = append(encoded.Waves, uint32(s.Wave))
-		}
-		message.Losses = append(message.Losses, encoded)
-	}
+	message.Losses, message.InFlight = encodeLosses(e.Losses), encodeLosses(e.InFlight)
 	for _, s := range e.Sound {
 		message.Sound = append(message.Sound, &peerwire.SoundSegment{Segment: s.ID, Wave: uint32(s.Wave)})
 	}
@@ -36,19 +32,35 @@
 	return message
 }
 
+func encodeLosses(losses []quetzalroad.UpstreamLoss) []*peerwire.UpstreamLoss {
+	var encoded []*peerwire.UpstreamLoss
+	for _, l := range losses {
+		m := &peerwire.UpstreamLoss{Upstream: string(l.Upstream), AtMs: l.At.UnixMilli()}
+		listed := min(len(l.Segments), maxListedSegments)
+		m.Segments, m.Waves = encodeExposedSegments(l.Segments[:listed])
+		m.MoreSegments, m.MoreWaves = encodeExposedSegments(l.Segments[listed:])
+		encoded = append(encoded, m)
+	}
+	return encoded
+}
+
+func encodeExposedSegments(segments []quetzalroad.ExposedSegment) ([]string, []uint32) {
+	var ids []string
+	var waves []uint32
+	for _, s := range segments {
+		ids = append(ids, s.ID)
+		waves = append(waves, uint32(s.Wave))
+	}
+	return ids, waves
+}
+
 // decodeEvidence leaves out losses that no node reports.
 func decodeEvidence(message *peerwire.LossEvidence) *quetzalroad.LossEvidence {
 	if message == nil {
 		return nil
 	}
 	e := new(quetzalroad.LossEvidence)
-	for _, l := range message.GetLosses()[:min(len(message.GetLosses()), maxLosses)] {
-		segments, ok := decodeExposedSegments(l.GetSegments(), l.GetWaves())
-		if !ok || l.GetUpstream() == "" {
-			continue
-		}
-		e.Losses = append(e.Losses, quetzalroad.UpstreamLoss{Upstream: quetzalroad.UpstreamName(l.GetUpstream()), Segments: segments, At: time.UnixMilli(l.GetAtMs())})
-	}
+	e.Losses, e.InFlight = decodeLosses(message.GetLosses()), decodeLosses(message.GetInFlight())
 	for _, s := range message.GetSound() {
 		if s.GetWave() <= maxWave {
 			e.Sound = append(e.Sound, quetzalroad.SoundSegment{ID: s.GetSegment(), Wave: int(s.GetWave())})
@@ -60,6 +72,19 @@
 	return e
 }
 
+func decodeLosses(messages []*peerwire.UpstreamLoss) []quetzalroad.UpstreamLoss {
+	var losses []quetzalroad.UpstreamLoss
+	for _, m := range messages[:min(len(messages), maxLosses)] {
+		ids, waves := slices.Concat(m.GetSegments(), m.GetMoreSegments()), slices.Concat(m.GetWaves(), m.GetMoreWaves())
+		segments, ok := decodeExposedSegments(ids, waves)
+		if !ok || m.GetUpstream() == "" {
+			continue
+		}
+		losses = append(losses, quetzalroad.UpstreamLoss{Upstream: quetzalroad.UpstreamName(m.GetUpstream()), Segments: segments, At: time.UnixMilli(m.GetAtMs())})
+	}
+	return losses
+}
+
 func decodeExposedSegments(ids []string, waves []uint32) ([]quetzalroad.ExposedSegment, bool) {
 	if len(ids) == 0 || len(ids) > maxLossSegments || len(ids) != len(waves) {
 		return nil, false
--- a/codecs/nodemapper/evidence_test.go
+++ b/codecs/nodemapper/evidence_test.go
@@ -1,6 +1,7 @@
 package nodemapper
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -14,10 +15,18 @@
 
 func testEvidence() *quetzalroad.LossEvidence {
 	at := time.UnixMilli(1_700_000_000_123)
+	var long []quetzalroad.ExposedSegment
+	for i := range 2 * maxListedSegments {
+		long = append(long, quetzalroad.ExposedSegment{ID: fmt.Sprint(i), Wave: 1 + i%2})
+	}
 	return &quetzalroad.LossEvidence{
-		Losses:  []quetzalroad.UpstreamLoss{{Upstream: "u", At: at, Segments: []quetzalroad.ExposedSegment{{ID: "a", Wave: 1}, {ID: "b", Wave: 3}}}},
-		Sound:   []quetzalroad.SoundSegment{{ID: "a", Wave: 0}},
-		Refused: []quetzalroad.RefusedSegment{{ID: "b", At: at}},
+		Losses: []quetzalroad.UpstreamLoss{
+			{Upstream: "u", At: at, Segments: []quetzalroad.ExposedSegment{{ID: "a", Wave: 1}, {ID: "b", Wave: 3}}},
+			{Upstream: "w", At: at, Segments: long},
+		},
+		InFlight: []quetzalroad.UpstreamLoss{{Upstream: "v", At: at, Segments: []quetzalroad.ExposedSegment{{ID: "request:9f", Wave: 2}}}},
+		Sound:    []quetzalroad.SoundSegment{{ID: "a", Wave: 0}},
+		Refused:  []quetzalroad.RefusedSegment{{ID: "b", At: at}},
 	}
 }
 
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,10 +29,9 @@
 	logger *slog.Logger
 	// inFlight counts the running requests. idle, which is buffered, is signalled when the count
 	// drops to zero.
-	inFlight atomic.Int64
-	idle     chan struct{}
-	// exitChecks holds the names of the upstreams that are being checked for their exit.
-	exitChecks sync.Map
+	inFlight   atomic.Int64
+	idle       chan struct{}
+	exitChecks exitChecks
 }
 
 // Declare implements kernel.Component.
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -22,14 +22,15 @@
 		return noUpstreamRefusal()
 	}
 	f.Service = service
-	if refusal := d.checkQuarantine(f); refusal != nil {
+	suspects := suspectsOf(f)
+	if refusal := d.checkQuarantine(f, suspects); refusal != nil {
 		return refusal
 	}
 	held, err := d.admit(deadlineCtx, &f.Request)
 	if err != nil {
 		return err
 	}
-	run := &forwardRun{dispatcher: d, request: f, reservation: held, sink: sink, callerCtx: ctx, lastEventID: f.LastEventID}
+	run := &forwardRun{dispatcher: d, request: f, suspects: suspects, reservation: held, sink: sink, callerCtx: ctx, lastEventID: f.LastEventID}
 	defer func() { held.release(run.eventCount) }()
 	runCtx := deadlineCtx
 	if !f.Idempotent && !f.Route.Streaming {
@@ -63,8 +64,10 @@
 
 // forwardRun is the state of one forwarded request across all its attempts.
 type forwardRun struct {
-	dispatcher  *Dispatcher
-	request     *quetzalroad.ForwardRequest
+	dispatcher *Dispatcher
+	request    *quetzalroad.ForwardRequest
+	// suspects are what of the request may crash upstreams.
+	suspects    []quetzalroad.PromptSegment
 	reservation reservation
 	sink        quetzalroad.ForwardSink
 	// callerCtx ends when the caller disconnects.
@@ -92,7 +95,7 @@
 	d := r.dispatcher
 	d.node.RetryPolicy.RecordFirstAttempt(time.Now(), r.request.Service.Name)
 	for {
-		if refusal := d.checkQuarantine(r.request); refusal != nil {
+		if refusal := d.checkQuarantine(r.request, r.suspects); refusal != nil {
 			return r.withOutcome(refusal)
 		}
 		u, refusal := d.chooseUpstream(&r.request.Request, r.reservation, r.history.failedUpstreams)
@@ -173,7 +176,7 @@
 	d := r.dispatcher
 	d.node.Recorder.CountAttempt()
 	start := time.Now()
-	r.attempt = attemptProgress{startedAt: start, exposed: d.node.Quarantine.Expose(r.request.SharedSegments())}
+	r.attempt = attemptProgress{startedAt: start, exposed: d.node.Quarantine.Expose(r.suspects)}
 	d.node.LoadTracker.BeginAttempt(u.Name, start)
 	err := r.exchange(ctx, u, start)
 	d.node.LoadTracker.EndAttempt(u.Name, time.Now(), r.isUpstreamFault(ctx, err))
@@ -279,7 +282,7 @@
 	if current, ok := d.node.Directory.Upstream(u.Name); !ok || current.Draining {
 		return errUpstreamDraining
 	}
-	if refusal := d.checkQuarantine(f); refusal != nil {
+	if refusal := d.checkQuarantine(f, r.suspects); refusal != nil {
 		return refusal
 	}
 	return nil
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
@@ -14,13 +16,13 @@
 // attemptProgress is how far one attempt has come.
 type attemptProgress struct {
 	startedAt time.Time
-	// responded is set once the head of the response has arrived.
+	// responded is set once the response has begun to arrive, though maybe not the whole head.
 	responded bool
 	// chunks counts the events or parts of the body that have arrived.
 	chunks int
 	// eventStream reports whether the response is an event stream.
 	eventStream bool
-	// exposed lists the shared segments of the request as of the attempt's begin.
+	// exposed lists the request's suspects as of the attempt's begin.
 	exposed []quetzalroad.ExposedSegment
 	// exitedUpstream is set if the upstream's process exited as it began to respond.
 	exitedUpstream bool
@@ -37,13 +39,37 @@
 	}
 }
 
-// checkQuarantine returns a refusal if the prompt of a request has a segment that crashes upstreams.
-func (d *Dispatcher) checkQuarantine(f *quetzalroad.ForwardRequest) *quetzalroad.Refusal {
-	segment, found := d.node.Quarantine.Check(time.Now(), f.ID, f.SharedSegments())
+// suspectsOf returns what may crash upstreams of a request: the segments that it shares with others, and the
+// request as a whole, which comes again with another id, or from another caller.
+func suspectsOf(f *quetzalroad.ForwardRequest) []quetzalroad.PromptSegment {
+	return slices.Concat(f.SharedSegments(), []quetzalroad.PromptSegment{quetzalroad.WholeRequestSegment(contentHash(f))})
+}
+
+// contentHash returns a hash of what an upstream is asked for.
+func contentHash(f *quetzalroad.ForwardRequest) uint64 {
+	h := xxhash.New()
+	// Writing to a digest never fails.
+	for _, text := range []string{f.Method, f.RequestTarget, string(f.Model)} {
+		_, _ = h.WriteString(text + "\x00")
+	}
+	for _, s := range f.PromptSegments {
+		_, _ = h.WriteString(s.ID + "\x00")
+	}
+	_, _ = h.Write(f.Body)
+	return h.Sum64()
+}
+
+// checkQuarantine returns a refusal if a request, or a segment of its prompt, crashes upstreams.
+func (d *Dispatcher) checkQuarantine(f *quetzalroad.ForwardRequest, suspects []quetzalroad.PromptSegment) *quetzalroad.Refusal {
+	segment, found := d.node.Quarantine.Check(time.Now(), f.ID, suspects)
 	if !found {
 		return nil
 	}
-	return quetzalroad.NewRefusal(quetzalroad.ReasonQuarantined, "segment "+segment.ID+" of the prompt crashes upstreams", segment.RetryAfter)
+	message := "segment " + segment.ID + " of the prompt crashes upstreams"
+	if quetzalroad.IsWholeRequest(segment.ID) {
+		message = "the request crashes upstreams"
+	}
+	return quetzalroad.NewRefusal(quetzalroad.ReasonQuarantined, message, segment.RetryAfter)
 }
 
 // exitCheckTimeout bounds the check whether an upstream's process still runs.
@@ -55,7 +81,7 @@
 	quarantine := d.node.Quarantine
 	switch {
 	case err == nil && r.status < http.StatusMultipleChoices:
-		quarantine.RecordComplete(time.Now(), r.request.SharedSegments())
+		quarantine.RecordComplete(time.Now(), r.suspects)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		quarantine.RecordExit(time.Now(), u.Name)
 	case r.isConnectionLost(ctx, err) && r.attempt.isResponding():
@@ -66,30 +92,19 @@
 		}
 	case r.isConnectionLost(ctx, err):
 		r.logConnectionLost(u)
-		d.checkExit(ctx, u)
+		d.exitChecks.start(u.Name, r.attempt.exposed, func() bool { return d.hasExited(ctx, u) }, quarantine)
 	}
 }
 
-// checkExit finds out in the background whether an upstream's process has exited. Its exit is not
-// blamed on the request, but a sign that others may be to blame.
-func (d *Dispatcher) checkExit(ctx context.Context, u quetzalroad.Upstream) {
-	if _, running := d.exitChecks.LoadOrStore(u.Name, struct{}{}); running {
-		return
-	}
-	go func() {
-		defer d.exitChecks.Delete(u.Name)
-		if d.hasExited(ctx, u) {
-			d.node.Quarantine.RecordExit(time.Now(), u.Name)
-		}
-	}()
-}
-
-// hasExited reports whether an upstream's process has exited. A connection may also be lost by a
-// network fault, or because the upstream closed it.
+// hasExited reports whether an upstream's process has exited on its own. A connection may also be lost by a
+// network fault, or because the upstream closed it. One that drains or is no longer listed exits as planned.
 func (d *Dispatcher) hasExited(ctx context.Context, u quetzalroad.Upstream) bool {
 	if d.node.UpstreamChecker == nil {
 		return false
 	}
+	if current, ok := d.node.Directory.Upstream(u.Name); !ok || current.Draining {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitCheckTimeout)
 	defer cancel()
 	return d.node.UpstreamChecker.HasExited(ctx, u)
@@ -107,16 +122,16 @@
 func (r *forwardRun) logConnectionLost(u quetzalroad.Upstream) {
 	f := r.request
 	r.dispatcher.logger.Warn("connection lost under a request", "request-id", string(f.ID), "attempt", r.history.attempts, "upstream", string(u.Name),
-		"segments", segmentIDs(f.SharedSegments()), "responded", r.attempt.responded, "exited", r.attempt.exitedUpstream, "chunks", r.attempt.chunks, "after", time.Since(r.attempt.startedAt))
+		"segments", segmentIDs(r.suspects), "responded", r.attempt.responded, "exited", r.attempt.exitedUpstream, "chunks", r.attempt.chunks, "after", time.Since(r.attempt.startedAt))
 }
 
 // maxLoggedSegments bounds the segment ids in a log line.
 const maxLoggedSegments = 8
 
-// segmentIDs returns the first ids of the segments.
+// segmentIDs returns the last ids of the segments, of which the last one stands for the whole request.
 func segmentIDs(segments []quetzalroad.PromptSegment) []string {
 	var ids []string
-	for _, s := range segments[:min(len(segments), maxLoggedSegments)] {
+	for _, s := range segments[max(0, len(segments)-maxLoggedSegments):] {
 		ids = append(ids, s.ID)
 	}
 	return ids
--- a/decisions/dispatcher/quarantine_test.go
+++ b/decisions/dispatcher/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 // quarantine makes the node quarantine a segment.
 func (x *forwardFixture) quarantine(id string) {
 	for i := range 5 {
-		u := quetzalroad.UpstreamName(fmt.Sprintf("gone-%d", i))
+		u := quetzalroad.UpstreamName(fmt.Sprintf("gone-%s-%d", id, i))
 		x.node.Quarantine.RecordLoss(time.Now(), u, x.node.Quarantine.Expose([]quetzalroad.PromptSegment{{ID: id}}))
 	}
 }
@@ -139,14 +140,76 @@
 			return nil, connectionLostError(a)
 		}
 		x.forward(t.Context(), promptRequest("3", "waiting"))
-		var suspects []string
-		for _, l := range x.node.Quarantine.Evidence().Losses {
-			for _, s := range l.Segments {
-				suspects = append(suspects, s.ID)
+		// The evidence of requests in flight is recorded a little later.
+		time.Sleep(2 * time.Second)
+		evidence := x.node.Quarantine.Evidence()
+		if diff := cmp.Diff([]string{"begun"}, segmentsOf(evidence.Losses)); diff != "" {
+			t.Errorf("losses (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]string{"streaming", "waiting"}, segmentsOf(evidence.InFlight)); diff != "" {
+			t.Errorf("requests in flight (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// segmentsOf returns the prompt segments of losses, each one once.
+func segmentsOf(losses []quetzalroad.UpstreamLoss) []string {
+	var ids []string
+	for _, l := range losses {
+		for _, s := range l.Segments {
+			if !quetzalroad.IsWholeRequest(s.ID) {
+				ids = append(ids, s.ID)
 			}
 		}
-		if diff := cmp.Diff([]string{"begun"}, suspects); diff != "" {
-			t.Errorf("(-want +got):\n%s", diff)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+func TestForwardBlamesNoExitOfADrainingUpstream(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		x.Exited = allExited
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			i := slices.Index(testUpstreams, a.Upstream.InstanceID)
+			x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, a.Upstream.InstanceID, upstreamRegistration(a.Upstream.InstanceID, i, 2, true))
+			time.Sleep(2 * time.Second)
+			return nil, connectionLostError(a)
+		}
+		x.forward(t.Context(), promptRequest("1", "s"))
+		time.Sleep(2 * time.Second)
+		if evidence := x.node.Quarantine.Evidence(); len(evidence.Losses)+len(evidence.InFlight) > 0 {
+			t.Errorf("evidence %+v of an upstream that left as planned", evidence)
+		}
+	})
+}
+
+// A deadly request comes again with another id, from another caller.
+func TestForwardRefusesSameContentWithAnotherID(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		x.Script, x.Exited = interruptAfter(0), allExited
+		sameContent := func(id string) *quetzalroad.ForwardRequest {
+			f := promptRequest(id, "s")
+			f.PromptSegments[len(f.PromptSegments)-1].ID = "own"
+			return f
+		}
+		exited := make(map[quetzalroad.UpstreamName]bool)
+		for i := 0; len(exited) < len(testUpstreams); i++ {
+			x.forward(t.Context(), sameContent(fmt.Sprint(i)))
+			for _, a := range x.Sent() {
+				exited[a.Upstream.Name] = true
+			}
+		}
+		sent := len(x.Sent())
+		x.Script = nil
+		_, refusal := x.forward(t.Context(), sameContent("last"))
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonQuarantined || refusal.Outcome != quetzalroad.OutcomeNotRun {
+			t.Errorf("refusal %v, want the quarantine, not run", refusal)
+		}
+		if got := len(x.Sent()); got != sent {
+			t.Errorf("sent %d times after three upstreams exited", got-sent)
+		}
+		if _, refusal := x.forward(t.Context(), promptRequest("other", "s")); refusal != nil {
+			t.Errorf("another request with the same shared segment: %v", refusal)
 		}
 	})
 }
--- a/decisions/quarantiner/attribution_test.go
+++ b/decisions/quarantiner/attribution_test.go
@@ -19,9 +19,10 @@
 
 func TestAttribute(t *testing.T) {
 	for name, c := range map[string]struct {
-		losses []quetzalroad.UpstreamLoss
-		sound  map[string]int
-		want   map[string]int
+		losses   []quetzalroad.UpstreamLoss
+		inFlight []quetzalroad.UpstreamLoss
+		sound    map[string]int
+		want     map[string]int
 	}{
 		"two upstreams are too few": {
 			losses: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 2, "x")},
@@ -72,6 +73,44 @@
 			sound:  map[string]int{"x": 2},
 			want:   map[string]int{},
 		},
+		"the same request three times, also at once": {
+			losses: []quetzalroad.UpstreamLoss{loss("a", 1, "c", "x", "request:1"), loss("b", 1, "c", "x", "request:1"), loss("c", 1, "c", "x", "request:1")},
+			sound:  map[string]int{"c": 0},
+			want:   map[string]int{"request:1": 3},
+		},
+		"a segment of many requests before one of them": {
+			losses: []quetzalroad.UpstreamLoss{
+				loss("a", 1, "c", "x", "request:1"), loss("b", 1, "c", "x", "request:1"), loss("c", 2, "c", "x", "request:1"), loss("d", 2, "c", "x", "request:2"),
+			},
+			sound: map[string]int{"c": 0},
+			want:  map[string]int{"x": 4},
+		},
+		"five upstreams with requests in flight in two waves": {
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 1, "x", "y"), loss("c", 1, "x"), loss("d", 2, "x", "y"), loss("e", 2, "x")},
+			want:     map[string]int{"x": 5},
+		},
+		"five at once with requests in flight": {
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 1, "x"), loss("c", 1, "x"), loss("d", 1, "x"), loss("e", 1, "x")},
+			want:     map[string]int{},
+		},
+		"requests in flight speak against no segment that was sound": {
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 2, "x"), loss("c", 3, "x"), loss("d", 4, "x"), loss("e", 5, "x")},
+			sound:    map[string]int{"x": 0},
+			want:     map[string]int{},
+		},
+		"requests in flight beside the deadly one": {
+			losses:   []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 1, "x"), loss("c", 2, "x"), loss("d", 2, "x"), loss("e", 3, "x")},
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "y"), loss("b", 1, "y"), loss("c", 2, "y"), loss("d", 3, "y"), loss("e", 4, "y")},
+			want:     map[string]int{"x": 5},
+		},
+		"the same request in flight on three upstreams, each time it was known": {
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "request:1"), loss("b", 2, "request:1"), loss("c", 3, "request:1")},
+			want:     map[string]int{"request:1": 3},
+		},
+		"the same request in flight on three upstreams by chance": {
+			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "request:1"), loss("b", 1, "request:1"), loss("c", 2, "request:1")},
+			want:     map[string]int{},
+		},
 		"two deadly segments": {
 			losses: []quetzalroad.UpstreamLoss{
 				loss("a", 1, "c", "x"), loss("b", 1, "c", "x"), loss("c", 2, "c", "x"), loss("d", 2, "c", "y"), loss("e", 3, "c", "y"), loss("f", 3, "c", "y"),
@@ -81,7 +120,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, attribute(c.losses, c.sound, defaultThresholds)); diff != "" {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses, InFlight: c.inFlight}, c.sound, defaultThresholds)); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
--- a/decisions/quarantiner/bypasser/bypasser.go
+++ b/decisions/quarantiner/bypasser/bypasser.go
@@ -39,6 +39,9 @@
 // RecordLoss implements quetzalroad.Quarantine.
 func (*Bypasser) RecordLoss(time.Time, quetzalroad.UpstreamName, []quetzalroad.ExposedSegment) {}
 
+// RecordInFlight implements quetzalroad.Quarantine.
+func (*Bypasser) RecordInFlight(time.Time, quetzalroad.UpstreamName, []quetzalroad.ExposedSegment) {}
+
 // RecordComplete implements quetzalroad.Quarantine.
 func (*Bypasser) RecordComplete(time.Time, []quetzalroad.PromptSegment) {}
 
--- a/decisions/quarantiner/evidence.go
+++ b/decisions/quarantiner/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,26 +14,26 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-const (
-	// maxLosses bounds the losses that a node keeps and sends; the latest ones stay.
-	maxLosses = 64
-	// maxLossSegments bounds the segments of a loss, as callers choose how many they name.
-	maxLossSegments = 16
-)
+// maxLosses bounds the losses that a node keeps and sends, and the upstreams with requests in flight; the
+// latest ones stay.
+const maxLosses = 64
 
 // lossKey identifies a loss, so that it counts once if several nodes report it.
 type lossKey struct {
 	upstream quetzalroad.UpstreamName
-	// segments are the ids of the segments, joined.
-	segments string
+	// request is the id of the request as a whole, or the ids of the segments, joined, if there is none.
+	request string
 }
 
 func keyOf(l quetzalroad.UpstreamLoss) lossKey {
+	if n := len(l.Segments); n > 0 && quetzalroad.IsWholeRequest(l.Segments[n-1].ID) {
+		return lossKey{upstream: l.Upstream, request: l.Segments[n-1].ID}
+	}
 	ids := make([]string, len(l.Segments))
 	for i, s := range l.Segments {
 		ids[i] = s.ID
 	}
-	return lossKey{upstream: l.Upstream, segments: strings.Join(ids, ",")}
+	return lossKey{upstream: l.Upstream, request: strings.Join(ids, ",")}
 }
 
 // maxSegmentIDBytes is the longest id of a segment that is kept as it is.
@@ -50,6 +51,8 @@
 // is empty.
 type evidence struct {
 	losses map[lossKey]quetzalroad.UpstreamLoss
+	// inFlight holds the exits of upstreams with requests in flight.
+	inFlight map[quetzalroad.UpstreamName]inFlightLoss
 	// sound holds the highest wave that a complete response disproves, by segment of the losses.
 	sound map[string]int
 	// refused is when a request with a quarantined segment was last refused.
@@ -58,39 +61,68 @@
 
 func (e *evidence) init() {
 	if e.losses == nil {
-		e.losses, e.sound, e.refused = make(map[lossKey]quetzalroad.UpstreamLoss), make(map[string]int), make(map[string]time.Time)
+		e.losses, e.inFlight = make(map[lossKey]quetzalroad.UpstreamLoss), make(map[quetzalroad.UpstreamName]inFlightLoss)
+		e.sound, e.refused = make(map[string]int), make(map[string]time.Time)
 	}
 }
 
-// addLoss adds a loss, or the higher waves and the later time if it is known.
+// addLoss adds a loss. Of one that is known the higher waves and the later time count.
 func (e *evidence) addLoss(l quetzalroad.UpstreamLoss) {
 	e.init()
-	l.Segments = slices.Clone(l.Segments[:min(len(l.Segments), maxLossSegments)])
 	key := keyOf(l)
-	if known, ok := e.losses[key]; ok {
-		for i := range l.Segments {
-			l.Segments[i].Wave = max(l.Segments[i].Wave, known.Segments[i].Wave)
-		}
-		if known.At.After(l.At) {
-			l.At = known.At
-		}
+	known, ok := e.losses[key]
+	if !ok {
+		l.Segments = slices.Clone(l.Segments)
+		e.losses[key] = l
+		e.trimLosses()
+		return
+	}
+	if l.At.After(known.At) {
+		known.At = l.At
 	}
-	e.losses[key] = l
-	e.trim()
+	known.Segments = mergeSegments(known.Segments, l.Segments)
+	e.losses[key] = known
 }
 
-// trim drops the oldest losses beyond maxLosses.
-func (e *evidence) trim() {
+// mergeSegments returns the segments of a loss as two nodes know it, with the higher waves. Each may have
+// dropped some, and the longer list stays.
+func mergeSegments(a, b []quetzalroad.ExposedSegment) []quetzalroad.ExposedSegment {
+	if compareSegments(a, b) < 0 {
+		a, b = b, a
+	}
+	waves := make(map[string]int, len(b))
+	for _, s := range b {
+		waves[s.ID] = max(waves[s.ID], s.Wave)
+	}
+	merged := slices.Clone(a)
+	for i := range merged {
+		merged[i].Wave = max(merged[i].Wave, waves[merged[i].ID])
+	}
+	return merged
+}
+
+// compareSegments orders lists of segments, without their waves, by length and then by their ids.
+func compareSegments(a, b []quetzalroad.ExposedSegment) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), slices.CompareFunc(a, b, func(a, b quetzalroad.ExposedSegment) int { return cmp.Compare(a.ID, b.ID) }))
+}
+
+// trimLosses drops the oldest losses beyond maxLosses.
+func (e *evidence) trimLosses() {
 	if len(e.losses) <= maxLosses {
 		return
 	}
-	all := e.sortedLosses()
-	slices.SortStableFunc(all, func(a, b quetzalroad.UpstreamLoss) int { return b.At.Compare(a.At) })
-	for _, l := range all[maxLosses:] {
-		delete(e.losses, keyOf(l))
+	keys := slices.SortedFunc(maps.Keys(e.losses), func(a, b lossKey) int {
+		return cmp.Or(e.losses[b].At.Compare(e.losses[a].At), compareKeys(a, b))
+	})
+	for _, key := range keys[maxLosses:] {
+		delete(e.losses, key)
 	}
 }
 
+func compareKeys(a, b lossKey) int {
+	return cmp.Or(cmp.Compare(a.upstream, b.upstream), cmp.Compare(a.request, b.request))
+}
+
 // markSound records that a complete response disproves the losses under a segment up to a wave.
 func (e *evidence) markSound(segment string, wave int) {
 	e.init()
@@ -110,6 +142,9 @@
 	for _, l := range other.Losses {
 		e.addLoss(l)
 	}
+	for _, l := range other.InFlight {
+		e.addInFlight(l)
+	}
 	for _, s := range other.Sound {
 		e.markSound(s.ID, s.Wave)
 	}
@@ -126,6 +161,11 @@
 			waves[s.ID] = max(waves[s.ID], s.Wave)
 		}
 	}
+	for _, l := range e.inFlight {
+		for id, wave := range l.waves {
+			waves[id] = max(waves[id], wave)
+		}
+	}
 	return waves
 }
 
@@ -143,6 +183,11 @@
 			delete(e.losses, key)
 		}
 	}
+	for u, l := range e.inFlight {
+		if now.Sub(l.lastAt(e.refused)) > memory {
+			delete(e.inFlight, u)
+		}
+	}
 	waves := e.waves()
 	for segment := range e.sound {
 		if waves[segment] == 0 {
@@ -159,18 +204,15 @@
 // sortedLosses returns the losses in an order that doesn't depend on how they were learnt.
 func (e *evidence) sortedLosses() []quetzalroad.UpstreamLoss {
 	all := make([]quetzalroad.UpstreamLoss, 0, len(e.losses))
-	for _, l := range e.losses {
-		all = append(all, l)
+	for _, key := range slices.SortedFunc(maps.Keys(e.losses), compareKeys) {
+		all = append(all, e.losses[key])
 	}
-	slices.SortFunc(all, func(a, b quetzalroad.UpstreamLoss) int {
-		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(keyOf(a).segments, keyOf(b).segments))
-	})
 	return all
 }
 
 // export returns the evidence for other nodes.
 func (e *evidence) export() quetzalroad.LossEvidence {
-	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses()}
+	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses(), InFlight: e.sortedInFlight()}
 	for id, wave := range e.sound {
 		exported.Sound = append(exported.Sound, quetzalroad.SoundSegment{ID: id, Wave: wave})
 	}
@@ -184,7 +226,7 @@
 
 // digest returns a hash of exported evidence; zero if it is empty.
 func digest(e quetzalroad.LossEvidence) uint64 {
-	if len(e.Losses) == 0 {
+	if len(e.Losses)+len(e.InFlight) == 0 {
 		return 0
 	}
 	h := xxhash.New()
@@ -193,7 +235,7 @@
 		_, _ = h.WriteString(text)
 		_, _ = h.WriteString("\x00" + strconv.FormatInt(number, 10) + "\x00")
 	}
-	for _, l := range e.Losses {
+	for _, l := range slices.Concat(e.Losses, e.InFlight) {
 		write(string(l.Upstream), l.At.UnixMilli())
 		for _, s := range l.Segments {
 			write(s.ID, int64(s.Wave))
--- /dev/null
+++ b/decisions/quarantiner/inflight.go
@@ -0,0 +1,73 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// inFlightLoss is the exit of an upstream with requests in flight.
+type inFlightLoss struct {
+	at time.Time
+	// waves holds the wave of each segment of these requests.
+	waves map[string]int
+}
+
+// lastAt returns when the exit, or the last refusal of a request with one of its segments, was.
+func (l inFlightLoss) lastAt(refused map[string]time.Time) time.Time {
+	last := l.at
+	for id := range l.waves {
+		if at := refused[id]; at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// addInFlight adds the segments of requests that were in flight on an upstream to those that are known. Of
+// each segment the higher wave counts.
+func (e *evidence) addInFlight(l quetzalroad.UpstreamLoss) {
+	e.init()
+	known, ok := e.inFlight[l.Upstream]
+	if !ok {
+		known.waves = make(map[string]int, len(l.Segments))
+	}
+	if l.At.After(known.at) {
+		known.at = l.At
+	}
+	for _, s := range l.Segments {
+		known.waves[s.ID] = max(known.waves[s.ID], s.Wave)
+	}
+	e.inFlight[l.Upstream] = known
+	e.trimInFlight()
+}
+
+// trimInFlight drops the oldest exits beyond maxLosses.
+func (e *evidence) trimInFlight() {
+	if len(e.inFlight) <= maxLosses {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(e.inFlight), func(a, b quetzalroad.UpstreamName) int {
+		return cmp.Or(e.inFlight[b].at.Compare(e.inFlight[a].at), cmp.Compare(a, b))
+	})
+	for _, u := range names[maxLosses:] {
+		delete(e.inFlight, u)
+	}
+}
+
+// sortedInFlight returns the exits and their segments in an order that doesn't depend on how they were learnt.
+func (e *evidence) sortedInFlight() []quetzalroad.UpstreamLoss {
+	var all []quetzalroad.UpstreamLoss
+	for _, u := range slices.Sorted(maps.Keys(e.inFlight)) {
+		known := e.inFlight[u]
+		l := quetzalroad.UpstreamLoss{Upstream: u, At: known.at}
+		for _, id := range slices.Sorted(maps.Keys(known.waves)) {
+			l.Segments = append(l.Segments, quetzalroad.ExposedSegment{ID: id, Wave: known.waves[id]})
+		}
+		all = append(all, l)
+	}
+	return all
+}
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -1,8 +1,9 @@
-// Package quarantiner finds the prompt segments that crash the upstreams that respond to them, and
-// keeps requests with them from further upstreams.
+// Package quarantiner finds the prompt segments, and the requests as a whole, that crash the upstreams
+// that respond to them, and keeps them from further upstreams.
 //
 // A loss is recorded if an upstream's process exits as it begins to respond to a request. Each shared
-// segment of the request's prompt is a suspect. A complete response disproves the losses under its
+// segment of the request's prompt is a suspect, and so is the request as a whole. If nothing explains the
+// exit like that, it is a weak sign against each request that was in flight. A complete response disproves the losses under its
 // segments that were known by then. A segment under which several upstreams exited, in more than one
 // wave, is quarantined: requests with it are refused. From time to time one node lets a single request
 // through to find out whether the segment still crashes upstreams.
@@ -45,6 +46,8 @@
 	changed    chan struct{}
 
 	proven provenSegments
+	// provenRequests holds the requests as a whole that lately had complete responses.
+	provenRequests provenSegments
 	// table is what follows from the evidence; nil while there is none. It is not modified once it is
 	// stored.
 	table atomic.Pointer[segmentTable]
@@ -70,6 +73,8 @@
 	// complete response disproves; proven reports whether there was such a response.
 	wave, sound int
 	proven      bool
+	// convicts reports whether more than a single exit with requests in flight speaks against it.
+	convicts bool
 	// upstreams is the number of upstreams that exited under the segment if it is quarantined, else zero.
 	upstreams int
 }
@@ -79,6 +84,8 @@
 	s.Int("upstreams", &q.thresholds.upstreams, defaultThresholds.upstreams, 2, 1000, "Number of upstreams that have to exit as they begin to respond to requests with a prompt segment before it is quarantined.")
 	s.Int("waves", &q.thresholds.waves, defaultThresholds.waves, 1, 1000, "Number of successive waves in which these upstreams have to exit; those that exit all at once are one wave.")
 	s.Int("many-upstreams", &q.thresholds.manyUpstreams, defaultThresholds.manyUpstreams, 2, 1000, "The same as upstreams for a segment that was seen in complete responses before. For one that never was, so many upstreams are enough, also in one wave.")
+	s.Int("in-flight-upstreams", &q.thresholds.inFlightUpstreams, defaultThresholds.inFlightUpstreams, 3, 1000, "Number of upstreams that have to exit with requests in flight that share a segment, and were not beginning to respond to them, before it is quarantined. Less is enough for the same request.")
+	s.Int("in-flight-waves", &q.thresholds.inFlightWaves, defaultThresholds.inFlightWaves, 1, 1000, "Number of successive waves in which these upstreams have to exit.")
 	s.Duration("memory", &q.memory, 10*time.Minute, time.Second, 24*time.Hour, "How long the exit of an upstream counts, and how long a segment stays quarantined after the last request with it.")
 	s.Duration("probe-after", &q.probeDelay, 30*time.Second, time.Second, time.Hour, "Time from the quarantine of a segment until a single request with it is sent again; ten times as long for each further one.")
 	s.Duration("alert-for", &q.alertTime, 15*time.Second, time.Second, time.Hour, "Time within which the exit of two upstreams makes a node read the evidence of others at once.")
@@ -156,16 +163,22 @@
 	q.conclude(now)
 }
 
-// Expose implements quetzalroad.Quarantine.
+// Expose implements quetzalroad.Quarantine. A segment that is repeated is listed where it stands first.
 func (q *Quarantiner) Expose(segments []quetzalroad.PromptSegment) []quetzalroad.ExposedSegment {
-	segments = segments[:min(len(segments), maxLossSegments)]
-	exposed := make([]quetzalroad.ExposedSegment, len(segments))
+	exposed := make([]quetzalroad.ExposedSegment, 0, len(segments))
+	seen := make(map[string]bool, len(segments))
 	table := q.table.Load()
-	for i, s := range segments {
-		exposed[i] = quetzalroad.ExposedSegment{ID: segmentKey(s.ID), Wave: 1}
+	for _, s := range segments {
+		key := segmentKey(s.ID)
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		wave := 1
 		if table != nil {
-			exposed[i].Wave += table.segments[exposed[i].ID].wave
+			wave += table.segments[key].wave
 		}
+		exposed = append(exposed, quetzalroad.ExposedSegment{ID: key, Wave: wave})
 	}
 	return exposed
 }
@@ -184,6 +197,46 @@
 	q.conclude(now)
 }
 
+// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
+// elsewhere, after which their segments are no suspects.
+const inFlightDelay = time.Second
+
+// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
+// another upstream that exited, count at once.
+func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	table := q.table.Load()
+	var urgent, others []quetzalroad.ExposedSegment
+	for _, s := range exposed {
+		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
+			urgent = append(urgent, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	q.addInFlight(now, u, urgent)
+	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, others) })
+}
+
+// addInFlight adds the segments that were not lately seen in complete responses to the evidence.
+func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
+	if len(exposed) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
+	q.conclude(time.Now())
+}
+
+// provenSet returns the set that holds a segment if it was lately seen in a complete response.
+func (q *Quarantiner) provenSet(id string) *provenSegments {
+	if quetzalroad.IsWholeRequest(id) {
+		return &q.provenRequests
+	}
+	return &q.proven
+}
+
 // RecordExit implements quetzalroad.Quarantine.
 func (q *Quarantiner) RecordExit(now time.Time, u quetzalroad.UpstreamName) {
 	q.mu.Lock()
@@ -196,7 +249,8 @@
 // RecordComplete implements quetzalroad.Quarantine.
 func (q *Quarantiner) RecordComplete(now time.Time, segments []quetzalroad.PromptSegment) {
 	for _, s := range segments {
-		q.proven.add(segmentKey(s.ID))
+		key := segmentKey(s.ID)
+		q.provenSet(key).add(key)
 	}
 	table := q.table.Load()
 	if table == nil {
@@ -204,7 +258,7 @@
 	}
 	disproves := func(s quetzalroad.PromptSegment) bool {
 		state, suspected := table.segments[segmentKey(s.ID)]
-		return suspected && (!state.proven || state.sound < state.wave)
+		return suspected && state.convicts && (!state.proven || state.sound < state.wave)
 	}
 	if !slices.ContainsFunc(segments, disproves) {
 		return
@@ -222,7 +276,7 @@
 
 // Merge implements quetzalroad.Quarantine.
 func (q *Quarantiner) Merge(now time.Time, e quetzalroad.LossEvidence) {
-	if len(e.Losses) == 0 {
+	if len(e.Losses)+len(e.InFlight) == 0 {
 		return
 	}
 	q.mu.Lock()
@@ -232,6 +286,11 @@
 			q.notify()
 		}
 	}
+	for _, l := range e.InFlight {
+		if _, known := q.evidence.inFlight[l.Upstream]; !known && now.Sub(l.At) < q.alertTime && q.exits.add(now, l.Upstream, q.alertTime) {
+			q.notify()
+		}
+	}
 	q.evidence.merge(e)
 	q.conclude(now)
 }
@@ -241,10 +300,12 @@
 	q.evidence.expire(now, q.memory)
 	waves := q.evidence.waves()
 	for segment := range waves {
-		if q.proven.contains(segment) {
+		if q.provenSet(segment).contains(segment) {
 			q.evidence.markSound(segment, 0)
 		}
 	}
+	q.evidence.narrow()
+	waves = q.evidence.waves()
 	before := q.table.Load()
 	if len(waves) == 0 {
 		q.replaceTable(now, before, nil)
@@ -255,10 +316,11 @@
 	if before != nil && before.digest == table.digest {
 		return
 	}
-	quarantined := attribute(exported.Losses, q.evidence.sound, q.thresholds)
+	quarantined := attribute(exported, q.evidence.sound, q.thresholds)
+	weights := q.evidence.weigh()
 	for segment, wave := range waves {
 		sound, proven := q.evidence.sound[segment]
-		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, upstreams: quarantined[segment]}
+		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, convicts: weights[segment].occurrences > 1 || weights[segment].direct > 0, upstreams: quarantined[segment]}
 	}
 	q.replaceTable(now, before, table)
 	q.notify()
--- a/decisions/quarantiner/quarantiner_test.go
+++ b/decisions/quarantiner/quarantiner_test.go
@@ -187,16 +187,18 @@
 	if len(evidence.Losses) > maxLosses {
 		t.Errorf("%d losses kept, want at most %d", len(evidence.Losses), maxLosses)
 	}
+	size := 0
 	for _, l := range evidence.Losses {
-		if len(l.Segments) > maxLossSegments {
-			t.Fatalf("a loss with %d segments kept, want at most %d", len(l.Segments), maxLossSegments)
-		}
 		for _, s := range l.Segments {
 			if len(s.ID) > maxSegmentIDBytes {
 				t.Fatalf("an id of %d bytes kept, want at most %d", len(s.ID), maxSegmentIDBytes)
 			}
+			size += len(s.ID) + segmentOverheadBytes
 		}
 	}
+	if size > maxEvidenceBytes {
+		t.Errorf("segments of %d bytes kept, want at most %d", size, maxEvidenceBytes)
+	}
 }
 
 func TestAlertIsLongOnlyWithTwoUpstreams(t *testing.T) {
--- a/decisions/quarantiner/summary.go
+++ b/decisions/quarantiner/summary.go
@@ -8,7 +8,7 @@
 )
 
 // defaultThresholds are those of the default settings.
-var defaultThresholds = thresholds{upstreams: 3, waves: 2, manyUpstreams: 5}
+var defaultThresholds = thresholds{upstreams: 3, waves: 2, manyUpstreams: 5, inFlightUpstreams: 5, inFlightWaves: 2}
 
 // Summary is what the evidence says about one segment, for operators.
 type Summary struct {
@@ -25,10 +25,10 @@
 // most suspect first.
 func Summarize(all []quetzalroad.LossEvidence) []Summary {
 	combined := combine(all)
-	losses := combined.sortedLosses()
-	quarantined := attribute(losses, combined.sound, defaultThresholds)
+	exported := combined.export()
+	quarantined := attribute(exported, combined.sound, defaultThresholds)
 	var summaries []Summary
-	for id, s := range suspects(losses, combined.sound) {
+	for id, s := range suspects(slices.Concat(exported.Losses, exported.InFlight), combined.sound) {
 		summaries = append(summaries, Summary{Segment: id, Upstreams: len(s.upstreams), Waves: len(s.waves), Proven: s.proven, Quarantined: quarantined[id] > 0})
 	}
 	slices.SortFunc(summaries, func(a, b Summary) int {
@@ -52,11 +52,11 @@
 		return quetzalroad.LossEvidence{}, false
 	}
 	lifted := quetzalroad.LossEvidence{Sound: []quetzalroad.SoundSegment{{ID: segment, Wave: wave}}}
-	for _, l := range combined.sortedLosses() {
-		if slices.ContainsFunc(l.Segments, func(s quetzalroad.ExposedSegment) bool { return s.ID == segment }) {
-			lifted.Losses = append(lifted.Losses, l)
-		}
+	lacksSegment := func(l quetzalroad.UpstreamLoss) bool {
+		return !slices.ContainsFunc(l.Segments, func(s quetzalroad.ExposedSegment) bool { return s.ID == segment })
 	}
+	lifted.Losses = slices.DeleteFunc(combined.sortedLosses(), lacksSegment)
+	lifted.InFlight = slices.DeleteFunc(combined.sortedInFlight(), lacksSegment)
 	return lifted, true
 }
 
--- a/proofs/prover/crashingengines_test.go
+++ b/proofs/prover/crashingengines_test.go
@@ -22,6 +22,8 @@
 const (
 	commonSegment = "c0"
 	deadlySegment = "dead"
+	// deadlyOwnSegment is the last segment of a request that crashes engines as a whole.
+	deadlyOwnSegment = "dead-own"
 )
 
 const (
@@ -31,6 +33,19 @@
 	eventsPerStream      = 10
 )
 
+// crashPhase is how far an engine comes with the response to a deadly request before it crashes.
+type crashPhase int
+
+const (
+	// crashAfterHead is between the head and the first event.
+	crashAfterHead crashPhase = iota
+	crashBeforeHead
+	crashBetweenEvents
+)
+
+// crashEvent is the number of events before a crash between events.
+const crashEvent = 3
+
 // crashingEngine is one incarnation of an engine.
 type crashingEngine struct {
 	index int
@@ -40,8 +55,9 @@
 
 // crashingEngines are the engines of a fleet. They implement quetzalroad.ForwardClient for all nodes.
 type crashingEngines struct {
-	log *faker.KeyedLog
-	mu  sync.Mutex
+	log   *faker.KeyedLog
+	phase crashPhase
+	mu    sync.Mutex
 	// The fields below are guarded by mu. running holds the current incarnation of each engine by name.
 	running map[quetzalroad.UpstreamName]*crashingEngine
 	random  *rand.Rand
@@ -51,8 +67,8 @@
 	deadlyArrivals []time.Time
 }
 
-func newCrashingEngines(log *faker.KeyedLog, count int, seed uint64) *crashingEngines {
-	e := &crashingEngines{log: log, running: make(map[quetzalroad.UpstreamName]*crashingEngine), random: rand.New(rand.NewPCG(seed, 0))}
+func newCrashingEngines(log *faker.KeyedLog, count int, phase crashPhase, seed uint64) *crashingEngines {
+	e := &crashingEngines{log: log, phase: phase, running: make(map[quetzalroad.UpstreamName]*crashingEngine), random: rand.New(rand.NewPCG(seed, 0))}
 	for i := range count {
 		e.start(i)
 	}
@@ -104,7 +120,7 @@
 }
 
 func isDeadly(f *quetzalroad.ForwardRequest) bool {
-	return slices.ContainsFunc(f.PromptSegments, func(s quetzalroad.PromptSegment) bool { return s.ID == deadlySegment })
+	return slices.ContainsFunc(f.PromptSegments, func(s quetzalroad.PromptSegment) bool { return s.ID == deadlySegment || s.ID == deadlyOwnSegment })
 }
 
 // Send implements quetzalroad.ForwardClient.
@@ -127,7 +143,13 @@
 		e.mu.Unlock()
 	}
 	r := &crashingResponse{engines: e, engine: engine, name: name, ctx: ctx, deadly: deadly}
-	return r, r.wait(prefill)
+	if err := r.wait(prefill); err != nil {
+		return nil, err
+	}
+	if deadly && e.phase == crashBeforeHead {
+		return nil, r.crash()
+	}
+	return r, nil
 }
 
 // crashingResponse is a response of an engine that may crash.
@@ -166,9 +188,8 @@
 	if err := r.wait(eventInterval); err != nil {
 		return quetzalroad.BodyChunk{}, err
 	}
-	if r.deadly {
-		r.engines.crash(r.name)
-		return quetzalroad.BodyChunk{}, r.wait(time.Hour)
+	if r.deadly && (r.engines.phase == crashAfterHead || r.events == crashEvent) {
+		return quetzalroad.BodyChunk{}, r.crash()
 	}
 	if r.events == eventsPerStream {
 		return quetzalroad.BodyChunk{}, io.EOF
@@ -177,5 +198,11 @@
 	return quetzalroad.BodyChunk{Data: []byte("data"), EventID: r.events}, nil
 }
 
+// crash crashes the engine and returns what the client sees of it.
+func (r *crashingResponse) crash() error {
+	r.engines.crash(r.name)
+	return r.wait(time.Hour)
+}
+
 // Close implements quetzalroad.ForwardResponse.
 func (*crashingResponse) Close() {}
--- a/proofs/prover/forwardfleet_test.go
+++ b/proofs/prover/forwardfleet_test.go
@@ -43,8 +43,13 @@
 	soundPerSecond, deadlyPerSecond int
 	// deadlyFirst puts the deadly segment at the beginning of the prompt instead of before its end.
 	deadlyFirst bool
-	duration    time.Duration
-	seed        uint64
+	// oneRequest makes all deadly requests the same request with a new id, whose shared segments are sound.
+	oneRequest bool
+	// moreSegments is the number of further shared segments at the beginning of each prompt.
+	moreSegments int
+	phase        crashPhase
+	duration     time.Duration
+	seed         uint64
 	// prepare, unless nil, is called before the nodes start.
 	prepare func(f *forwardFleet)
 	// faults happen while the load is played, in order.
@@ -72,7 +77,7 @@
 		f.log.Put(quetzalroad.LogStreamOperators, "config", quetzalroad.PublishedState{
 			Version: 1, Services: []quetzalroad.Service{{Name: "service", Kind: quetzalroad.ServiceKindEngine}}, Teams: []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("key")}}},
 		})
-		f.engines = newCrashingEngines(&f.log, load.engines, load.seed)
+		f.engines = newCrashingEngines(&f.log, load.engines, load.phase, load.seed)
 		for dc := range load.dataCentres {
 			for i := range load.nodesEach {
 				f.addNode(t, dc, i)
@@ -169,15 +174,15 @@
 			faults = faults[1:]
 		}
 		deadly := time.Since(f.startedAt) > poisonStart && f.random.IntN(perSecond) < load.deadlyPerSecond
-		request := f.request(count, deadly, load.deadlyFirst)
+		request := f.request(count, deadly, load)
 		node := f.readyNode()
 		f.running.Go(func() { f.forward(node, request, deadly) })
 		time.Sleep(interval)
 	}
 }
 
-// request returns a request. Two of its segments are also in other requests, sound and deadly ones.
-func (f *forwardFleet) request(count int, deadly, deadlyFirst bool) *quetzalroad.ForwardRequest {
+// request returns a request. All its segments but the last are also in other requests, sound and deadly ones.
+func (f *forwardFleet) request(count int, deadly bool, load fleetLoad) *quetzalroad.ForwardRequest {
 	r := &quetzalroad.ForwardRequest{CallerRequestID: fmt.Sprintf("caller-%d", count), Method: "POST", RequestTarget: "/x/"}
 	r.ID, r.Arrived = quetzalroad.RequestID(r.CallerRequestID), time.Now()
 	r.Team = quetzalroad.Team{Name: "team"}
@@ -188,18 +193,39 @@
 		Profile: quetzalroad.Profile{Name: "route", Class: "class", FirstTokenTarget: time.Second, Timeout: 5 * time.Second, Idempotent: true},
 	}
 	r.Profile, r.Idempotent = r.Route.Profile, true
-	ids := []string{commonSegment, fmt.Sprintf("subject-%d", f.random.IntN(40))}
+	for _, id := range f.promptIDs(count, deadly, load) {
+		r.PromptSegments = append(r.PromptSegments, quetzalroad.PromptSegment{ID: id, Tokens: 100})
+	}
+	r.PromptTokens = 100 * len(r.PromptSegments)
+	return r
+}
+
+// subjects is the number of segments of which each prompt has one, and furtherSegments that of those of
+// which it has moreSegments.
+const (
+	subjects        = 40
+	furtherSegments = 400
+)
+
+// promptIDs returns the segments of a request's prompt.
+func (f *forwardFleet) promptIDs(count int, deadly bool, load fleetLoad) []string {
+	if deadly && load.oneRequest {
+		return []string{commonSegment, "subject-0", deadlyOwnSegment}
+	}
+	ids := []string{commonSegment}
+	if load.moreSegments > 0 {
+		for _, i := range f.random.Perm(furtherSegments)[:load.moreSegments] {
+			ids = append(ids, fmt.Sprintf("further-%d", i))
+		}
+	}
+	ids = append(ids, fmt.Sprintf("subject-%d", f.random.IntN(subjects)))
 	switch {
-	case deadly && deadlyFirst:
+	case deadly && load.deadlyFirst:
 		ids = append([]string{deadlySegment}, ids...)
 	case deadly:
 		ids = append(ids, deadlySegment)
 	}
-	for _, id := range append(ids, fmt.Sprintf("own-%d", count)) {
-		r.PromptSegments = append(r.PromptSegments, quetzalroad.PromptSegment{ID: id, Tokens: 100})
-	}
-	r.PromptTokens = 100 * len(r.PromptSegments)
-	return r
+	return append(ids, fmt.Sprintf("own-%d", count))
 }
 
 func (f *forwardFleet) forward(node *kernel.Node, r *quetzalroad.ForwardRequest, deadly bool) {
@@ -216,13 +242,12 @@
 	}
 }
 
-// lateArrivals returns how many deadly requests reached engines later than a time after the fifth crash.
-func (f *forwardFleet) lateArrivals(after time.Duration) int {
-	const countedCrash = 5
-	if len(f.engines.crashes) < countedCrash {
+// lateArrivals returns how many deadly requests reached engines later than a time after the nth crash.
+func (f *forwardFleet) lateArrivals(nth int, after time.Duration) int {
+	if len(f.engines.crashes) < nth {
 		return 0
 	}
-	from := f.engines.crashes[countedCrash-1].Add(after)
+	from := f.engines.crashes[nth-1].Add(after)
 	late := 0
 	for _, at := range f.engines.deadlyArrivals {
 		if at.After(from) {
--- a/proofs/prover/poison_test.go
+++ b/proofs/prover/poison_test.go
@@ -1,10 +1,14 @@
 package prover
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
 
+// fifthCrash is the crash from which deadly segments have to be known.
+const fifthCrash = 5
+
 // Requests with one segment in common crash the engines they reach, one after the other, at whichever
 // node they come in.
 func TestDeadlySegmentStopsReachingEngines(t *testing.T) {
@@ -37,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
 				share := f.servedShare(settledAfter)
-				if late := f.lateArrivals(noticeTime); late > mostLate {
+				if late := f.lateArrivals(fifthCrash, noticeTime); late > mostLate {
 					t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
 				}
 				if share < leastServed {
@@ -49,6 +53,77 @@
 	}
 }
 
+// An engine may crash before any byte of its response has arrived, in the middle of its stream, or by a
+// segment behind many others.
+func TestDeadlySegmentStopsAtAnyPhaseAndPlace(t *testing.T) {
+	const (
+		noticeTime   = 5 * time.Second
+		mostLate     = 3
+		leastServed  = 0.9
+		settledAfter = poisonStart + 12*time.Second
+	)
+	for name, load := range map[string]fleetLoad{
+		"before the head":            {phase: crashBeforeHead, seed: 11},
+		"between events":             {phase: crashBetweenEvents, seed: 12},
+		"behind 16 segments":         {moreSegments: 14, seed: 13},
+		"behind 200 segments":        {moreSegments: 198, seed: 14},
+		"between events, behind 200": {phase: crashBetweenEvents, moreSegments: 198, seed: 15},
+		"before the head, first":     {phase: crashBeforeHead, deadlyFirst: true, seed: 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load.dataCentres, load.nodesEach, load.engines = 7, 1, 10
+			load.soundPerSecond, load.deadlyPerSecond, load.duration = 60, 2, 30*time.Second
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
+				share := f.servedShare(settledAfter)
+				if late := f.lateArrivals(fifthCrash, noticeTime); late > mostLate {
+					t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
+				}
+				if share < leastServed {
+					t.Errorf("%.2f of the sound requests were served from second %.0f on, want %.2f", share, settledAfter.Seconds(), leastServed)
+				}
+				t.Logf("%d crashes, %.3f of the sound requests served, %d calls to the log", len(f.engines.crashes), share, f.log.CompletedCalls())
+			})
+		})
+	}
+}
+
+// One request, which comes again and again with a new id at any node, crashes each engine that it reaches.
+// Sound requests share its segments.
+func TestDeadlyRequestStopsReachingEngines(t *testing.T) {
+	const (
+		countedCrash = 3
+		mostLate     = 3
+		leastServed  = 0.9
+	)
+	for name, load := range map[string]fleetLoad{
+		"after the head":  {seed: 21},
+		"before the head": {phase: crashBeforeHead, seed: 22},
+		"between events":  {phase: crashBetweenEvents, seed: 23},
+		"nodes restarted": {faults: restartAll(7, 8*time.Second), seed: 24},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load.dataCentres, load.nodesEach, load.engines, load.oneRequest = 7, 1, 10, true
+			load.soundPerSecond, load.deadlyPerSecond, load.duration = 60, 2, 25*time.Second
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
+				if late := f.lateArrivals(countedCrash, 0); late > mostLate {
+					t.Errorf("the request reached engines %d times after three had crashed, and %d in all did, want at most %d", late, len(f.engines.crashes), mostLate)
+				}
+				if share := f.servedShare(poisonStart); share < leastServed {
+					t.Errorf("%.2f of the sound requests were served, want %.2f", share, leastServed)
+				}
+				for _, n := range f.nodes {
+					for _, s := range n.Quarantine.Quarantined(time.Now()) {
+						if !strings.HasPrefix(s.ID, "request:") {
+							t.Errorf("%s quarantines segment %s, which sound requests share", n.Name, s.ID)
+						}
+					}
+				}
+				t.Logf("%d crashes, %d deadly requests reached engines", len(f.engines.crashes), len(f.engines.deadlyArrivals))
+			})
+		})
+	}
+}
+
 // restartAll restarts the nodes of a fleet with one node a data centre, one every second.
 func restartAll(nodes int, from time.Duration) []fleetFault {
 	var faults []fleetFault
--- a/quarantine.go
+++ b/quarantine.go
@@ -2,9 +2,26 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 )
 
+// wholeRequestPrefix begins the id under which a request as a whole is suspected. It has a character that
+// ids of segments can't have.
+const wholeRequestPrefix = "request:"
+
+// WholeRequestSegment returns the pseudo segment that stands for all that requests with the same content
+// have in common.
+func WholeRequestSegment(contentHash uint64) PromptSegment {
+	return PromptSegment{ID: wholeRequestPrefix + strconv.FormatUint(contentHash, 16)}
+}
+
+// IsWholeRequest reports whether the id of a segment stands for a request as a whole.
+func IsWholeRequest(id string) bool {
+	return strings.HasPrefix(id, wholeRequestPrefix)
+}
+
 // ExposedSegment is a prompt segment of a request that was sent to an upstream.
 type ExposedSegment struct {
 	// ID identifies the segment.
@@ -15,11 +32,13 @@
 	Wave int
 }
 
-// UpstreamLoss is the exit of an upstream's process as it began to respond to a request.
+// UpstreamLoss is the exit of an upstream's process, with the suspects: as it began to respond to a request,
+// or with requests in flight.
 type UpstreamLoss struct {
 	// Upstream is the incarnation that exited.
 	Upstream UpstreamName
-	// Segments are the shared segments of the request's prompt, in order.
+	// Segments are the shared segments of the request's prompt, in order, and last the request as a whole.
+	// Of requests in flight they are the segments of all of them, ordered by id.
 	Segments []ExposedSegment
 	// At is when the node noticed the loss, by the time of day.
 	At time.Time
@@ -42,13 +61,17 @@
 // LossEvidence is what nodes know about the prompt segments that crash upstreams. Evidence of two nodes
 // is combined by union, so that its order and repetition don't matter.
 type LossEvidence struct {
+	// Losses are of upstreams that exited as they began to respond, each with one request.
 	Losses []UpstreamLoss
-	// Sound and Refused only list segments of Losses.
+	// InFlight are of upstreams that exited with requests whose response had not begun or was past its
+	// first event, at most one of each upstream. Any of the requests may be to blame, or none.
+	InFlight []UpstreamLoss
+	// Sound and Refused only list segments of Losses and InFlight.
 	Sound   []SoundSegment
 	Refused []RefusedSegment
 }
 
-// QuarantinedSegment is a prompt segment whose requests are not sent to upstreams.
+// QuarantinedSegment is a prompt segment, or a request as a whole, that is not sent to upstreams.
 type QuarantinedSegment struct {
 	ID string
 	// Upstreams is the number of upstreams that exited under it.
@@ -58,7 +81,8 @@
 	RetryAfter time.Duration
 }
 
-// Quarantine finds the prompt segments that crash the upstreams that respond to them.
+// Quarantine finds the prompt segments, and the requests as a whole, that crash the upstreams that respond
+// to them. Its segments are the shared ones of a prompt and the one of WholeRequestSegment.
 type Quarantine interface {
 	// Check returns the quarantined segment because of which a request must not be sent, or false.
 	Check(now time.Time, id RequestID, segments []PromptSegment) (QuarantinedSegment, bool)
@@ -66,6 +90,9 @@
 	Expose(segments []PromptSegment) []ExposedSegment
 	// RecordLoss records that an upstream exited as it began to respond to a request.
 	RecordLoss(now time.Time, u UpstreamName, exposed []ExposedSegment)
+	// RecordInFlight records that an upstream exited with requests in flight that it was not beginning to
+	// respond to.
+	RecordInFlight(now time.Time, u UpstreamName, exposed []ExposedSegment)
 	// RecordComplete records that an upstream responded completely to a request.
 	RecordComplete(now time.Time, segments []PromptSegment)
 	// RecordExit records that an upstream's process has exited, whatever it was doing.
