Require keys unless a config states no tenants at all

Once the operator had taken the last tenant's key away, requests with withdrawn keys, with keys that no config ever held, and without any ran on every route, without end.

Cause: whether callers need a key was the length of the list of tenants. A list that became empty read as 'no keys are asked for', at the check on entry and, as such requests carried no key from then on, at the one before sending.

Now it is a statement of its own, whose zero value asks for keys: only a config without the field is keyless. An empty list, null, tenants without keys, without a name and empty keys leave nobody with a valid key.

Looked for elsewhere: the product's own interface refuses unknown keys whatever the teams are, and the operators' key has no empty value that matches; a list of services, weights or limits that became empty refuses or falls back to the settings; before the first config a node answers 503; a config that can't be read leaves the one in force.

--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -373,6 +373,27 @@
 	})
 }
 
+// The last key may go while a request waits for a connection, or while its stream is resumed.
+func TestForwardSendsNothingOnceTheLastKeyIsWithdrawn(t *testing.T) {
+	for name, keyless := range map[string]bool{"no teams left": false, "teams are no longer stated": true} {
+		t.Run(name, func(t *testing.T) {
+			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+				x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+					state := publishedState(2)
+					state.Teams, state.Keyless = nil, keyless
+					x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", state)
+					time.Sleep(time.Second)
+					return &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(a.ResumeAfter+1, a.ResumeAfter+2), Interrupted: true}, nil
+				}
+				_, refusal := x.forward(t.Context(), newForwardRequest("stream"))
+				if refusal == nil || refusal.Reason != quetzalroad.ReasonUnauthorized || len(x.Sent()) != 1 {
+					t.Errorf("refusal %v, sent %d times, want once", refusal, len(x.Sent()))
+				}
+			})
+		})
+	}
+}
+
 func TestForwardRefusesKeyedRequestOnStaleState(t *testing.T) {
 	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 		x.SetUnavailable(true)
--- a/route.go
+++ b/route.go
@@ -55,9 +55,11 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	// Teams hold the hashes of their keys. It is empty if callers need no key.
-	Teams  []Team
-	Limits CallerLimits
+	// Teams hold the hashes of their keys. If it is empty, no key is valid.
+	Teams []Team
+	// Keyless is set if the state says that callers need no key, on any route.
+	Keyless bool
+	Limits  CallerLimits
 }
 
 // UpstreamRegistration is what an upstream publishes about itself on the platform.
@@ -79,7 +81,7 @@
 	EffectiveTier(route Tier, team Team) Tier
 	// CallerLimits returns the current limits on callers.
 	CallerLimits() CallerLimits
-	// RequiresKey reports whether requests need a key, because the published state has teams.
+	// RequiresKey reports whether requests need a key, except on routes that allow anonymous callers.
 	RequiresKey() bool
 }
 
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -99,15 +99,13 @@
 }
 
 // authenticate looks up the team of the caller's key. A route that allows anonymous callers accepts requests
-// without a valid key. Any other route refuses them, and with stale state refuses valid keys too.
+// without a valid key. Any other route refuses them, and with stale state refuses valid keys too. Where callers
+// need no key, one that is sent has to be valid all the same.
 func (x *exchange) authenticate(metadata quetzalroad.RequestMetadata) error {
 	f := &x.forwardRequest
 	n := x.server.node
-	if !n.RouteTable.RequiresKey() {
-		return nil
-	}
 	if !metadata.HasKey {
-		if f.Route.AllowAnonymous {
+		if !n.RouteTable.RequiresKey() || f.Route.AllowAnonymous {
 			return nil
 		}
 		return x.refusalUnlessStale(quetzalroad.NewRefusal(quetzalroad.ReasonUnauthorized, "a key is needed", 0))
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -68,9 +69,7 @@
 	x.node = node
 	if withState {
 		x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", publishedState(1))
-		x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, "a", quetzalroad.UpstreamRegistration{Upstream: quetzalroad.Upstream{
-			Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "west-1", InstanceID: "a", MaxConcurrency: 4,
-		}})
+		x.putUpstream()
 	}
 	node.Start()
 	t.Cleanup(func() {
@@ -85,6 +84,12 @@
 	return x
 }
 
+func (x *fixture) putUpstream() {
+	x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, "a", quetzalroad.UpstreamRegistration{Upstream: quetzalroad.Upstream{
+		Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "west-1", InstanceID: "a", MaxConcurrency: 4,
+	}})
+}
+
 // canceled returns a canceled context, with which a node stops at once.
 func canceled() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -152,6 +157,51 @@
 	}
 }
 
+// After the last key was withdrawn, no request with a key, and none without, runs on a route that isn't open to
+// anonymous callers.
+func TestWithdrawnLastKeyIsRefused(t *testing.T) {
+	const get = "GET %s HTTP/1.1\r\nHost: h.example\r\n%s\r\n"
+	for name, c := range map[string]struct {
+		// before tells whether a state with teams came first.
+		before bool
+		change func(s *quetzalroad.PublishedState)
+		// noKey is the status of a request without a key on a route that isn't open.
+		noKey int
+	}{
+		"no teams left":              {true, func(s *quetzalroad.PublishedState) { s.Teams = nil }, 401},
+		"teams without keys":         {true, func(s *quetzalroad.PublishedState) { s.Teams[0].KeyHashes = nil }, 401},
+		"teams are no longer stated": {true, func(s *quetzalroad.PublishedState) { s.Teams, s.Keyless = nil, true }, 401},
+		"no teams from the start":    {false, func(s *quetzalroad.PublishedState) { s.Teams = nil }, 401},
+		"teams were never stated":    {false, func(s *quetzalroad.PublishedState) { s.Teams, s.Keyless = nil, true }, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newFixture(t, c.before)
+			state := publishedState(2)
+			c.change(&state)
+			x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", state)
+			x.putUpstream()
+			for x.node.Ready() != nil || x.node.Freshness.Version() != 2 {
+				time.Sleep(time.Millisecond)
+			}
+			for what, r := range map[string]struct {
+				path, key string
+				want      int
+			}{
+				"withdrawn key":           {"/keyed/", "Authorization: Bearer secret\r\n", 401},
+				"key that never was":      {"/keyed/", "Authorization: Bearer wrong\r\n", 401},
+				"empty key":               {"/keyed/", "Authorization: Bearer \r\n", c.noKey},
+				"no key":                  {"/keyed/", "", c.noKey},
+				"no key, open route":      {"/open/", "", 200},
+				"unknown key, open route": {"/open/", "Authorization: Bearer wrong\r\n", 200},
+			} {
+				if response, _ := x.roundTrip(t, fmt.Sprintf(get, r.path, r.key)); response.StatusCode != r.want {
+					t.Errorf("%s: status %d, want %d", what, response.StatusCode, r.want)
+				}
+			}
+		})
+	}
+}
+
 func TestReservedHeaderFieldsAreNotForwarded(t *testing.T) {
 	x := newFixture(t, true)
 	x.roundTrip(t, "GET /keyed/a?b=%20c HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\nRequest-Attempt-Id: id-1\r\n"+
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -40,7 +40,7 @@
 	w.replaceServices(state.Services)
 	w.replaceTeams(state.Teams)
 	w.routes.limits.Store(&state.Limits)
-	w.routes.requiresKey.Store(len(state.Teams) > 0)
+	w.requireKeys(state)
 	w.routes.ranks.Store(newTierRanks(state))
 	w.routes.replace(state.Routes)
 	w.store.SetAppliedOffset(quetzalroad.Offset(w.changes.Add(1)))
@@ -49,6 +49,16 @@
 		"routes", len(state.Routes), "services", len(state.Services), "teams", len(state.Teams))
 }
 
+// requireKeys stores whether callers need a key. A state that says nothing of keys, after one that had teams,
+// opens no route: anonymous callers are allowed route by route.
+func (w *Watcher) requireKeys(state *quetzalroad.PublishedState) {
+	if state.Keyless && w.routes.RequiresKey() {
+		w.logger.Warn("the published state no longer has teams; callers still need a key", "version", state.Version)
+		return
+	}
+	w.routes.requiresKey.Store(!state.Keyless)
+}
+
 func (w *Watcher) replaceServices(services []quetzalroad.Service) {
 	present := make(map[quetzalroad.ServiceName]bool, len(services))
 	for i := range services {
