Heed upstreams that say they leave or ask to be left alone

Cause: nothing read Server-Leaving; a node learnt of a drain from the registration alone, which may come later or, while the store is away, not at all. Nothing read Retry-After of a 503 either, so that a server that asked for a pause got requests all through it.

Now both are read with the head of every response that belongs to the request (plain, streamed, errors, turned away; not 421, where another instance answers). An announced drain marks the incarnation in the directory, at once and for good, whatever its registration says later; a server born again is free of it. A pause holds for this node alone, for first attempts, retries, hedges and resumptions; seconds, fractions and dates are understood, ten minutes are the most, and anything else is no pause. If all upstreams of a service ask for one, requests are refused as not run, with a Retry-After that is after the first pause and spread.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -207,6 +207,7 @@
 		r.attempt.responded = failure.ResponseBegun
 		r.recordLoad(u, failure.LoadReport)
 		r.recordRateLimit(u, failure.RateLimit)
+		r.recordAvailability(u, failure.Leaving, failure.RetryAfter)
 		return err
 	}
 	defer response.Close()
@@ -214,6 +215,7 @@
 	r.attempt.responded, r.attempt.eventStream = true, head.EventStream
 	r.recordLoad(u, head.LoadReport)
 	r.recordRateLimit(u, head.RateLimit)
+	r.recordAvailability(u, head.Leaving, head.RetryAfter)
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
--- a/decisions/dispatcher/throttle.go
+++ b/decisions/dispatcher/throttle.go
@@ -42,3 +42,13 @@
 		r.dispatcher.node.Throttler.UpdateLimit(time.Now(), u.Name, *l)
 	}
 }
+
+// recordAvailability records that an upstream states that it leaves, or wants nothing from this node for a
+// time.
+func (r *forwardRun) recordAvailability(u quetzalroad.Upstream, leaving bool, retryAfter time.Duration) {
+	n := r.dispatcher.node
+	if leaving && n.DrainMarker != nil {
+		n.DrainMarker.MarkDraining(u.Name)
+	}
+	n.Throttler.Pause(time.Now(), u.Name, retryAfter)
+}
--- a/decisions/throttler/bypasser/bypasser.go
+++ b/decisions/throttler/bypasser/bypasser.go
@@ -31,6 +31,9 @@
 // UpdateLimit implements quetzalroad.Throttler.
 func (*Bypasser) UpdateLimit(time.Time, quetzalroad.UpstreamName, quetzalroad.RateLimit) {}
 
+// Pause implements quetzalroad.Throttler.
+func (*Bypasser) Pause(time.Time, quetzalroad.UpstreamName, time.Duration) {}
+
 // HasLimits implements quetzalroad.Throttler.
 func (*Bypasser) HasLimits() bool { return false }
 
--- a/decisions/throttler/throttler.go
+++ b/decisions/throttler/throttler.go
@@ -45,6 +45,7 @@
 	// limited counts the upstreams that state a limit, so that without one no lock is taken.
 	limited atomic.Int64
 	shards  [shardCount]shard
+	pauses  pauses
 	refused refusals
 }
 
@@ -82,6 +83,7 @@
 	t.logger = n.Logger
 	n.Throttler = t
 	n.Vars.Set("rate-limited-upstreams", expvar.Func(func() any { return t.limited.Load() }))
+	n.Vars.Set("paused-upstreams", expvar.Func(func() any { return t.pauses.count.Load() }))
 	return nil
 }
 
@@ -196,13 +198,23 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
+// Pause implements quetzalroad.Throttler.
+func (t *Throttler) Pause(now time.Time, u quetzalroad.UpstreamName, d time.Duration) {
+	if d > 0 && t.pauses.add(now, u, now.Add(d)) {
+		t.logger.Info("upstream asked for a pause", "upstream", string(u), "for", d)
+	}
+}
+
 // HasLimits implements quetzalroad.Throttler.
 func (t *Throttler) HasLimits() bool {
-	return t.limited.Load() > 0
+	return t.limited.Load() > 0 || t.pauses.count.Load() > 0
 }
 
 // State implements quetzalroad.Throttler.
 func (t *Throttler) State(now time.Time, u quetzalroad.UpstreamName) quetzalroad.ThrottleState {
+	if t.pauses.rest(now, u) > 0 {
+		return quetzalroad.ThrottleExhausted
+	}
 	state := quetzalroad.ThrottleNone
 	t.withBucket(now, u, func(b *bucket) {
 		state = b.state()
@@ -212,6 +224,9 @@
 
 // Acquire implements quetzalroad.Throttler.
 func (t *Throttler) Acquire(now time.Time, s quetzalroad.ServiceName, tier quetzalroad.Tier, u quetzalroad.UpstreamName) bool {
+	if t.pauses.rest(now, u) > 0 {
+		return false
+	}
 	granted := true
 	t.withBucket(now, u, func(b *bucket) {
 		granted = b.tokens >= 1 && !t.refused.hasMoreUrgent(now, s, tier, t.urgentTime)
@@ -222,14 +237,26 @@
 	return granted
 }
 
+// pauseSpread is the fraction of a pause over which the return of refused requests is spread after it.
+const pauseSpread = 4
+
 // RetryAfter implements quetzalroad.Throttler.
 func (t *Throttler) RetryAfter(now time.Time, s quetzalroad.ServiceName, tier quetzalroad.Tier, candidates []quetzalroad.Upstream) time.Duration {
 	soonest, rate := maxRetryAfter, 0.0
+	soonestPause := maxRetryAfter
 	for _, u := range candidates {
-		t.withBucket(now, u.Name, func(b *bucket) {
-			soonest = min(soonest, b.untilToken())
+		pause := t.pauses.rest(now, u.Name)
+		limited := t.withBucket(now, u.Name, func(b *bucket) {
+			soonest = min(soonest, max(b.untilToken(), pause))
 			rate += b.rate
 		})
+		if !limited && pause > 0 {
+			soonestPause = min(soonestPause, pause)
+		}
+	}
+	if soonestPause < soonest {
+		// A part of the time is random, so that requests don't come back at once.
+		return min(soonestPause+rand.N(soonestPause/pauseSpread+1), maxRetryAfter)
 	}
 	return t.refused.reserve(now, s, tier, soonest, rate)
 }
--- a/forward.go
+++ b/forward.go
@@ -81,6 +81,10 @@
 	LoadReport *LoadReport
 	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
 	RateLimit *RateLimit
+	// Leaving reports whether the upstream states that it leaves.
+	Leaving bool
+	// RetryAfter is how long the upstream asks to be sent nothing; zero if it doesn't.
+	RetryAfter time.Duration
 }
 
 // BodyChunk is a part of a response body. In an event stream it is one whole event.
@@ -165,6 +169,10 @@
 	LoadReport *LoadReport
 	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
 	RateLimit *RateLimit
+	// Leaving reports whether the upstream states that it leaves.
+	Leaving bool
+	// RetryAfter is how long an upstream that turns requests away asks to be sent nothing; zero if it doesn't.
+	RetryAfter time.Duration
 	// KeepAlive is how long the upstream keeps an idle connection open; zero if not
 	// sent.
 	KeepAlive time.Duration
--- a/interfaces.go
+++ b/interfaces.go
@@ -30,6 +30,13 @@
 	AppliedOffset() Offset
 }
 
+// DrainMarker records the drains that upstreams announce in their responses.
+type DrainMarker interface {
+	// MarkDraining records that an incarnation of an upstream drains. It takes effect at once and for good,
+	// whatever its registration says.
+	MarkDraining(u UpstreamName)
+}
+
 // Publisher changes the published state.
 type Publisher interface {
 	// Publish appends a change and waits until it has been read back. The error is a
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -52,8 +52,10 @@
 	ServiceClient     quetzalroad.ServiceClient
 	Dispatcher        quetzalroad.Dispatcher
 	Drainer           quetzalroad.Drainer
-	PeerTransport     quetzalroad.PeerTransport
-	Peers             quetzalroad.Peers
+	// DrainMarker is nil if the state can't be marked.
+	DrainMarker   quetzalroad.DrainMarker
+	PeerTransport quetzalroad.PeerTransport
+	Peers         quetzalroad.Peers
 
 	KeyedLog    quetzalroad.KeyedLog
 	KeyedWriter quetzalroad.KeyedWriter
--- a/refusal.go
+++ b/refusal.go
@@ -105,6 +105,10 @@
 	LoadReport *LoadReport
 	// RateLimit is the limit that the upstream stated; nil if it did not respond, or not clearly.
 	RateLimit *RateLimit
+	// Leaving reports whether the upstream stated that it leaves.
+	Leaving bool
+	// RetryAfter is how long the upstream asked to be sent nothing; zero if it didn't.
+	RetryAfter time.Duration
 	// Cause is the underlying error.
 	Cause error
 }
--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -144,7 +144,9 @@
 func (w *Watcher) putUpstream(known *registration, u quetzalroad.Upstream, offset int64) {
 	u.Name = known.name
 	u.Region = w.regions[u.DataCentre]
-	u.Draining = known.draining
+	w.announced.mu.Lock()
+	defer w.announced.mu.Unlock()
+	u.Draining = known.draining || w.announced.contains(known.name)
 	previous, existed := w.store.Upstream(known.name)
 	u.Revision = previous.Revision
 	if existed && previous == u {
@@ -183,7 +185,9 @@
 	known.inDirectory = false
 	known.removedIn = w.registrations.epoch
 	known.missingSince = boottimer.Instant{}
+	w.announced.mu.Lock()
 	w.store.Put(quetzalroad.ObjectUpstream, string(known.name), quetzalroad.Object{})
+	w.announced.mu.Unlock()
 	w.logger.Info("upstream gone", "upstream", string(known.name), "reason", reason, "sequence", known.sequence)
 }
 
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -50,6 +50,7 @@
 	routes        routeTable
 	published     publishedNames
 	registrations registrationTable
+	announced     announcedDrains
 	// version is the applied version of the published state; zero before the first.
 	version atomic.Int64
 	// changes counts the changes of the store, in the order in which this node applied them. Offsets would
@@ -87,6 +88,7 @@
 	n.Directory = &w.store
 	n.RouteTable = &w.routes
 	n.Freshness = w
+	n.DrainMarker = w
 	n.AddReadiness(w)
 	n.AddTask("follow the published state", w.followState)
 	n.AddTask("follow the upstreams' registrations", w.followRegistrations)
--- a/throttle.go
+++ b/throttle.go
@@ -21,7 +21,8 @@
 	// that its share is lost if it sends none.
 	ThrottleOpen
 	ThrottleSpare
-	// ThrottleExhausted means that it must not.
+	// ThrottleExhausted means that it must not, because the limit is used up or the upstream asked for a
+	// pause.
 	ThrottleExhausted
 )
 
@@ -30,7 +31,9 @@
 type Throttler interface {
 	// UpdateLimit records the limit that a response of an upstream states.
 	UpdateLimit(now time.Time, u UpstreamName, l RateLimit)
-	// HasLimits reports whether any upstream states a limit.
+	// Pause records that an upstream asks this node to send it nothing for a time.
+	Pause(now time.Time, u UpstreamName, d time.Duration)
+	// HasLimits reports whether any upstream states a limit, or asked for a pause.
 	HasLimits() bool
 	// State returns the state of an upstream.
 	State(now time.Time, u UpstreamName) ThrottleState
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -170,6 +170,7 @@
 		x.complete = x.discardBody() == nil
 		return &quetzalroad.AttemptError{
 			Upstream: x.attempt.Upstream.Name, NotRun: true, RetryReason: reason, LoadReport: x.metadata.LoadReport, RateLimit: x.metadata.RateLimit,
+			Leaving: x.metadata.Leaving, RetryAfter: x.metadata.RetryAfter,
 			Cause: errors.Newf("upstream responded with status %d and states that it did not run the request", x.response.StatusCode),
 		}
 	}
@@ -177,7 +178,7 @@
 	x.head = quetzalroad.ResponseHead{
 		Status: x.response.StatusCode, Header: headerfilter.EndToEnd(x.response.Header, "Content-Length"), ContentLength: x.response.ContentLength,
 		EventStream: strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"), LoadReport: x.metadata.LoadReport,
-		RateLimit: x.metadata.RateLimit,
+		RateLimit: x.metadata.RateLimit, Leaving: x.metadata.Leaving, RetryAfter: x.metadata.RetryAfter,
 	}
 	if x.head.EventStream {
 		x.events = &eventReader{src: x.response.Body, codec: x.client.codec}
