End a planned stop with answers, and take no late request that may outlive it

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated (LOST). It happened here too.

Cause: once the balancer no longer expects the node to take requests, connections that were in use, or new and not used yet, still had theirs served, whatever time was left; at the end of the stop all open connections were closed.

Now a request that is complete after that moment is forwarded only if its time limit ends before the node's work does; otherwise it is refused as not run. Shortly before the end the requests in flight are cancelled, those that may not be cancelled by their callers too, so that each is answered: not run if none of its attempts may have run, else 502. A stream that has begun is still cut then, as its answer is on the wire.

Evidence: TestNothingIsCutWithoutAnAnswerAtTheEndOfAPlannedStop on real sockets; before, 'unexpected EOF' for a request that runs at the end, and late ones sent on.

--- a/decisions/dispatcher/attempt.go
+++ b/decisions/dispatcher/attempt.go
@@ -114,7 +114,7 @@
 	case <-ctx.Done():
 		primary.stop()
 		r.history.mayHaveRun = true
-		return nil, contextRefusal(ctx, quetzalroad.OutcomeUnknown)
+		return nil, r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 	case <-timer.C:
 	}
 	hedge := r.startHedge(ctx, u)
@@ -168,7 +168,7 @@
 		primary.stop()
 		hedge.stop()
 		r.history.mayHaveRun = true
-		return nil, contextRefusal(ctx, quetzalroad.OutcomeUnknown)
+		return nil, r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 	}
 }
 
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -153,7 +153,7 @@
 			preempted = nil
 		case <-ctx.Done():
 			r.history.mayHaveRun = true
-			return contextRefusal(ctx, quetzalroad.OutcomeUnknown)
+			return r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 		}
 	}
 }
@@ -165,7 +165,7 @@
 	}
 	if result.err != nil && ctx.Err() != nil {
 		r.history.mayHaveRun = true
-		return false, contextRefusal(ctx, quetzalroad.OutcomeUnknown)
+		return false, r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 	}
 	if result.err != nil {
 		if errors.Is(result.err, io.EOF) {
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -32,6 +32,7 @@
 	inFlight   atomic.Int64
 	idle       chan struct{}
 	exitChecks exitChecks
+	endings    endings
 }
 
 // Declare implements kernel.Component.
@@ -46,6 +47,7 @@
 	n.Forwarder = d
 	n.AddInFlightCounter(d.inFlightCount)
 	n.OnStop(d.drain)
+	context.AfterFunc(n.Ending(), d.endings.endAll)
 	return nil
 }
 
@@ -161,9 +163,12 @@
 }
 
 // contextRefusal returns the refusal for a request whose context has ended.
-func contextRefusal(ctx context.Context, outcome quetzalroad.Outcome) *quetzalroad.Refusal {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+func (d *Dispatcher) contextRefusal(ctx context.Context, outcome quetzalroad.Outcome) *quetzalroad.Refusal {
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonTimeout, Message: "the request ran out of time", Outcome: outcome}
+	case d.isEnding():
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonNotReady, Message: "the node stops", RetryAfter: noUpstreamRetryAfter, Outcome: outcome, Cause: errNodeEnding}
 	}
 	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerDisconnected, Message: "the caller left", Outcome: outcome}
 }
@@ -211,7 +216,7 @@
 		history.mayHaveRun = true
 	}
 	if ctx.Err() != nil {
-		return contextRefusal(ctx, history.outcome())
+		return d.contextRefusal(ctx, history.outcome())
 	}
 	if history.mayHaveRun && !r.Idempotent {
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamResponseLost, Message: "the upstream may have run the request, and its answer was lost", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
@@ -245,7 +250,7 @@
 
 func (d *Dispatcher) waitBackoff(ctx context.Context, backoff time.Duration, outcome quetzalroad.Outcome) error {
 	if sleeper.Sleep(ctx, backoff) != nil {
-		return contextRefusal(ctx, outcome)
+		return d.contextRefusal(ctx, outcome)
 	}
 	return nil
 }
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -16,7 +16,7 @@
 func (d *Dispatcher) Forward(ctx context.Context, f *quetzalroad.ForwardRequest, sink quetzalroad.ForwardSink) error {
 	defer d.trackRequest()()
 	deadlineCtx, cancel := withDeadline(ctx, &f.Request)
-	defer cancel()
+	defer d.endings.add(cancel)()
 	service, ok := d.node.Directory.Service(pickService(f.Route.TrafficSplit))
 	if !ok {
 		return noUpstreamRefusal()
@@ -28,6 +28,9 @@
 	}
 	held, err := d.admit(deadlineCtx, &f.Request)
 	if err != nil {
+		if d.isEnding() && ctx.Err() == nil {
+			return d.contextRefusal(deadlineCtx, quetzalroad.OutcomeNotRun)
+		}
 		return err
 	}
 	run := &forwardRun{dispatcher: d, request: f, suspects: suspects, reservation: held, sink: sink, callerCtx: ctx, lastEventID: f.LastEventID}
@@ -38,7 +41,7 @@
 		// would leave its outcome unknown.
 		var cancelRun context.CancelFunc
 		runCtx, cancelRun = withDeadline(context.WithoutCancel(ctx), &f.Request)
-		defer cancelRun()
+		defer d.endings.add(cancelRun)()
 	}
 	return run.runAttempts(runCtx)
 }
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -166,14 +166,14 @@
 // Expose implements quetzalroad.Quarantine. A segment that is repeated is listed where it stands first.
 func (q *Quarantiner) Expose(segments []quetzalroad.PromptSegment) []quetzalroad.ExposedSegment {
 	exposed := make([]quetzalroad.ExposedSegment, 0, len(segments))
-	seen := make(map[string]bool, len(segments))
+	seen := make(map[string]struct{}, len(segments))
 	table := q.table.Load()
 	for _, s := range segments {
 		key := segmentKey(s.ID)
-		if seen[key] {
+		if _, repeated := seen[key]; repeated {
 			continue
 		}
-		seen[key] = true
+		seen[key] = struct{}{}
 		wave := 1
 		if table != nil {
 			wave += table.segments[key].wave
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -88,6 +88,12 @@
 	tomb     tomb.Tomb
 	stopping atomic.Bool
 	stopOnce sync.Once
+	// closingTo is when the work in flight has to end, once a stopping node no longer expects requests; nil
+	// before.
+	closingTo atomic.Pointer[time.Time]
+	// ending is done when it has to end now. It is allocated by Build.
+	ending    context.Context
+	endingNow context.CancelCauseFunc
 }
 
 // task is a background function of a component.
@@ -193,6 +199,7 @@
 		ctx, cancel = context.WithTimeout(ctx, n.stopTimeout)
 		defer cancel()
 	}
+	defer n.endWork(ctx)()
 	n.Logger.Info("stopping", "balancer-lag", n.balancerLag, "open", n.InFlight())
 	timer := time.NewTimer(n.balancerLag)
 	defer timer.Stop()
@@ -200,12 +207,55 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	n.expectNoRequests(ctx)
 	for i := len(n.stopHooks) - 1; i >= 0; i-- {
 		n.stopHooks[i](ctx)
 	}
 	n.tomb.Kill(nil)
 }
 
+// answerMargin is the part of a planned stop reserved for the answers to work that it ends.
+const answerMargin = 400 * time.Millisecond
+
+// errEnding is why work in flight ends before it is complete.
+var errEnding = errors.New("the node's planned stop is over")
+
+// endWork ends the work in flight when a planned stop is nearly over. It returns a function that gives up.
+func (n *Node) endWork(ctx context.Context) func() {
+	deadline, bounded := ctx.Deadline()
+	if !bounded || n.endingNow == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(deadline.Add(-answerMargin)), func() { n.endingNow(errEnding) })
+	return func() { timer.Stop() }
+}
+
+// expectNoRequests records by when a request that comes now has to end.
+func (n *Node) expectNoRequests(ctx context.Context) {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		latest := deadline.Add(-answerMargin)
+		n.closingTo.Store(&latest)
+	}
+}
+
+// WorkDeadline returns when the work in flight has to end, if the node is stopping and no longer expects
+// requests.
+func (n *Node) WorkDeadline() (time.Time, bool) {
+	if at := n.closingTo.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
+}
+
+// Ending returns a context that is done when a planned stop is nearly over, so that the work in flight has to
+// end with an answer.
+func (n *Node) Ending() context.Context {
+	if n.ending == nil {
+		return context.Background()
+	}
+	return n.ending
+}
+
 // Config is the settings of a node, from which it is built.
 type Config struct {
 	schema      configloader.Schema
@@ -274,6 +324,7 @@
 		balancerLag: cfg.balancerLag,
 		stopTimeout: cfg.stopTimeout,
 	}
+	n.ending, n.endingNow = context.WithCancelCause(context.Background())
 	for _, s := range slotSpecs {
 		selector := cfg.selectors[s.slot]
 		if selector == nil || selector.component == nil {
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -56,13 +57,21 @@
 }
 
 func newFixture(t *testing.T, withState bool) *fixture {
+	t.Helper()
+	return newFixtureWithSettings(t, withState, nil)
+}
+
+// newFixtureWithSettings starts a node with further settings sections.
+func newFixtureWithSettings(t *testing.T, withState bool, sections map[string]string) *fixture {
 	t.Helper()
 	x := &fixture{callerAddress: freeAddress(t), readinessAddress: freeAddress(t)}
-	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
+	settings := map[string]string{
 		"callers":       `{"plugin": "forward", "address": "` + x.callerAddress.String() + `", "ready-address": "` + x.readinessAddress.String() + `"}`,
 		"caller-fields": `{"plugin": "platform"}`,
 		"state":         `{"plugin": "watcher", "revoke-within": "2s", "state-wait": "200ms", "call-timeout": "200ms", "places": "west-1=west"}`,
-	}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
+	}
+	maps.Copy(settings, sections)
+	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), settings, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -340,6 +349,74 @@
 	}
 }
 
+// A request that comes late in a planned stop either ends before the node does, or is refused as not run. One
+// that still runs at the end is answered, not cut.
+func TestNothingIsCutWithoutAnAnswerAtTheEndOfAPlannedStop(t *testing.T) {
+	const (
+		// runTime is how long a request runs, and lateAfter when in the stop the late ones come.
+		runTime   = 300 * time.Millisecond
+		lateAfter = 300 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		path, header string
+		// endless requests never end by themselves, and late ones come when the node no longer expects any.
+		endless, late bool
+		status        int
+		sent          int
+	}{
+		"running, ends in time":              {path: "/open/", status: 200, sent: 1},
+		"running at the end":                 {path: "/open/", endless: true, status: 502, sent: 1},
+		"late, ends in time":                 {path: "/open/", late: true, header: "Deadline-Remaining: 900\r\n", status: 200, sent: 1},
+		"late, may run longer than the node": {path: "/open/", late: true, status: 503},
+		"late, with a key":                   {path: "/keyed/", late: true, header: "Authorization: Bearer secret\r\n", status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newFixtureWithSettings(t, true, map[string]string{"node": `{"name": "node-1", "data-centre": "west-1", "region": "west", "balancer-lag": "100ms", "stop-timeout": "2s"}`})
+			x.Script = func(ctx context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+				if !c.endless {
+					time.Sleep(runTime)
+					return &faker.ScriptedResponse{}, nil
+				}
+				<-ctx.Done()
+				return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, RetryReason: quetzalroad.RetryConnectionLost, Cause: ctx.Err()}
+			}
+			conn, r := x.sendRaw(t, "")
+			request := "POST " + c.path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: 1\r\n" + c.header + "Content-Length: 2\r\n\r\n"
+			write := func(text string) {
+				if _, err := io.WriteString(conn, text); err != nil {
+					t.Error(err)
+				}
+			}
+			if !c.late {
+				write(request + "ok")
+				for len(x.Sent()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			} else {
+				// The connection is in use when the stop begins, with a body still to come.
+				write(request + "o")
+			}
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				x.node.Stop(context.Background())
+			}()
+			if c.late {
+				time.Sleep(lateAfter)
+				write("k")
+			}
+			response, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("cut without an answer: %v", err)
+			}
+			if response.StatusCode != c.status || len(x.Sent()) != c.sent {
+				t.Errorf("status %d, sent %d times; want %d and %d", response.StatusCode, len(x.Sent()), c.status, c.sent)
+			}
+			<-stopped
+		})
+	}
+}
+
 func TestReservedNamesWithUnderscoresAreNotForwarded(t *testing.T) {
 	x := newFixture(t, true)
 	x.roundTrip(t, "GET /open/ HTTP/1.1\r\nHost: h.example\r\nKv_Backup: y\r\nX_Other: z\r\n\r\n")
