Take no unframed response of an exited upstream, and no gap after a resumption, for whole

- A process that is killed leaves its connections closed like one that has sent its whole answer.
Where an answer has neither a length nor chunks, that end looked complete, for streams (between two events) and for plain answers.
Now the upstream of such an answer is asked whether its process still runs; if it has exited on its own, the answer counts as broken off.
- A caller that takes its stream up again at Last-Event-Id got whatever event the upstream began with.
Now that must be the next one, as it must be when the node resumes a stream.

TestForwardTakesNoUnframedResponseOfAnExitedUpstreamForWhole and TestForwardRejectsGapAfterCallersLastEvent fail with the two conditions as they were. The cost is one connection at the end of each unframed answer.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -229,9 +229,9 @@
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d", head.Status)}
 	}
 	if head.EventStream {
-		return r.relayEvents(u, start, response)
+		return r.relayEvents(ctx, u, start, response)
 	}
-	return r.relayBuffered(u, start, response)
+	return r.relayBuffered(ctx, u, start, response)
 }
 
 func (r *forwardRun) recordLoad(u quetzalroad.Upstream, load *quetzalroad.LoadReport) {
--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -362,6 +363,66 @@
 	})
 }
 
+// A caller that takes up its stream again must not miss events, whichever upstream goes on.
+func TestForwardRejectsGapAfterCallersLastEvent(t *testing.T) {
+	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			if len(x.Sent()) == 1 {
+				return &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(a.ResumeAfter+3, a.ResumeAfter+5)}, nil
+			}
+			return &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(a.ResumeAfter+1, a.ResumeAfter+5)}, nil
+		}
+		f := newForwardRequest("stream")
+		f.LastEventID = 12
+		sink, refusal := x.forward(t.Context(), f)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if len(x.Sent()) != 2 || x.Sent()[1].ResumeAfter != 12 {
+			t.Errorf("sent %d times, want another attempt after event 12", len(x.Sent()))
+		}
+		want := new(faker.ForwardSink)
+		for _, c := range eventChunks(13, 17) {
+			want.Body = append(want.Body, c.Data...)
+		}
+		if diff := cmp.Diff(string(want.Body), string(sink.Body)); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	})
+}
+
+// The connection of a process that is killed ends like that of one that has sent its whole response.
+func TestForwardTakesNoUnframedResponseOfAnExitedUpstreamForWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   string
+		exited func(quetzalroad.Upstream) bool
+		whole  bool
+		sent   int
+	}{
+		"stream of an upstream that runs":    {"stream", nil, true, 1},
+		"stream of one that exited":          {"stream", allExited, false, 2},
+		"plain response of one that runs":    {"safe", nil, true, 1},
+		"plain response of one that exited":  {"safe", allExited, false, 2},
+		"booking at an upstream that exited": {"once", allExited, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+				x.Exited = c.exited
+				x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+					return &faker.ScriptedResponse{EventStream: c.kind == "stream", Chunks: eventChunks(a.ResumeAfter+1, a.ResumeAfter+2), Unframed: true}, nil
+				}
+				_, refusal := x.forward(t.Context(), newForwardRequest(c.kind))
+				if (refusal == nil) != c.whole {
+					t.Errorf("refusal %v", refusal)
+				}
+				if got := len(x.Sent()); got != c.sent && c.kind != "safe" {
+					t.Errorf("sent %d times, want %d", got, c.sent)
+				}
+			})
+		})
+	}
+}
+
 func TestForwardChecksKeyAgainBeforeSending(t *testing.T) {
 	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 		x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", publishedState(2, "another-key"))
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // relayBuffered relays a response once it is complete, so that a truncated one can be retried. A
 // response larger than maxBufferedBytes is relayed as it arrives.
-func (r *forwardRun) relayBuffered(u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
+func (r *forwardRun) relayBuffered(ctx context.Context, u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
 	head := response.Head()
 	var buffered []byte
 	for {
@@ -29,9 +30,12 @@
 			return err
 		}
 		if len(buffered) > maxBufferedBytes {
-			return r.relayUnbuffered(response, head, buffered)
+			return r.relayUnbuffered(ctx, u, response, head, buffered)
 		}
 	}
+	if err := r.checkEnd(ctx, u, head); err != nil {
+		return err
+	}
 	now := time.Now()
 	r.recordFirstByte(u, now, start)
 	head.ContentLength = int64(len(buffered))
@@ -74,7 +78,7 @@
 }
 
 // relayUnbuffered relays the buffered data and then the rest as it arrives.
-func (r *forwardRun) relayUnbuffered(response quetzalroad.ForwardResponse, head quetzalroad.ResponseHead, buffered []byte) error {
+func (r *forwardRun) relayUnbuffered(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse, head quetzalroad.ResponseHead, buffered []byte) error {
 	if err := r.write(head, buffered); err != nil {
 		return err
 	}
@@ -87,7 +91,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return r.checkEnd(ctx, u, head)
 		}
 		if err != nil {
 			return err
@@ -97,13 +101,16 @@
 
 // relayEvents relays whole events as they arrive. Event ids are consecutive across attempts; an event
 // that the caller already has is dropped.
-func (r *forwardRun) relayEvents(u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
+func (r *forwardRun) relayEvents(ctx context.Context, u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
 	head := response.Head()
 	head.ContentLength = -1
 	var lastEventAt time.Time
 	for {
 		chunk, err := response.Next()
 		if errors.Is(err, io.EOF) {
+			if err := r.checkEnd(ctx, u, head); err != nil {
+				return err
+			}
 			return r.write(head, nil)
 		}
 		if err != nil {
@@ -133,13 +140,26 @@
 	}
 }
 
-// checkOrder returns an error if an event does not follow the last one that the caller received. In a
+// checkEnd returns an error if the body may have broken off, although its end looks like that of a whole one.
+// The connections of a process that exits end like those of one that closes them.
+func (r *forwardRun) checkEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
+	if !head.Unframed || !r.dispatcher.hasExited(ctx, u) {
+		return nil
+	}
+	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryConnectionLost, Cause: errUnframedBreak}
+}
+
+// errUnframedBreak is the cause of an attempt whose response may have broken off.
+var errUnframedBreak = errors.New("the upstream exited as the unframed response ended")
+
+// checkOrder returns an error if an event does not follow the last one that the caller received, in this
+// response or in the one that it resumes. In a
 // stream of events with ids, one without is not the stream's: it holds the text of an error, say.
 func (r *forwardRun) checkOrder(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
 	switch {
 	case event.EventID == 0 && (r.lastEventID == 0 || isComment(event.Data)):
 		return nil
-	case event.EventID == r.lastEventID+1 || (event.EventID > 0 && !r.responseStarted):
+	case event.EventID == r.lastEventID+1 || (event.EventID > 0 && r.lastEventID == 0 && !r.responseStarted):
 		return nil
 	}
 	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Newf("event %d received after event %d", event.EventID, r.lastEventID)}
--- a/forward.go
+++ b/forward.go
@@ -77,6 +77,8 @@
 	ContentLength int64
 	// EventStream reports whether the body is an event stream.
 	EventStream bool
+	// Unframed reports whether nothing but the end of the connection ends the body.
+	Unframed bool
 	// LoadReport is the load report sent with the response; nil if there was none.
 	LoadReport *LoadReport
 	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
--- a/proofs/faker/forwardclient.go
+++ b/proofs/faker/forwardclient.go
@@ -79,6 +79,8 @@
 	Chunks      []quetzalroad.BodyChunk
 	// RateLimit is the limit that the response states; nil if its statement can't be understood.
 	RateLimit *quetzalroad.RateLimit
+	// Unframed makes nothing but the end of the connection end the body.
+	Unframed bool
 	// Leaving makes the response state that the upstream leaves.
 	Leaving bool
 	// BeforeChunk, unless nil, is called before each chunk and may block.
@@ -95,7 +97,7 @@
 
 // Head implements quetzalroad.ForwardResponse.
 func (s *ScriptedResponse) Head() quetzalroad.ResponseHead {
-	h := quetzalroad.ResponseHead{Status: s.Status, Header: s.Header, ContentLength: -1, EventStream: s.EventStream, RateLimit: s.RateLimit, Leaving: s.Leaving}
+	h := quetzalroad.ResponseHead{Status: s.Status, Header: s.Header, ContentLength: -1, EventStream: s.EventStream, RateLimit: s.RateLimit, Leaving: s.Leaving, Unframed: s.Unframed}
 	if h.Status == 0 {
 		h.Status = http.StatusOK
 	}
--- a/upstreams/forwardclient/client_test.go
+++ b/upstreams/forwardclient/client_test.go
@@ -387,6 +387,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if !response.Head().Unframed {
+				t.Error("the response is taken for a framed one")
+			}
 			if _, err := readBody(response); (err == nil) != cleanClose {
 				t.Errorf("error %v", err)
 			}
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -180,6 +180,7 @@
 		EventStream: strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"), LoadReport: x.metadata.LoadReport,
 		RateLimit: x.metadata.RateLimit, Leaving: x.metadata.Leaving, RetryAfter: x.metadata.RetryAfter,
 	}
+	x.head.Unframed = x.isUnframed()
 	if x.head.EventStream {
 		x.events = &eventReader{src: x.response.Body, codec: x.client.codec}
 	}
@@ -241,8 +242,12 @@
 // endsBeforeFirstEvent reports whether the end of the connection, which is the only end that the stream
 // has, came before any event. An upstream that exits as it begins to respond leaves just that.
 func (x *exchange) endsBeforeFirstEvent() bool {
-	unframed := x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
-	return unframed && !x.hasEvents && x.attempt.ResumeAfter == 0
+	return x.isUnframed() && !x.hasEvents && x.attempt.ResumeAfter == 0
+}
+
+// isUnframed reports whether nothing but the end of the connection ends the body.
+func (x *exchange) isUnframed() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
 // bodyError maps a body's read error to the errors specified for ForwardResponse.Next.
