Let the soak draw deadly requests, announced drains, pauses and the withdrawal of all keys

The checker has a rule for each, from what callers and servers saw, and planned stops are checked to the end of their grace: only a run that began early and is interrupted in the last sixth is left out. The proxy of a crashed server stops listening, as its process would.

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -26,6 +26,11 @@
 	Endless EndlessPart
 	// RejectAll makes the server reject every request and mark it as not executed.
 	RejectAll bool
+	// RetryAfter is how long the server asks a node whose request it rejects to send it nothing; zero for no
+	// such statement.
+	RetryAfter time.Duration
+	// Leaving makes the server state in its responses that it leaves.
+	Leaving bool
 }
 
 // ReceivedRequest is a request that a server received.
@@ -41,8 +46,12 @@
 	// was forwarded.
 	Team   string
 	HasKey bool
-	// Executed reports whether the server executed the request.
+	// Executed reports whether the server executed the request, and Deadly whether the request has
+	// DeadlySegment.
 	Executed bool
+	Deadly   bool
+	// RetryAfter is how long the server asks to be sent nothing.
+	RetryAfter time.Duration
 }
 
 // Server is one server. Its exported fields are set before its first use.
@@ -58,6 +67,8 @@
 	ProcessingTime time.Duration
 	// OnRequest is called for each request that has an id and is addressed to this server; may be nil.
 	OnRequest func(ReceivedRequest)
+	// OnDeadly is called when the server crashes under a request with DeadlySegment; nil if it doesn't.
+	OnDeadly func()
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. executions counts executions by request id, and
@@ -66,6 +77,7 @@
 	running          int
 	executions       map[string]int
 	cancelledStreams int
+	deadlyPhase      DeadlyPhase
 	lastHeader       http.Header
 }
 
@@ -155,19 +167,34 @@
 		return
 	}
 	faults, ok := s.begin(id, r.Header)
+	deadly := isDeadly(r.Header)
+	retryAfter := time.Duration(0)
+	if !ok {
+		retryAfter = faults.RetryAfter
+	}
 	if s.OnRequest != nil {
 		s.OnRequest(ReceivedRequest{
 			Server: s, ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body),
-			Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Executed: ok,
+			Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Executed: ok, Deadly: deadly, RetryAfter: retryAfter,
 		})
 	}
 	h.Set("Request-Attempt-Id", id)
+	if faults.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if !ok {
 		h.Set("Not-Executed", "1")
+		if retryAfter > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer s.end()
+	if deadly && s.OnDeadly != nil {
+		s.crash(w, id)
+		return
+	}
 	if faults.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
--- a/cmd/quetzalemu/requester/requester.go
+++ b/cmd/quetzalemu/requester/requester.go
@@ -25,6 +25,9 @@
 	Host   string
 	APIKey string
 	Body   string
+	// PromptPrefix lists the parts of a stream's prompt; empty for one that all have in common and one of
+	// its own.
+	PromptPrefix string
 	// Events is the number of events to request from a stream; zero sends a plain request.
 	Events int
 	// Timeout is how long the caller waits for the response.
@@ -36,7 +39,9 @@
 	Status int
 	// Seal is the Response-Seal of the server that responded.
 	Seal string
-	Body string
+	// Leaving reports whether that server stated that it leaves.
+	Leaving bool
+	Body    string
 	// Complete reports whether the whole response was received.
 	Complete bool
 	// Err is the error that left the response incomplete.
@@ -92,7 +97,11 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Attempt-Id: %s\r\nDeadline-Remaining: %d\r\nAuthorization: Bearer %s\r\nTenant: forged\r\n",
 		request.Method, request.Path, request.Host, request.ID, request.Timeout.Milliseconds(), request.APIKey)
 	if request.Events > 0 {
-		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 3000,%d\r\nPrompt-Prefix: aa:2000,%s:1000\r\n", request.Events, request.ID)
+		prefix := request.PromptPrefix
+		if prefix == "" {
+			prefix = "aa:2000," + request.ID + ":1000"
+		}
+		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 3000,%d\r\nPrompt-Prefix: %s\r\n", request.Events, prefix)
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(request.Body), request.Body)
 	return b.Bytes()
@@ -105,6 +114,7 @@
 		return
 	}
 	response.Status, response.Seal = httpResponse.StatusCode, httpResponse.Header.Get("Response-Seal")
+	response.Leaving = httpResponse.Header.Get("Server-Leaving") == "1"
 	body, err := io.ReadAll(httpResponse.Body)
 	response.Body = string(body)
 	if err != nil {
--- a/cmd/quetzalsoak/checker/checker.go
+++ b/cmd/quetzalsoak/checker/checker.go
@@ -64,6 +64,12 @@
 	Service    string
 	ReceivedAt time.Time
 	Executed   bool
+	// LeavingSince is when the server began to state in its responses that it leaves; zero unless it does.
+	LeavingSince time.Time
+	// RetryAfter is how long the server asked the node to send it nothing when it rejected the request.
+	RetryAfter time.Duration
+	// Deadly reports whether the request crashes servers.
+	Deadly bool
 	// DrainingSince is when the store acknowledged the server's drain; zero unless the server is draining.
 	DrainingSince time.Time
 	// Team is the team name that the router set, and HasKey reports whether
@@ -103,7 +109,9 @@
 	unplannedDisruptions []interval
 	plannedStops         map[int][]time.Time
 	serviceChanges       []ServiceChange
-	violations           []Violation
+	// deadlyCrashes holds the times at which servers crashed under deadly requests.
+	deadlyCrashes []time.Time
+	violations    []Violation
 }
 
 // ServiceChange is a configuration version that routes a class to another service.
@@ -165,6 +173,14 @@
 	c.serviceChanges = append(c.serviceChanges, change)
 }
 
+// RecordDeadlyCrash records that a server crashed under a deadly request, and was away until a time.
+func (c *Checker) RecordDeadlyCrash(at, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadlyCrashes = append(c.deadlyCrashes, at)
+	c.unplannedDisruptions = append(c.unplannedDisruptions, interval{at, until})
+}
+
 // RecordViolation records a violation that was detected elsewhere.
 func (c *Checker) RecordViolation(v Violation) {
 	c.mu.Lock()
--- a/cmd/quetzalsoak/checker/rules.go
+++ b/cmd/quetzalsoak/checker/rules.go
@@ -31,6 +31,9 @@
 		c.checkStop(e, executions[e.ID], report)
 	}
 	c.checkRetryBudget(report)
+	c.checkDeadly(report)
+	c.checkAnnouncedDrains(report)
+	c.checkPauses(report)
 	slices.SortFunc(violations, func(a, b Violation) int { return strings.Compare(a.Rule+a.RequestID, b.Rule+b.RequestID) })
 	return violations
 }
@@ -125,7 +128,15 @@
 	}
 }
 
-// checkStop checks that a planned stop interrupts no request sent before half of its grace has passed.
+const (
+	// shutdownEarly is how long after the signal a request may be sent whose run may be interrupted in the last
+	// part of the grace, which is one in shutdownLastPart.
+	shutdownEarly    = 3 * time.Second
+	shutdownLastPart = 6
+)
+
+// checkStop checks that a planned stop leaves no request without an answer. One that was sent early in the stop
+// and still runs in the last part of its grace may be interrupted.
 func (c *Checker) checkStop(e Exchange, executions []Arrival, report reportFunc) {
 	if e.Complete || e.TimedOut {
 		return
@@ -135,7 +146,11 @@
 		if sent.Before(stoppedAt.Add(-e.Class.Timeout)) || sent.After(stoppedAt.Add(c.Bounds.ShutdownGrace)) || e.CompletedAt.Before(stoppedAt) {
 			continue
 		}
-		if !c.noUnplannedDisruption(sent, e.CompletedAt) || sent.After(stoppedAt.Add(c.Bounds.ShutdownGrace/2)) {
+		if !c.noUnplannedDisruption(sent, e.CompletedAt) {
+			continue
+		}
+		lastPart := stoppedAt.Add(c.Bounds.ShutdownGrace - c.Bounds.ShutdownGrace/shutdownLastPart)
+		if !sent.After(stoppedAt.Add(shutdownEarly)) && e.CompletedAt.After(lastPart) {
 			continue
 		}
 		if len(executions) > 0 || e.CompletedAt.Sub(sent) > c.Bounds.ShutdownRace {
--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -106,7 +106,7 @@
 // restart registers a new incarnation of a server.
 func (d *Deployment) restart(s *Server) {
 	s.mu.Lock()
-	s.startedAt, s.state, s.sequence, s.drainingSince = time.Now(), "ready", 0, time.Time{}
+	s.startedAt, s.state, s.sequence, s.drainingSince, s.leavingSince = time.Now(), "ready", 0, time.Time{}, time.Time{}
 	s.mu.Unlock()
 	d.writeRegistration(s)
 }
@@ -143,6 +143,9 @@
 func (d *Deployment) RotateKey() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(d.validKeys) == 0 {
+		return
+	}
 	oldest := d.validKeys[0]
 	d.validKeys = append(d.validKeys[1:], fmt.Sprintf("key-%d", d.configVersion))
 	d.publishConfig()
@@ -160,6 +163,9 @@
 			return key
 		}
 	}
+	if len(d.validKeys) == 0 {
+		return noKey
+	}
 	// The newest key may not have reached all nodes yet; the first two have.
 	return d.validKeys[number%(len(d.validKeys)-1)]
 }
--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -87,6 +87,8 @@
 	state         string
 	sequence      int
 	drainingSince time.Time
+	// leavingSince is when the server began to state in its responses that it leaves.
+	leavingSince time.Time
 }
 
 // DrainingSince returns when the store acknowledged the server's drain; zero
@@ -116,6 +118,8 @@
 	applicationService string
 	validKeys          []string
 	revokedKeys        map[string]time.Time
+	// deadlyPrefix is the prompt of the deadly requests that callers send now; empty if they send none.
+	deadlyPrefix string
 }
 
 // Options configure a deployment.
@@ -214,6 +218,7 @@
 	s := &Server{proxyAddress: d.address(subnetServerProxies, index, portServer), startedAt: time.Now(), state: "ready"}
 	s.Server = backendserver.Server{ID: fmt.Sprintf("i-%d", index), Service: service, Address: s.proxyAddress, Zone: dataCentre, MaxConcurrency: serverConcurrency, EventInterval: eventInterval, ProcessingTime: plainRequestTime}
 	s.OnRequest = func(a backendserver.ReceivedRequest) { d.recordArrival(s, a) }
+	s.OnDeadly = func() { d.crashUnderDeadlyRequest(ctx, s) }
 	if s.Proxy, err = d.startProxy(ctx, s.proxyAddress, address); err != nil {
 		return err
 	}
@@ -226,6 +231,7 @@
 func (d *Deployment) recordArrival(s *Server, a backendserver.ReceivedRequest) {
 	d.Checker.RecordArrival(checker.Arrival{
 		RequestID: a.ID, Server: s.ID, Service: s.Service, ReceivedAt: time.Now(), Executed: a.Executed, DrainingSince: s.DrainingSince(),
+		LeavingSince: s.announcedSince(), RetryAfter: a.RetryAfter, Deadly: a.Deadly,
 		Team: a.Team, HasKey: a.HasKey, RequestLine: a.Method + " " + a.Target, Body: a.Body,
 	})
 }
--- a/cmd/quetzalsoak/faultproxy/proxy.go
+++ b/cmd/quetzalsoak/faultproxy/proxy.go
@@ -18,7 +18,7 @@
 	// DropToTarget and DropFromTarget drop the bytes of one direction. A connection
 	// that dropped bytes forwards none in this direction any more.
 	DropToTarget, DropFromTarget bool
-	// RefuseConnections closes new connections at once.
+	// RefuseConnections makes the proxy stop listening, as if its target's process had exited.
 	RefuseConnections bool
 }
 
@@ -27,9 +27,12 @@
 	Target netip.AddrPort
 
 	mu sync.Mutex
-	// The fields below are guarded by mu.
-	mode  Mode
-	conns map[*connPair]bool
+	// The fields below are guarded by mu. listener is nil while the proxy refuses connections, and resumed,
+	// which is then not nil, is closed when it no longer does.
+	mode     Mode
+	conns    map[*connPair]bool
+	listener net.Listener
+	resumed  chan struct{}
 }
 
 // connPair holds the two connections that the proxy joins.
@@ -55,6 +58,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	if m.RefuseConnections && p.listener != nil {
+		// Serve returns from Accept whether or not Close fails.
+		_ = p.listener.Close()
+		p.listener, p.resumed = nil, make(chan struct{})
+	}
+	if !m.RefuseConnections && p.resumed != nil {
+		close(p.resumed)
+		p.resumed = nil
+	}
 }
 
 // Reset closes all open connections with a TCP reset.
@@ -76,14 +88,32 @@
 
 // Serve accepts and forwards connections until the context ends.
 func (p *Proxy) Serve(ctx context.Context, listener net.Listener) {
+	address := listener.Addr().String()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for ctx.Err() == nil {
+		p.acceptFrom(ctx, listener, &group)
+		if !p.awaitResumption(ctx) {
+			return
+		}
+		var err error
+		if listener, err = net.Listen("tcp", address); err != nil {
+			return
+		}
+	}
+}
+
+// acceptFrom accepts connections until the context ends or the proxy refuses connections.
+func (p *Proxy) acceptFrom(ctx context.Context, listener net.Listener, group *sync.WaitGroup) {
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
-		// Serve returns whether or not Close fails.
+		// Accept returns whether or not Close fails.
 		_ = listener.Close()
 		p.Reset()
 	})
 	defer stop()
-	var group sync.WaitGroup
-	defer group.Wait()
 	for {
 		client, err := listener.Accept()
 		if err != nil {
@@ -93,9 +123,25 @@
 	}
 }
 
+// awaitResumption waits until the proxy no longer refuses connections, and returns false if the context ended.
+func (p *Proxy) awaitResumption(ctx context.Context) bool {
+	p.mu.Lock()
+	resumed := p.resumed
+	p.mu.Unlock()
+	if resumed == nil {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-resumed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (p *Proxy) handle(ctx context.Context, client net.Conn) {
 	target, err := net.DialTimeout("tcp", p.Target.String(), time.Second)
-	if err != nil || p.currentMode().RefuseConnections {
+	if err != nil {
 		(&connPair{client: client, target: targetOrClient(target, client)}).close()
 		return
 	}
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -84,6 +84,16 @@
 		i.SwitchService()
 	case scheduler.KeyRotation:
 		i.RotateKey()
+	case scheduler.LastKeyWithdrawal:
+		i.WithdrawAllKeys(ctx, f.Duration)
+	case scheduler.ServerAnnouncesDrain:
+		i.AnnounceDrain(ctx, server, f.Duration)
+	case scheduler.ServerAsksForPause:
+		server.SetFaults(backendserver.Faults{RejectAll: true, RetryAfter: f.Duration})
+		i.sleep(ctx, f.Duration)
+		server.SetFaults(backendserver.Faults{})
+	case scheduler.DeadlyRequests:
+		i.SendDeadlyRequests(ctx, f.Target, deadlyFactor*f.Duration)
 	}
 }
 
@@ -102,6 +112,9 @@
 	i.Store.SetMode(storeserver.ModeAvailable)
 }
 
+// deadlyFactor is how many times as long as other faults deadly requests come.
+const deadlyFactor = 3
+
 // maxCopyAge is the age in seconds of the oldest copy from which the store is restored.
 const maxCopyAge = 9
 
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -21,6 +21,8 @@
 	callerTimeoutMargin = 1500 * time.Millisecond
 	// reconnectDelay is the time between a failed connection and the next attempt.
 	reconnectDelay = 100 * time.Millisecond
+	// deadlyEvery is how many drafts there are for each deadly one, while callers send any.
+	deadlyEvery = 12
 	// readinessPollInterval is the time between two readiness checks of a node.
 	readinessPollInterval = 200 * time.Millisecond
 )
@@ -91,5 +93,10 @@
 	if class.Name == "booking" {
 		request.Body = "visit of " + request.ID
 	}
+	if class.Name == "draft" && random.IntN(deadlyEvery) == 0 {
+		if prefix, ok := l.DeadlyPrompt(request.ID); ok {
+			request.PromptPrefix = prefix
+		}
+	}
 	return checker.Exchange{Request: request, Class: class.Class, Node: nodeIndex, Team: deployer.TeamForKey(key)}
 }
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -46,13 +46,24 @@
 
 	ConfigChange Kind = "config-change"
 	KeyRotation  Kind = "key-taken"
+
+	ServerAnnouncesDrain Kind = "server-says-it-leaves"
+	ServerAsksForPause   Kind = "server-asks-for-a-pause"
+	DeadlyRequests       Kind = "deadly-requests"
+	LastKeyWithdrawal    Kind = "last-key-taken"
 )
 
 // plannedKinds lists the operations that operators plan, which must not cause any request to fail.
 var plannedKinds = []Kind{NodeStop, ServerDrain, ConfigChange, KeyRotation, StoreCompaction}
 
+// laterPlannedKinds are planned, too, and laterKinds are not. Each has a random sequence of its own.
+var (
+	laterPlannedKinds = []Kind{ServerAnnouncesDrain, LastKeyWithdrawal}
+	laterKinds        = []Kind{ServerAsksForPause, DeadlyRequests}
+)
+
 // Kinds lists all kinds of faults.
-var Kinds = append([]Kind{ServerSendsEndlessBytes, StoreRestore}, drawnKinds...)
+var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore}, laterPlannedKinds, laterKinds, drawnKinds)
 
 // drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
 // existing seeds depend.
@@ -63,7 +74,9 @@
 }, plannedKinds...)
 
 // IsPlanned reports whether a kind is a planned operation.
-func (k Kind) IsPlanned() bool { return slices.Contains(plannedKinds, k) }
+func (k Kind) IsPlanned() bool {
+	return slices.Contains(plannedKinds, k) || slices.Contains(laterPlannedKinds, k)
+}
 
 // Fault is a fault of a schedule.
 type Fault struct {
@@ -130,6 +143,7 @@
 		// Between planned operations alone, the nodes have the time to show that they follow the store.
 		faults = append(faults, generateOneKind(StoreRestore, seed, ^seed, period)...)
 	}
+	faults = append(faults, generateLaterKinds(seed, period, plannedOnly)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
@@ -137,6 +151,28 @@
 // meanSeparateInterval is the mean time between two faults of a kind that has a random sequence of its own.
 const meanSeparateInterval = 8 * time.Second
 
+// generateLaterKinds returns the faults of the kinds that were added last, of which a seed has some.
+func generateLaterKinds(seed uint64, period time.Duration, plannedOnly bool) []Fault {
+	kinds := laterPlannedKinds
+	if !plannedOnly {
+		kinds = slices.Concat(laterPlannedKinds, laterKinds)
+	}
+	var faults []Fault
+	for i, k := range kinds {
+		stream := uint64(i) + 1
+		if (seed+stream)%2 != 0 {
+			continue
+		}
+		generated := generateOneKind(k, stream, seed, period)
+		if k == LastKeyWithdrawal {
+			// Nothing is served meanwhile.
+			generated = generated[:min(1, len(generated))]
+		}
+		faults = append(faults, generated...)
+	}
+	return faults
+}
+
 // generateOneKind returns the faults of a kind that was added later. It has a random sequence of its own,
 // so that the other faults of existing seeds stay the same.
 func generateOneKind(k Kind, stream, seed uint64, period time.Duration) []Fault {
