--- a/cmd/quetzalctl/explainer/timeline.go
+++ b/cmd/quetzalctl/explainer/timeline.go
@@ -59,7 +59,7 @@
 
 // stateChangeMessages are the log messages of a node's state changes.
 var stateChangeMessages = []string{
-	"log lost", "log regained", "state in force", "stopping", "started", "upstream gone", "upstream changed", "entry lapsed, held", "log lines dropped", "segment quarantined", "segment released",
+	"log lost", "log regained", "state in force", "stopping", "started", "upstream gone", "upstream changed", "entry lapsed, held", "log lines dropped", "segment quarantined", "segment released", "upstream announced its drain", "upstream asked for a pause",
 	"log restored from an older copy", "log restored from an older copy; reading the latest of every key", "records were dropped from the log; reading the latest of every key",
 }
 
@@ -112,7 +112,7 @@
 	"stale-state":          "the node's published state was older than the revocation limit allows, so it accepted no requests with a key; see when it lost the log",
 	"quarantined":          "a segment of the prompt crashed several upstreams, so requests with it are sent to none; see the line \"segment quarantined\"",
 	"upstream-exited":      "the upstream's process exited as it began to respond; the request may be the cause and is sent to no other upstream",
-	"upstream-rate-limit":  "all upstreams of the service state a rate limit, and this node's shares were used up; see the lines \"rate limit of upstream changed\"",
+	"upstream-rate-limit":  "all upstreams of the service state a rate limit, and this node's shares were used up, or asked for a pause; see the lines \"rate limit of upstream changed\" and \"upstream asked for a pause\"",
 	"not-ready":            "the node had no published state yet",
 	"no-upstream":          "no upstream of the service was available",
 	"upstream-failed":      "the attempts failed, and the retry budget or the limit on attempts allowed no further retry",
