Split what grew, and crash the soak's servers as processes crash

The quarantine's recording stands in a file of its own, the emulator's server has shorter functions, and two provers share their check.

--- a/cmd/quetzalemu/backendserver/deadly.go
+++ b/cmd/quetzalemu/backendserver/deadly.go
@@ -42,12 +42,12 @@
 }
 
 // deadlyResponse returns what arrives of a response before the crash.
-func deadlyResponse(p DeadlyPhase, id string) string {
+func deadlyResponse(p DeadlyPhase, server, id string) string {
 	const (
 		statusLine = "HTTP/1.1 200 OK\r\n"
 		event      = "id: 1\ndata: piece 1\n\n"
 	)
-	head := statusLine + "Request-Attempt-Id: " + id + "\r\nContent-Type: text/event-stream\r\n\r\n"
+	head := statusLine + "Request-Attempt-Id: " + id + "\r\nResponse-Seal: " + ResponseSeal(server) + "\r\nContent-Type: text/event-stream\r\n\r\n"
 	switch p {
 	case DeadlyInStatusLine:
 		return statusLine[:len(statusLine)/2]
@@ -66,8 +66,16 @@
 // crashDelay is the time that the last bytes before a crash have to arrive.
 const crashDelay = 5 * time.Millisecond
 
-// crash writes a part of the response and crashes the server.
-func (s *Server) crash(w http.ResponseWriter, id string) {
+// deadlyCrash returns what crashes the server under a request, or nil.
+func (s *Server) deadlyCrash(header http.Header) func() {
+	if s.OnDeadly == nil || !isDeadly(header) {
+		return nil
+	}
+	return s.OnDeadly()
+}
+
+// respondAndCrash writes a part of the response and crashes the server.
+func (s *Server) respondAndCrash(w http.ResponseWriter, id string, crash func()) {
 	s.mu.Lock()
 	phase := s.deadlyPhase
 	s.mu.Unlock()
@@ -77,7 +85,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	// The node may have disconnected.
-	_, _ = io.WriteString(conn, deadlyResponse(phase, id))
+	_, _ = io.WriteString(conn, deadlyResponse(phase, s.ID, id))
 	time.Sleep(crashDelay)
-	s.OnDeadly()
+	crash()
 }
--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -67,8 +67,9 @@
 	ProcessingTime time.Duration
 	// OnRequest is called for each request that has an id and is addressed to this server; may be nil.
 	OnRequest func(ReceivedRequest)
-	// OnDeadly is called when the server crashes under a request with DeadlySegment; nil if it doesn't.
-	OnDeadly func()
+	// OnDeadly is called for a request with DeadlySegment. It returns what crashes the server, or nil if the server
+	// responds as usual; the field may be nil.
+	OnDeadly func() (crash func())
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. executions counts executions by request id, and
@@ -166,46 +167,63 @@
 	if err != nil {
 		return
 	}
-	faults, ok := s.begin(id, r.Header)
-	deadly := isDeadly(r.Header)
-	retryAfter := time.Duration(0)
-	if !ok {
-		retryAfter = faults.RetryAfter
-	}
-	if s.OnRequest != nil {
-		s.OnRequest(ReceivedRequest{
-			Server: s, ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body),
-			Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Executed: ok, Deadly: deadly, RetryAfter: retryAfter,
-		})
+	faults, executed := s.begin(id, r.Header)
+	if executed {
+		defer s.end()
 	}
+	s.report(r, id, string(body), faults, executed)
 	h.Set("Request-Attempt-Id", id)
 	if faults.Leaving {
 		h.Set("Server-Leaving", "1")
 	}
-	if !ok {
-		h.Set("Not-Executed", "1")
-		if retryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if !executed {
+		reject(w, faults)
 		return
 	}
-	defer s.end()
-	if deadly && s.OnDeadly != nil {
-		s.crash(w, id)
+	s.respond(w, r, id, body, faults)
+}
+
+// report tells OnRequest about a request.
+func (s *Server) report(r *http.Request, id, body string, faults Faults, executed bool) {
+	if s.OnRequest == nil {
 		return
 	}
-	if faults.DropResponses {
-		panic(http.ErrAbortHandler)
+	received := ReceivedRequest{
+		Server: s, ID: id, Method: r.Method, Target: r.RequestURI, Body: body,
+		Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Executed: executed, Deadly: isDeadly(r.Header),
 	}
-	if faults.Endless != "" {
-		s.writeEndless(w, faults.Endless, id)
+	if !executed {
+		received.RetryAfter = faults.RetryAfter
+	}
+	s.OnRequest(received)
+}
+
+// reject turns a request away.
+func reject(w http.ResponseWriter, faults Faults) {
+	w.Header().Set("Not-Executed", "1")
+	if faults.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(faults.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// respond executes a request and responds to it, as far as the faults let it.
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, body []byte, faults Faults) {
+	if crash := s.deadlyCrash(r.Header); crash != nil {
+		s.respondAndCrash(w, id, crash)
 		return
 	}
-	if faults.MismatchResponses {
+	switch {
+	case faults.DropResponses:
+		panic(http.ErrAbortHandler)
+	case faults.Endless != "":
+		s.writeEndless(w, faults.Endless, id)
+		return
+	case faults.MismatchResponses:
 		s.writeMismatchedResponse(w, r, id, completeBody(r, body))
 		return
 	}
+	h := w.Header()
 	h.Set("Response-Seal", ResponseSeal(s.ID))
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d,100", len(body), s.MaxConcurrency))
 	if r.Header.Get("Model") != "" {
--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -71,18 +71,30 @@
 // CrashServer resets and refuses a server's connections and stops its heartbeats, and restarts it after the downtime.
 // Its registration expires if the downtime exceeds registrationTTL. It does nothing if the server is draining or down.
 func (d *Deployment) CrashServer(ctx context.Context, s *Server, downtime time.Duration) {
+	if s.crash() {
+		d.awaitRestart(ctx, s, downtime)
+	}
+}
+
+// crash resets and refuses the server's connections and stops its heartbeats. It returns false if the server is
+// draining or down.
+func (s *Server) crash() bool {
 	s.mu.Lock()
-	previous := s.state
-	s.state = ""
+	running := s.state == "ready"
+	if running {
+		s.state = ""
+	}
 	s.mu.Unlock()
-	if previous != "ready" {
-		s.mu.Lock()
-		s.state = previous
-		s.mu.Unlock()
-		return
+	if !running {
+		return false
 	}
 	s.Proxy.SetMode(refusingLink)
 	s.Proxy.Reset()
+	return true
+}
+
+// awaitRestart restarts a server that crashed after the downtime.
+func (d *Deployment) awaitRestart(ctx context.Context, s *Server, downtime time.Duration) {
 	if downtime > registrationTTL {
 		if !sleep(ctx, registrationTTL) {
 			return
--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -218,7 +218,7 @@
 	s := &Server{proxyAddress: d.address(subnetServerProxies, index, portServer), startedAt: time.Now(), state: "ready"}
 	s.Server = backendserver.Server{ID: fmt.Sprintf("i-%d", index), Service: service, Address: s.proxyAddress, Zone: dataCentre, MaxConcurrency: serverConcurrency, EventInterval: eventInterval, ProcessingTime: plainRequestTime}
 	s.OnRequest = func(a backendserver.ReceivedRequest) { d.recordArrival(s, a) }
-	s.OnDeadly = func() { d.crashUnderDeadlyRequest(ctx, s) }
+	s.OnDeadly = func() func() { return d.deadlyCrash(ctx, s) }
 	if s.Proxy, err = d.startProxy(ctx, s.proxyAddress, address); err != nil {
 		return err
 	}
--- a/cmd/quetzalsoak/deployer/statement.go
+++ b/cmd/quetzalsoak/deployer/statement.go
@@ -104,9 +104,20 @@
 	return d.deadlyPrefix, d.deadlyPrefix != ""
 }
 
-// crashUnderDeadlyRequest crashes a server.
-func (d *Deployment) crashUnderDeadlyRequest(ctx context.Context, s *Server) {
-	now := time.Now()
-	d.Checker.RecordDeadlyCrash(now, now.Add(deadlyDowntime))
-	d.group.Go(func() { d.CrashServer(ctx, s, deadlyDowntime) })
+// deadlyCrash returns what crashes a server under a deadly request, or nil if it is draining or down. Like those of
+// a process that exits, its port is closed before the connection with the request.
+func (d *Deployment) deadlyCrash(ctx context.Context, s *Server) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != "ready" {
+		return nil
+	}
+	return func() {
+		if !s.crash() {
+			return
+		}
+		now := time.Now()
+		d.Checker.RecordDeadlyCrash(now, now.Add(deadlyDowntime))
+		d.group.Go(func() { d.awaitRestart(ctx, s, deadlyDowntime) })
+	}
 }
--- a/decisions/quarantiner/attribution_test.go
+++ b/decisions/quarantiner/attribution_test.go
@@ -19,10 +19,9 @@
 
 func TestAttribute(t *testing.T) {
 	for name, c := range map[string]struct {
-		losses   []quetzalroad.UpstreamLoss
-		inFlight []quetzalroad.UpstreamLoss
-		sound    map[string]int
-		want     map[string]int
+		losses []quetzalroad.UpstreamLoss
+		sound  map[string]int
+		want   map[string]int
 	}{
 		"two upstreams are too few": {
 			losses: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 2, "x")},
@@ -73,6 +72,28 @@
 			sound:  map[string]int{"x": 2},
 			want:   map[string]int{},
 		},
+		"two deadly segments": {
+			losses: []quetzalroad.UpstreamLoss{
+				loss("a", 1, "c", "x"), loss("b", 1, "c", "x"), loss("c", 2, "c", "x"), loss("d", 2, "c", "y"), loss("e", 3, "c", "y"), loss("f", 3, "c", "y"),
+			},
+			sound: map[string]int{"c": 0},
+			want:  map[string]int{"x": 3, "y": 3},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses}, c.sound, defaultThresholds)); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAttributeWholeRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		losses []quetzalroad.UpstreamLoss
+		sound  map[string]int
+		want   map[string]int
+	}{
 		"the same request three times, also at once": {
 			losses: []quetzalroad.UpstreamLoss{loss("a", 1, "c", "x", "request:1"), loss("b", 1, "c", "x", "request:1"), loss("c", 1, "c", "x", "request:1")},
 			sound:  map[string]int{"c": 0},
@@ -85,6 +106,22 @@
 			sound: map[string]int{"c": 0},
 			want:  map[string]int{"x": 4},
 		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses}, c.sound, defaultThresholds)); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAttributeRequestsInFlight(t *testing.T) {
+	for name, c := range map[string]struct {
+		losses   []quetzalroad.UpstreamLoss
+		inFlight []quetzalroad.UpstreamLoss
+		sound    map[string]int
+		want     map[string]int
+	}{
 		"five upstreams with requests in flight in two waves": {
 			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "x"), loss("b", 1, "x", "y"), loss("c", 1, "x"), loss("d", 2, "x", "y"), loss("e", 2, "x")},
 			want:     map[string]int{"x": 5},
@@ -111,13 +148,6 @@
 			inFlight: []quetzalroad.UpstreamLoss{loss("a", 1, "request:1"), loss("b", 1, "request:1"), loss("c", 2, "request:1")},
 			want:     map[string]int{},
 		},
-		"two deadly segments": {
-			losses: []quetzalroad.UpstreamLoss{
-				loss("a", 1, "c", "x"), loss("b", 1, "c", "x"), loss("c", 2, "c", "x"), loss("d", 2, "c", "y"), loss("e", 3, "c", "y"), loss("f", 3, "c", "y"),
-			},
-			sound: map[string]int{"c": 0},
-			want:  map[string]int{"x": 3, "y": 3},
-		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses, InFlight: c.inFlight}, c.sound, defaultThresholds)); diff != "" {
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -3,8 +3,8 @@
 //
 // A loss is recorded if an upstream's process exits as it begins to respond to a request. Each shared
 // segment of the request's prompt is a suspect, and so is the request as a whole. If nothing explains the
-// exit like that, it is a weak sign against each request that was in flight. A complete response disproves the losses under its
-// segments that were known by then. A segment under which several upstreams exited, in more than one
+// exit like that, it is a weak sign against each request that was in flight. A complete response
+// disproves the losses under its segments that were known by then. A segment under which several upstreams exited, in more than one
 // wave, is quarantined: requests with it are refused. From time to time one node lets a single request
 // through to find out whether the segment still crashes upstreams.
 //
@@ -73,8 +73,9 @@
 	// complete response disproves; proven reports whether there was such a response.
 	wave, sound int
 	proven      bool
-	// convicts reports whether more than a single exit with requests in flight speaks against it.
-	convicts bool
+	// suspicious reports whether more than a single exit with requests in flight speaks against it, so that a
+	// complete response is worth telling other nodes.
+	suspicious bool
 	// upstreams is the number of upstreams that exited under the segment if it is quarantined, else zero.
 	upstreams int
 }
@@ -163,117 +164,6 @@
 	q.conclude(now)
 }
 
-// Expose implements quetzalroad.Quarantine. A segment that is repeated is listed where it stands first.
-func (q *Quarantiner) Expose(segments []quetzalroad.PromptSegment) []quetzalroad.ExposedSegment {
-	exposed := make([]quetzalroad.ExposedSegment, 0, len(segments))
-	seen := make(map[string]struct{}, len(segments))
-	table := q.table.Load()
-	for _, s := range segments {
-		key := segmentKey(s.ID)
-		if _, repeated := seen[key]; repeated {
-			continue
-		}
-		seen[key] = struct{}{}
-		wave := 1
-		if table != nil {
-			wave += table.segments[key].wave
-		}
-		exposed = append(exposed, quetzalroad.ExposedSegment{ID: key, Wave: wave})
-	}
-	return exposed
-}
-
-// RecordLoss implements quetzalroad.Quarantine.
-func (q *Quarantiner) RecordLoss(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.exits.add(now, u, q.alertTime) {
-		q.notify()
-	}
-	if len(exposed) == 0 {
-		return
-	}
-	q.evidence.addLoss(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: now})
-	q.conclude(now)
-}
-
-// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
-// elsewhere, after which their segments are no suspects.
-const inFlightDelay = time.Second
-
-// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
-// another upstream that exited, count at once.
-func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	table := q.table.Load()
-	var urgent, others []quetzalroad.ExposedSegment
-	for _, s := range exposed {
-		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
-			urgent = append(urgent, s)
-		} else {
-			others = append(others, s)
-		}
-	}
-	q.addInFlight(now, u, urgent)
-	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, others) })
-}
-
-// addInFlight adds the segments that were not lately seen in complete responses to the evidence.
-func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
-	if len(exposed) == 0 {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
-	q.conclude(time.Now())
-}
-
-// provenSet returns the set that holds a segment if it was lately seen in a complete response.
-func (q *Quarantiner) provenSet(id string) *provenSegments {
-	if quetzalroad.IsWholeRequest(id) {
-		return &q.provenRequests
-	}
-	return &q.proven
-}
-
-// RecordExit implements quetzalroad.Quarantine.
-func (q *Quarantiner) RecordExit(now time.Time, u quetzalroad.UpstreamName) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.exits.add(now, u, q.alertTime) {
-		q.notify()
-	}
-}
-
-// RecordComplete implements quetzalroad.Quarantine.
-func (q *Quarantiner) RecordComplete(now time.Time, segments []quetzalroad.PromptSegment) {
-	for _, s := range segments {
-		key := segmentKey(s.ID)
-		q.provenSet(key).add(key)
-	}
-	table := q.table.Load()
-	if table == nil {
-		return
-	}
-	disproves := func(s quetzalroad.PromptSegment) bool {
-		state, suspected := table.segments[segmentKey(s.ID)]
-		return suspected && state.convicts && (!state.proven || state.sound < state.wave)
-	}
-	if !slices.ContainsFunc(segments, disproves) {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	waves := q.evidence.waves()
-	for _, s := range segments {
-		if wave := waves[segmentKey(s.ID)]; wave > 0 {
-			q.evidence.markSound(segmentKey(s.ID), wave)
-		}
-	}
-	q.conclude(now)
-}
-
 // Merge implements quetzalroad.Quarantine.
 func (q *Quarantiner) Merge(now time.Time, e quetzalroad.LossEvidence) {
 	if len(e.Losses)+len(e.InFlight) == 0 {
@@ -320,7 +210,8 @@
 	weights := q.evidence.weigh()
 	for segment, wave := range waves {
 		sound, proven := q.evidence.sound[segment]
-		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, convicts: weights[segment].occurrences > 1 || weights[segment].direct > 0, upstreams: quarantined[segment]}
+		w := weights[segment]
+		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, suspicious: w.occurrences > 1 || w.direct > 0, upstreams: quarantined[segment]}
 	}
 	q.replaceTable(now, before, table)
 	q.notify()
--- /dev/null
+++ b/decisions/quarantiner/recording.go
@@ -0,0 +1,119 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// Expose implements quetzalroad.Quarantine. A segment that is repeated is listed where it stands first.
+func (q *Quarantiner) Expose(segments []quetzalroad.PromptSegment) []quetzalroad.ExposedSegment {
+	exposed := make([]quetzalroad.ExposedSegment, 0, len(segments))
+	seen := make(map[string]struct{}, len(segments))
+	table := q.table.Load()
+	for _, s := range segments {
+		key := segmentKey(s.ID)
+		if _, repeated := seen[key]; repeated {
+			continue
+		}
+		seen[key] = struct{}{}
+		wave := 1
+		if table != nil {
+			wave += table.segments[key].wave
+		}
+		exposed = append(exposed, quetzalroad.ExposedSegment{ID: key, Wave: wave})
+	}
+	return exposed
+}
+
+// RecordLoss implements quetzalroad.Quarantine.
+func (q *Quarantiner) RecordLoss(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.exits.add(now, u, q.alertTime) {
+		q.notify()
+	}
+	if len(exposed) == 0 {
+		return
+	}
+	q.evidence.addLoss(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: now})
+	q.conclude(now)
+}
+
+// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
+// elsewhere, after which their segments are no suspects.
+const inFlightDelay = time.Second
+
+// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
+// another upstream that exited, count at once.
+func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	table := q.table.Load()
+	var urgent, others []quetzalroad.ExposedSegment
+	for _, s := range exposed {
+		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
+			urgent = append(urgent, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	q.addInFlight(now, u, urgent)
+	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, others) })
+}
+
+// addInFlight adds the segments that were not lately seen in complete responses to the evidence.
+func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
+	if len(exposed) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
+	q.conclude(time.Now())
+}
+
+// provenSet returns the set that holds a segment if it was lately seen in a complete response.
+func (q *Quarantiner) provenSet(id string) *provenSegments {
+	if quetzalroad.IsWholeRequest(id) {
+		return &q.provenRequests
+	}
+	return &q.proven
+}
+
+// RecordExit implements quetzalroad.Quarantine.
+func (q *Quarantiner) RecordExit(now time.Time, u quetzalroad.UpstreamName) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.exits.add(now, u, q.alertTime) {
+		q.notify()
+	}
+}
+
+// RecordComplete implements quetzalroad.Quarantine.
+func (q *Quarantiner) RecordComplete(now time.Time, segments []quetzalroad.PromptSegment) {
+	for _, s := range segments {
+		key := segmentKey(s.ID)
+		q.provenSet(key).add(key)
+	}
+	table := q.table.Load()
+	if table == nil {
+		return
+	}
+	disproves := func(s quetzalroad.PromptSegment) bool {
+		state, suspected := table.segments[segmentKey(s.ID)]
+		return suspected && state.suspicious && (!state.proven || state.sound < state.wave)
+	}
+	if !slices.ContainsFunc(segments, disproves) {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waves := q.evidence.waves()
+	for _, s := range segments {
+		if wave := waves[segmentKey(s.ID)]; wave > 0 {
+			q.evidence.markSound(segmentKey(s.ID), wave)
+		}
+	}
+	q.conclude(now)
+}
--- a/proofs/prover/poison_test.go
+++ b/proofs/prover/poison_test.go
@@ -14,8 +14,6 @@
 func TestDeadlySegmentStopsReachingEngines(t *testing.T) {
 	const (
 		noticeTime   = 4 * time.Second
-		mostLate     = 3
-		leastServed  = 0.9
 		settledAfter = poisonStart + 10*time.Second
 	)
 	for name, load := range map[string]fleetLoad{
@@ -39,16 +37,7 @@
 		"200 nodes, deadly segment first": {dataCentres: 6, nodesEach: 33, engines: 78, soundPerSecond: 300, deadlyPerSecond: 15, deadlyFirst: true, duration: 15 * time.Second, seed: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
-				share := f.servedShare(settledAfter)
-				if late := f.lateArrivals(fifthCrash, noticeTime); late > mostLate {
-					t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
-				}
-				if share < leastServed {
-					t.Errorf("%.2f of the sound requests were served from second %.0f on, want %.2f", share, settledAfter.Seconds(), leastServed)
-				}
-				t.Logf("%d crashes, %.3f of the sound requests served, %d calls to the log", len(f.engines.crashes), share, f.log.CompletedCalls())
-			})
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) { checkDeadlySegment(t, f, noticeTime, settledAfter) })
 		})
 	}
 }
@@ -58,8 +47,6 @@
 func TestDeadlySegmentStopsAtAnyPhaseAndPlace(t *testing.T) {
 	const (
 		noticeTime   = 5 * time.Second
-		mostLate     = 3
-		leastServed  = 0.9
 		settledAfter = poisonStart + 12*time.Second
 	)
 	for name, load := range map[string]fleetLoad{
@@ -73,16 +60,7 @@
 		t.Run(name, func(t *testing.T) {
 			load.dataCentres, load.nodesEach, load.engines = 7, 1, 10
 			load.soundPerSecond, load.deadlyPerSecond, load.duration = 60, 2, 30*time.Second
-			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) {
-				share := f.servedShare(settledAfter)
-				if late := f.lateArrivals(fifthCrash, noticeTime); late > mostLate {
-					t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
-				}
-				if share < leastServed {
-					t.Errorf("%.2f of the sound requests were served from second %.0f on, want %.2f", share, settledAfter.Seconds(), leastServed)
-				}
-				t.Logf("%d crashes, %.3f of the sound requests served, %d calls to the log", len(f.engines.crashes), share, f.log.CompletedCalls())
-			})
+			runForwardFleet(t, load, func(t *testing.T, f *forwardFleet) { checkDeadlySegment(t, f, noticeTime, settledAfter) })
 		})
 	}
 }
@@ -124,6 +102,24 @@
 	}
 }
 
+// checkDeadlySegment checks that a fleet stops sending deadly requests to engines some time after the fifth crash,
+// and serves the sound ones once it has settled.
+func checkDeadlySegment(t *testing.T, f *forwardFleet, noticeTime, settledAfter time.Duration) {
+	t.Helper()
+	const (
+		mostLate    = 3
+		leastServed = 0.9
+	)
+	share := f.servedShare(settledAfter)
+	if late := f.lateArrivals(fifthCrash, noticeTime); late > mostLate {
+		t.Errorf("%d deadly requests reached engines later than %s after the fifth of %d crashes, want at most %d", late, noticeTime, len(f.engines.crashes), mostLate)
+	}
+	if share < leastServed {
+		t.Errorf("%.2f of the sound requests were served from second %.0f on, want %.2f", share, settledAfter.Seconds(), leastServed)
+	}
+	t.Logf("%d crashes, %.3f of the sound requests served, %d calls to the log", len(f.engines.crashes), share, f.log.CompletedCalls())
+}
+
 // restartAll restarts the nodes of a fleet with one node a data centre, one every second.
 func restartAll(nodes int, from time.Duration) []fleetFault {
 	var faults []fleetFault
