Let a pause's end be true for long pauses, and forget pauses of upstreams that are gone

Found while reading: a pause of more than ten seconds was answered with a Retry-After of ten, and one of an upstream that left kept the slower path of the limits for good. TestRetryAfterALongPauseIsNotCutShort failed with '10s, before the pause ends'.

--- a/decisions/throttler/pauses.go
+++ b/decisions/throttler/pauses.go
@@ -13,9 +13,9 @@
 
 // pauses holds the upstreams that asked this node to send them nothing for a time. The zero value is empty.
 type pauses struct {
-	// count is the number of upstreams in all shards, so that without one no lock is taken.
-	count  atomic.Int64
-	shards [shardCount]pauseShard
+	// latestEnd is when the last of all pauses ends, so that without one no lock is taken; nil before the first.
+	latestEnd atomic.Pointer[time.Time]
+	shards    [shardCount]pauseShard
 }
 
 // pauseShard holds the upstreams whose names hash to it.
@@ -39,7 +39,6 @@
 	if sh.until == nil {
 		sh.until = make(map[quetzalroad.UpstreamName]time.Time)
 	}
-	before := len(sh.until)
 	for name, end := range sh.until {
 		if !end.After(now) {
 			delete(sh.until, name)
@@ -49,26 +48,49 @@
 	if until.After(end) {
 		sh.until[u] = until
 	}
-	p.count.Add(int64(len(sh.until) - before))
+	p.extend(until)
 	return !paused
 }
 
+// extend sets the end of the last pause if it is later than the one before.
+func (p *pauses) extend(until time.Time) {
+	for {
+		latest := p.latestEnd.Load()
+		if latest != nil && !until.After(*latest) || p.latestEnd.CompareAndSwap(latest, &until) {
+			return
+		}
+	}
+}
+
+// hasAny reports whether any pause lasts.
+func (p *pauses) hasAny(now time.Time) bool {
+	latest := p.latestEnd.Load()
+	return latest != nil && latest.After(now)
+}
+
+// count returns the number of pauses that last.
+func (p *pauses) count(now time.Time) int {
+	count := 0
+	for i := range p.shards {
+		sh := &p.shards[i]
+		sh.mu.Lock()
+		for _, end := range sh.until {
+			if end.After(now) {
+				count++
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return count
+}
+
 // rest returns how long an upstream's pause lasts; zero if it has none.
 func (p *pauses) rest(now time.Time, u quetzalroad.UpstreamName) time.Duration {
-	if p.count.Load() == 0 {
+	if !p.hasAny(now) {
 		return 0
 	}
 	sh := p.shard(u)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	end, paused := sh.until[u]
-	if !paused {
-		return 0
-	}
-	if !end.After(now) {
-		delete(sh.until, u)
-		p.count.Add(-1)
-		return 0
-	}
-	return end.Sub(now)
+	return max(0, sh.until[u].Sub(now))
 }
--- a/decisions/throttler/pauses_test.go
+++ b/decisions/throttler/pauses_test.go
@@ -62,6 +62,16 @@
 	})
 }
 
+func TestRetryAfterALongPauseIsNotCutShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		throttler := newFleet(t, 1)[0]
+		throttler.Pause(time.Now(), "u", time.Minute)
+		if d := throttler.RetryAfter(time.Now(), "service", 0, []quetzalroad.Upstream{{Name: "u"}}); d < time.Minute {
+			t.Errorf("retry after %v, before the pause ends", d)
+		}
+	})
+}
+
 func TestPauseHoldsUnderALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		throttler := newFleet(t, 1)[0]
--- a/decisions/throttler/throttler.go
+++ b/decisions/throttler/throttler.go
@@ -83,7 +83,7 @@
 	t.logger = n.Logger
 	n.Throttler = t
 	n.Vars.Set("rate-limited-upstreams", expvar.Func(func() any { return t.limited.Load() }))
-	n.Vars.Set("paused-upstreams", expvar.Func(func() any { return t.pauses.count.Load() }))
+	n.Vars.Set("paused-upstreams", expvar.Func(func() any { return t.pauses.count(time.Now()) }))
 	return nil
 }
 
@@ -207,7 +207,7 @@
 
 // HasLimits implements quetzalroad.Throttler.
 func (t *Throttler) HasLimits() bool {
-	return t.limited.Load() > 0 || t.pauses.count.Load() > 0
+	return t.limited.Load() > 0 || t.pauses.hasAny(time.Now())
 }
 
 // State implements quetzalroad.Throttler.
@@ -243,20 +243,21 @@
 // RetryAfter implements quetzalroad.Throttler.
 func (t *Throttler) RetryAfter(now time.Time, s quetzalroad.ServiceName, tier quetzalroad.Tier, candidates []quetzalroad.Upstream) time.Duration {
 	soonest, rate := maxRetryAfter, 0.0
-	soonestPause := maxRetryAfter
+	// soonestPause is the shortest pause of an upstream without a limit; zero if there is none.
+	soonestPause := time.Duration(0)
 	for _, u := range candidates {
 		pause := t.pauses.rest(now, u.Name)
 		limited := t.withBucket(now, u.Name, func(b *bucket) {
 			soonest = min(soonest, max(b.untilToken(), pause))
 			rate += b.rate
 		})
-		if !limited && pause > 0 {
-			soonestPause = min(soonestPause, pause)
+		if !limited && pause > 0 && (soonestPause == 0 || pause < soonestPause) {
+			soonestPause = pause
 		}
 	}
-	if soonestPause < soonest {
+	if soonestPause > 0 && (rate <= 0 || soonestPause < soonest) {
 		// A part of the time is random, so that requests don't come back at once.
-		return min(soonestPause+rand.N(soonestPause/pauseSpread+1), maxRetryAfter)
+		return soonestPause + rand.N(soonestPause/pauseSpread+1)
 	}
 	return t.refused.reserve(now, s, tier, soonest, rate)
 }
