--- a/codecs/nodemapper/evidence_test.go
+++ b/codecs/nodemapper/evidence_test.go
@@ -88,3 +88,22 @@
 		t.Errorf("%d bytes, want at most %d", len(value), maxEvidenceBytes)
 	}
 }
+
+// Builds that bound the segments of a loss take over what is listed first, and ignore the rest.
+func TestEarlierBuildsCanReadLongLosses(t *testing.T) {
+	message := encodeEvidence(testEvidence())
+	for _, l := range message.GetLosses() {
+		if listed := len(l.GetSegments()); listed == 0 || listed > maxListedSegments || listed != len(l.GetWaves()) {
+			t.Errorf("loss of %s lists %d segments and %d waves, want at most %d", l.GetUpstream(), listed, len(l.GetWaves()), maxListedSegments)
+		}
+	}
+	// What such a build sends has no further lists.
+	for _, l := range message.GetLosses() {
+		l.MoreSegments, l.MoreWaves = nil, nil
+	}
+	message.InFlight = nil
+	got := decodeEvidence(message)
+	if len(got.Losses) != 2 || len(got.Losses[1].Segments) != maxListedSegments {
+		t.Errorf("%d losses taken over from an earlier build", len(got.Losses))
+	}
+}
