--- a/cmd/quetzalsoak/checker/checker_test.go
+++ b/cmd/quetzalsoak/checker/checker_test.go
@@ -83,19 +83,94 @@
 			}
 		}},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			c := &Checker{Bounds: bounds}
-			e, a := newExchange()
-			test.modify(c, &e, &a)
-			c.RecordExchange(e)
-			c.RecordArrival(a)
-			violations := c.Check()
-			switch {
-			case test.rule == "" && len(violations) > 0:
-				t.Errorf("got violations %v, want none", violations)
-			case test.rule != "" && (len(violations) == 0 || violations[0].Rule != test.rule):
-				t.Errorf("got violations %v, want %s first", violations, test.rule)
+		t.Run(test.name, func(t *testing.T) { checkViolations(t, test.rule, test.modify) })
+	}
+}
+
+// checkViolations checks that a modified exchange violates a rule first, or none if it is empty.
+func checkViolations(t *testing.T, rule string, modify func(c *Checker, e *Exchange, a *Arrival)) {
+	t.Helper()
+	c := &Checker{Bounds: bounds}
+	e, a := newExchange()
+	modify(c, &e, &a)
+	c.RecordExchange(e)
+	c.RecordArrival(a)
+	violations := c.Check()
+	switch {
+	case rule == "" && len(violations) > 0:
+		t.Errorf("got violations %v, want none", violations)
+	case rule != "" && (len(violations) == 0 || violations[0].Rule != rule):
+		t.Errorf("got violations %v, want %s first", violations, rule)
+	}
+}
+
+// recordPassedOn records that node 0 passed on, some time before sentAt, that server s leaves.
+func recordPassedOn(c *Checker, before time.Duration) {
+	e, _ := newExchange()
+	e.ID, e.Class, e.Leaving = "earlier", list, true
+	e.Response.SentAt, e.CompletedAt = sentAt.Add(-before), sentAt.Add(-before)
+	c.RecordExchange(e)
+	c.RecordArrival(Arrival{RequestID: "earlier", Server: "s", Executed: true, Team: "team", RequestLine: "POST /booking/", Body: "visit", ReceivedAt: sentAt.Add(-before), LeavingSince: sentAt.Add(-before)})
+}
+
+// recordDeadly records crashes, and arrivals of deadly requests some time after the last one.
+func recordDeadly(c *Checker, crashes, arrivals int, after time.Duration) {
+	for i := range crashes {
+		c.RecordDeadlyCrash(sentAt.Add(-time.Duration(i)*time.Second), sentAt)
+	}
+	for range arrivals {
+		c.RecordArrival(Arrival{RequestID: "r", Server: "s", Team: "team", RequestLine: "POST /booking/", Body: "visit", ReceivedAt: sentAt.Add(after), Deadly: true})
+	}
+}
+
+func TestCheckReportsWhatServersSayOfThemselves(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		rule   string
+		modify func(c *Checker, e *Exchange, a *Arrival)
+	}{
+		{"a server that said that it leaves", "announced-drain", func(c *Checker, _ *Exchange, a *Arrival) {
+			recordPassedOn(c, 4*time.Second)
+			a.LeavingSince = sentAt.Add(-4 * time.Second)
+		}},
+		{"a server that said so just before", "", func(c *Checker, _ *Exchange, a *Arrival) {
+			recordPassedOn(c, 2*time.Second)
+			a.LeavingSince = sentAt.Add(-2 * time.Second)
+		}},
+		{"another incarnation said so", "", func(c *Checker, _ *Exchange, _ *Arrival) { recordPassedOn(c, 4*time.Second) }},
+		{"a node that was restarted since", "", func(c *Checker, _ *Exchange, a *Arrival) {
+			recordPassedOn(c, 4*time.Second)
+			a.LeavingSince = sentAt.Add(-4 * time.Second)
+			c.RecordDisruption(0, sentAt.Add(-3*time.Second), sentAt.Add(-2*time.Second), false)
+		}},
+		{"requests in a pause", "pause", func(c *Checker, e *Exchange, a *Arrival) {
+			c.Bounds.RetryBudgetBase = 10
+			e.Class, a.Executed, a.RetryAfter = list, false, 5*time.Second
+			for i := range 3 {
+				again := *a
+				again.Executed, again.RetryAfter, again.ReceivedAt = true, 0, a.ReceivedAt.Add(time.Duration(i+1)*time.Second)
+				c.RecordArrival(again)
 			}
-		})
+		}},
+		{"deadly requests long after the fifth crash", "deadly", func(c *Checker, e *Exchange, _ *Arrival) {
+			e.Class = list
+			c.Bounds.RetryBudgetBase = 10
+			recordDeadly(c, 5, 4, 5*time.Second)
+		}},
+		{"deadly requests soon after it", "", func(c *Checker, e *Exchange, _ *Arrival) {
+			e.Class = list
+			c.Bounds.RetryBudgetBase = 10
+			recordDeadly(c, 5, 4, 3*time.Second)
+		}},
+		{"a late request that is cut in a planned stop", "planned-stop", func(c *Checker, e *Exchange, _ *Arrival) {
+			e.Complete, e.CompletedAt = false, sentAt.Add(2*time.Second)
+			c.RecordStop(0, sentAt.Add(-5*time.Second))
+		}},
+		{"an early one that still runs at the end of the stop", "", func(c *Checker, e *Exchange, _ *Arrival) {
+			e.Complete, e.CompletedAt = false, sentAt.Add(7*time.Second)
+			c.RecordStop(0, sentAt)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) { checkViolations(t, test.rule, test.modify) })
 	}
 }
--- a/cmd/quetzalsoak/checker/serverrules.go
+++ b/cmd/quetzalsoak/checker/serverrules.go
@@ -37,6 +37,12 @@
 	}
 }
 
+// nodeUndisturbed reports whether no disruption of a node itself overlaps an interval. What servers say of
+// themselves binds a node whatever happens elsewhere.
+func (c *Checker) nodeUndisturbed(node int, from, until time.Time) bool {
+	return !slices.ContainsFunc(c.nodeDisruptions[node], func(i interval) bool { return i.overlaps(from, until, 0) })
+}
+
 // serverOf returns the server whose responses have a seal.
 func serverOf(seal string) string {
 	return strings.TrimPrefix(seal, backendserver.ResponseSeal(""))
@@ -64,7 +70,7 @@
 			continue
 		}
 		for _, at := range passed[passing{e.Node, a.Server}] {
-			if at.Before(a.LeavingSince) || !e.Response.SentAt.After(at.Add(c.Bounds.DrainDelay)) || !c.nodeStable(e.Node, at, a.ReceivedAt) {
+			if at.Before(a.LeavingSince) || !e.Response.SentAt.After(at.Add(c.Bounds.DrainDelay)) || !c.nodeUndisturbed(e.Node, at, a.ReceivedAt) {
 				continue
 			}
 			report("announced-drain", a.RequestID, "node %d sent it to %s %s after it had passed on that the server leaves", e.Node, a.Server, e.Response.SentAt.Sub(at))
@@ -87,7 +93,7 @@
 				count++
 			}
 		}
-		if count > allowedInPause && c.nodeStable(node, asked.ReceivedAt, until) {
+		if count > allowedInPause && c.nodeUndisturbed(node, asked.ReceivedAt, until) {
 			report("pause", asked.RequestID, "node %d sent %d requests to %s in the pause that it asked for", node, count, asked.Server)
 		}
 	}
--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -50,7 +50,7 @@
 // after the downtime. It does nothing if the server is draining or down.
 func (d *Deployment) DrainServer(ctx context.Context, s *Server, downtime time.Duration) {
 	s.mu.Lock()
-	if s.state != "ready" {
+	if !s.isServing() {
 		s.mu.Unlock()
 		return
 	}
@@ -80,7 +80,7 @@
 // draining or down.
 func (s *Server) crash() bool {
 	s.mu.Lock()
-	running := s.state == "ready"
+	running := s.isServing()
 	if running {
 		s.state = ""
 	}
--- a/cmd/quetzalsoak/deployer/statement.go
+++ b/cmd/quetzalsoak/deployer/statement.go
@@ -18,11 +18,16 @@
 	return s.leavingSince
 }
 
+// isServing reports whether the server is neither leaving nor down. The caller holds the lock.
+func (s *Server) isServing() bool {
+	return s.state == "ready" && s.leavingSince.IsZero()
+}
+
 // AnnounceDrain makes a server state in its responses that it leaves, while its registration says that it is ready,
 // and restarts it some time after the drain delay. It does nothing if the server is draining or down.
 func (d *Deployment) AnnounceDrain(ctx context.Context, s *Server, downtime time.Duration) {
 	s.mu.Lock()
-	if s.state != "ready" || !s.leavingSince.IsZero() {
+	if !s.isServing() {
 		s.mu.Unlock()
 		return
 	}
@@ -109,7 +114,7 @@
 func (d *Deployment) deadlyCrash(ctx context.Context, s *Server) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != "ready" {
+	if !s.isServing() {
 		return nil
 	}
 	return func() {
