Let requests in flight cost the log little

Cause: each crash of an engine takes dozens of requests on most nodes with it. Each node noted all of them as a whole at once, and each node that learnt of it took it for an exit, followed the log for it and wrote its own registration again with what it had learnt.

Now a request as a whole counts once it was lost with two upstreams at one node, or is known from others; what is learnt of requests in flight is no exit that begins an alert, and no reason to write again by itself; a node's own notices are at least 0.5 s apart.

--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -71,3 +71,86 @@
 	}
 	return all
 }
+
+const (
+	// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
+	// elsewhere, after which their segments are no suspects.
+	inFlightDelay = time.Second
+	// inFlightInterval is the minimum time between two notices that only requests in flight were recorded.
+	inFlightInterval = 500 * time.Millisecond
+	// maxLostOnce bounds the requests that are remembered because they were lost with one upstream, and
+	// lostOnceLifetime how long they are.
+	maxLostOnce      = 1024
+	lostOnceLifetime = 30 * time.Second
+)
+
+// lostOnce is a request as a whole that was in flight on one upstream that exited.
+type lostOnce struct {
+	upstream quetzalroad.UpstreamName
+	wave     int
+	at       time.Time
+}
+
+// RecordInFlight implements quetzalroad.Quarantine. Each exit takes many requests with it. So a request as a
+// whole counts once it was lost with two upstreams, and a segment if it was in flight on another upstream that
+// exited, or after some time if it was in no complete response by then.
+func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	var urgent, later []quetzalroad.ExposedSegment
+	table := q.table.Load()
+	for _, s := range exposed {
+		switch {
+		case table.knows(s.ID) || quetzalroad.IsWholeRequest(s.ID) && q.recordLostAgain(now, u, s):
+			urgent = append(urgent, s)
+		case !quetzalroad.IsWholeRequest(s.ID):
+			later = append(later, s)
+		}
+	}
+	q.addInFlight(now, u, urgent)
+	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, later) })
+}
+
+// recordLostAgain remembers that a request was lost with an upstream. If it was lost with another one before, it
+// records that loss and returns true.
+func (q *Quarantiner) recordLostAgain(now time.Time, u quetzalroad.UpstreamName, request quetzalroad.ExposedSegment) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	first, known := q.lostOnce[request.ID]
+	if known && first.upstream != u && now.Sub(first.at) < lostOnceLifetime {
+		delete(q.lostOnce, request.ID)
+		q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: first.upstream, At: first.at, Segments: []quetzalroad.ExposedSegment{{ID: request.ID, Wave: first.wave}}})
+		return true
+	}
+	if q.lostOnce == nil || len(q.lostOnce) >= maxLostOnce {
+		q.lostOnce = make(map[string]lostOnce)
+	}
+	q.lostOnce[request.ID] = lostOnce{upstream: u, wave: request.Wave, at: now}
+	return false
+}
+
+// addInFlight adds the segments that were not lately seen in complete responses to the evidence.
+func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
+	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
+	if len(exposed) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
+	now := time.Now()
+	q.conclude(now)
+	q.notifyOfInFlight(now)
+}
+
+// notifyOfInFlight gives notice of requests in flight, not too often. The caller holds the lock.
+func (q *Quarantiner) notifyOfInFlight(now time.Time) {
+	if q.noticePending {
+		return
+	}
+	q.noticePending = true
+	time.AfterFunc(max(0, q.lastNotice.Add(inFlightInterval).Sub(now)), func() {
+		q.mu.Lock()
+		q.noticePending, q.lastNotice = false, time.Now()
+		q.mu.Unlock()
+		q.notify()
+	})
+}
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -16,6 +16,7 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -55,14 +56,21 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	evidence evidence
-	probes   map[string]*probe
-	exits    recentExits
+	// lostOnce holds the requests that were lost with one upstream; see RecordInFlight.
+	lostOnce map[string]lostOnce
+	// lastNotice is when notice was last given of requests in flight, and noticePending is set if it will be.
+	lastNotice    time.Time
+	noticePending bool
+	probes        map[string]*probe
+	exits         recentExits
 }
 
 // segmentTable is what a node concludes from the evidence.
 type segmentTable struct {
 	evidence quetzalroad.LossEvidence
 	digest   uint64
+	// directDigest is the digest without the requests in flight.
+	directDigest uint64
 	// segments holds all segments of the losses.
 	segments map[string]segmentState
 }
@@ -176,11 +184,6 @@
 			q.notify()
 		}
 	}
-	for _, l := range e.InFlight {
-		if _, known := q.evidence.inFlight[l.Upstream]; !known && now.Sub(l.At) < q.alertTime && q.exits.add(now, l.Upstream, q.alertTime) {
-			q.notify()
-		}
-	}
 	q.evidence.merge(e)
 	q.conclude(now)
 }
@@ -202,7 +205,9 @@
 		return
 	}
 	exported := q.evidence.export()
-	table := &segmentTable{evidence: exported, digest: digest(exported), segments: make(map[string]segmentState, len(waves))}
+	direct := exported
+	direct.InFlight = nil
+	table := &segmentTable{evidence: exported, digest: digest(exported), directDigest: digest(direct), segments: make(map[string]segmentState, len(waves))}
 	if before != nil && before.digest == table.digest {
 		return
 	}
@@ -214,7 +219,9 @@
 		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, suspicious: w.occurrences > 1 || w.direct > 0, upstreams: quarantined[segment]}
 	}
 	q.replaceTable(now, before, table)
-	q.notify()
+	if before == nil || before.directDigest != table.directDigest || !maps.Equal(before.quarantined(), table.quarantined()) {
+		q.notify()
+	}
 }
 
 func (q *Quarantiner) replaceTable(now time.Time, before, after *segmentTable) {
@@ -276,6 +283,14 @@
 	return 0
 }
 
+// DirectDigest implements quetzalroad.Quarantine.
+func (q *Quarantiner) DirectDigest() uint64 {
+	if table := q.table.Load(); table != nil {
+		return table.directDigest
+	}
+	return 0
+}
+
 // IsAlert implements quetzalroad.Quarantine.
 func (q *Quarantiner) IsAlert(now time.Time) bool {
 	q.mu.Lock()
--- a/decisions/quarantiner/recording.go
+++ b/decisions/quarantiner/recording.go
@@ -41,38 +41,6 @@
 	q.conclude(now)
 }
 
-// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
-// elsewhere, after which their segments are no suspects.
-const inFlightDelay = time.Second
-
-// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
-// another upstream that exited, count at once.
-func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	table := q.table.Load()
-	var urgent, others []quetzalroad.ExposedSegment
-	for _, s := range exposed {
-		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
-			urgent = append(urgent, s)
-		} else {
-			others = append(others, s)
-		}
-	}
-	q.addInFlight(now, u, urgent)
-	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, others) })
-}
-
-// addInFlight adds the segments that were not lately seen in complete responses to the evidence.
-func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
-	if len(exposed) == 0 {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
-	q.conclude(time.Now())
-}
-
 // provenSet returns the set that holds a segment if it was lately seen in a complete response.
 func (q *Quarantiner) provenSet(id string) *provenSegments {
 	if quetzalroad.IsWholeRequest(id) {
