Give no notice of what disproves requests in flight alone

Cause: after a crash of many engines at once, segments that were in flight on several of them are suspects, and each complete response with one is a new mark of a sound segment, of which every node gave notice.

--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -72,6 +72,19 @@
 	return all
 }
 
+// directEvidence returns the evidence without the requests in flight and what disproves these alone.
+func directEvidence(e quetzalroad.LossEvidence) quetzalroad.LossEvidence {
+	listed := make(map[string]bool)
+	for _, l := range e.Losses {
+		for _, s := range l.Segments {
+			listed[s.ID] = true
+		}
+	}
+	e.InFlight = nil
+	e.Sound = slices.DeleteFunc(slices.Clone(e.Sound), func(s quetzalroad.SoundSegment) bool { return !listed[s.ID] })
+	return e
+}
+
 const (
 	// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
 	// elsewhere, after which their segments are no suspects.
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -205,9 +205,7 @@
 		return
 	}
 	exported := q.evidence.export()
-	direct := exported
-	direct.InFlight = nil
-	table := &segmentTable{evidence: exported, digest: digest(exported), directDigest: digest(direct), segments: make(map[string]segmentState, len(waves))}
+	table := &segmentTable{evidence: exported, digest: digest(exported), directDigest: digest(directEvidence(exported)), segments: make(map[string]segmentState, len(waves))}
 	if before != nil && before.digest == table.digest {
 		return
 	}
