Keep the requests in flight on crashed upstreams to each node

Each node goes by its own requests in flight now. Every place of a prompt, and requests as a whole with a begun response, stay enforced.

--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -89,8 +89,6 @@
 	// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
 	// elsewhere, after which their segments are no suspects.
 	inFlightDelay = time.Second
-	// inFlightInterval is the minimum time between two notices that only requests in flight were recorded.
-	inFlightInterval = 500 * time.Millisecond
 	// maxLostOnce bounds the requests that are remembered because they were lost with one upstream, and
 	// lostOnceLifetime how long they are.
 	maxLostOnce      = 1024
@@ -106,7 +104,7 @@
 
 // RecordInFlight implements quetzalroad.Quarantine. Each exit takes many requests with it. So a request as a
 // whole counts once it was lost with two upstreams, and a segment if it was in flight on another upstream that
-// exited, or after some time if it was in no complete response by then.
+// exited, or after some time if it was in no complete response by then. Other nodes are not told.
 func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
 	var urgent, later []quetzalroad.ExposedSegment
 	table := q.table.Load()
@@ -149,21 +147,5 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
-	now := time.Now()
-	q.conclude(now)
-	q.notifyOfInFlight(now)
-}
-
-// notifyOfInFlight gives notice of requests in flight, not too often. The caller holds the lock.
-func (q *Quarantiner) notifyOfInFlight(now time.Time) {
-	if q.noticePending {
-		return
-	}
-	q.noticePending = true
-	time.AfterFunc(max(0, q.lastNotice.Add(inFlightInterval).Sub(now)), func() {
-		q.mu.Lock()
-		q.noticePending, q.lastNotice = false, time.Now()
-		q.mu.Unlock()
-		q.notify()
-	})
+	q.conclude(time.Now())
 }
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -16,7 +16,6 @@
 	"context"
 	"expvar"
 	"log/slog"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -58,19 +57,17 @@
 	evidence evidence
 	// lostOnce holds the requests that were lost with one upstream; see RecordInFlight.
 	lostOnce map[string]lostOnce
-	// lastNotice is when notice was last given of requests in flight, and noticePending is set if it will be.
-	lastNotice    time.Time
-	noticePending bool
-	probes        map[string]*probe
-	exits         recentExits
+	probes   map[string]*probe
+	exits    recentExits
 }
 
 // segmentTable is what a node concludes from the evidence.
 type segmentTable struct {
-	evidence quetzalroad.LossEvidence
-	digest   uint64
-	// directDigest is the digest without the requests in flight.
-	directDigest uint64
+	// evidence is what other nodes are told: not the requests in flight, of which there are too many. digest is its
+	// hash, and localDigest that of all that this node knows.
+	evidence    quetzalroad.LossEvidence
+	digest      uint64
+	localDigest uint64
 	// segments holds all segments of the losses.
 	segments map[string]segmentState
 }
@@ -205,8 +202,9 @@
 		return
 	}
 	exported := q.evidence.export()
-	table := &segmentTable{evidence: exported, digest: digest(exported), directDigest: digest(directEvidence(exported)), segments: make(map[string]segmentState, len(waves))}
-	if before != nil && before.digest == table.digest {
+	shared := directEvidence(exported)
+	table := &segmentTable{evidence: shared, digest: digest(shared), localDigest: digest(exported), segments: make(map[string]segmentState, len(waves))}
+	if before != nil && before.localDigest == table.localDigest {
 		return
 	}
 	quarantined := attribute(exported, q.evidence.sound, q.thresholds)
@@ -217,7 +215,7 @@
 		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, suspicious: w.occurrences > 1 || w.direct > 0, upstreams: quarantined[segment]}
 	}
 	q.replaceTable(now, before, table)
-	if before == nil || before.directDigest != table.directDigest || !maps.Equal(before.quarantined(), table.quarantined()) {
+	if before == nil || before.digest != table.digest {
 		q.notify()
 	}
 }
@@ -281,14 +279,6 @@
 	return 0
 }
 
-// DirectDigest implements quetzalroad.Quarantine.
-func (q *Quarantiner) DirectDigest() uint64 {
-	if table := q.table.Load(); table != nil {
-		return table.directDigest
-	}
-	return 0
-}
-
 // IsAlert implements quetzalroad.Quarantine.
 func (q *Quarantiner) IsAlert(now time.Time) bool {
 	q.mu.Lock()
--- a/quarantine.go
+++ b/quarantine.go
@@ -101,8 +101,6 @@
 	// empty.
 	Evidence() LossEvidence
 	Digest() uint64
-	// DirectDigest returns a hash of the evidence without the requests in flight.
-	DirectDigest() uint64
 	// Merge adds the evidence of other nodes.
 	Merge(now time.Time, e LossEvidence)
 	// IsAlert reports whether several upstreams exited recently, so that evidence is urgent.
