Take out what sharing requests in flight needed, and give a request its third attempt back

After the field of the protocol, its mapping and its merging were dead; they are gone, and with them the memory of requests lost once, which only spared the other nodes. What a node does by itself has tests of its own.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -90,9 +90,6 @@
 	longestGap time.Duration
 	// rateLimit is what the last response stated; nil if there was none, or no clear statement.
 	rateLimit *quetzalroad.RateLimit
-	// lostWith is the upstream of the last attempt that was lost before the response began, or in the middle of
-	// it; without a name if there was none.
-	lostWith quetzalroad.Upstream
 	// attempt is the progress of the current attempt.
 	attempt attemptProgress
 }
@@ -162,7 +159,7 @@
 	if r.attempt.exitedUpstream {
 		r.history.mayHaveRun = true
 		r.dispatcher.logFailure(&r.request.Request, failure)
-		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamExited, Message: "the upstream exited under the request, which is therefore not sent to another one", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonUpstreamExited, Message: "the upstream exited as it began to answer the request, which is therefore not sent to another one", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
 	if r.responseStarted && !r.request.Route.Resumable {
 		r.history.mayHaveRun = true
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -24,8 +24,7 @@
 	eventStream bool
 	// exposed lists the request's suspects as of the attempt's begin.
 	exposed []quetzalroad.ExposedSegment
-	// exitedUpstream is set if the upstream's process exited as it began to respond, or if that of the attempt
-	// before exited too.
+	// exitedUpstream is set if the upstream's process exited as it began to respond.
 	exitedUpstream bool
 }
 
@@ -94,19 +93,9 @@
 	case r.isConnectionLost(ctx, err):
 		r.logConnectionLost(u)
 		d.exitChecks.start(u.Name, r.attempt.exposed, func() bool { return d.hasExited(ctx, u) }, quarantine)
-		r.attempt.exitedUpstream = r.lostTwice(ctx, u)
 	}
 }
 
-// lostTwice reports whether the request was in flight on this upstream and on the one before when both exited,
-// so that it may be to blame.
-func (r *forwardRun) lostTwice(ctx context.Context, u quetzalroad.Upstream) bool {
-	before := r.lostWith
-	r.lostWith = u
-	d := r.dispatcher
-	return before.Name != "" && before.Name != u.Name && d.hasExited(ctx, before) && d.hasExited(ctx, u)
-}
-
 // hasExited reports whether an upstream's process has exited on its own. A connection may also be lost by a
 // network fault, or because the upstream closed it. One that drains or is no longer listed exits as planned.
 func (d *Dispatcher) hasExited(ctx context.Context, u quetzalroad.Upstream) bool {
--- a/decisions/dispatcher/quarantine_test.go
+++ b/decisions/dispatcher/quarantine_test.go
@@ -49,7 +49,7 @@
 	}{
 		"exited as it began to respond":        {0, allExited, 1},
 		"only the connection was lost":         {0, nil, 3},
-		"exited in the middle of the response": {2, allExited, 2},
+		"exited in the middle of the response": {2, allExited, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
@@ -140,14 +140,10 @@
 			return nil, connectionLostError(a)
 		}
 		x.forward(t.Context(), promptRequest("3", "waiting"))
-		// The evidence of requests in flight is recorded a little later.
+		// Requests in flight are recorded a little later, and other nodes are not told.
 		time.Sleep(2 * time.Second)
-		evidence := x.node.Quarantine.Evidence()
-		if diff := cmp.Diff([]string{"begun"}, segmentsOf(evidence.Losses)); diff != "" {
-			t.Errorf("losses (-want +got):\n%s", diff)
-		}
-		if len(evidence.InFlight) > 0 {
-			t.Errorf("other nodes are told of requests in flight: %v", segmentsOf(evidence.InFlight))
+		if diff := cmp.Diff([]string{"begun"}, segmentsOf(x.node.Quarantine.Evidence().Losses)); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
 		}
 	})
 }
@@ -177,7 +173,7 @@
 		}
 		x.forward(t.Context(), promptRequest("1", "s"))
 		time.Sleep(2 * time.Second)
-		if evidence := x.node.Quarantine.Evidence(); len(evidence.Losses)+len(evidence.InFlight) > 0 {
+		if evidence := x.node.Quarantine.Evidence(); len(evidence.Losses) > 0 {
 			t.Errorf("evidence %+v of an upstream that left as planned", evidence)
 		}
 	})
--- a/decisions/quarantiner/evidence.go
+++ b/decisions/quarantiner/evidence.go
@@ -142,9 +142,6 @@
 	for _, l := range other.Losses {
 		e.addLoss(l)
 	}
-	for _, l := range other.InFlight {
-		e.addInFlight(l)
-	}
 	for _, s := range other.Sound {
 		e.markSound(s.ID, s.Wave)
 	}
@@ -210,14 +207,34 @@
 	return all
 }
 
-// export returns the evidence for other nodes.
+// export returns the evidence for other nodes, without the requests in flight, of which there are too many.
 func (e *evidence) export() quetzalroad.LossEvidence {
-	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses(), InFlight: e.sortedInFlight()}
+	return e.exportWith(e.sortedLosses())
+}
+
+// exportAll returns all evidence of this node.
+func (e *evidence) exportAll() quetzalroad.LossEvidence {
+	return e.exportWith(slices.Concat(e.sortedLosses(), e.sortedInFlight()))
+}
+
+// exportWith returns evidence of losses, with what is known of their segments.
+func (e *evidence) exportWith(losses []quetzalroad.UpstreamLoss) quetzalroad.LossEvidence {
+	exported := quetzalroad.LossEvidence{Losses: losses}
+	listed := make(map[string]bool)
+	for _, l := range losses {
+		for _, s := range l.Segments {
+			listed[s.ID] = true
+		}
+	}
 	for id, wave := range e.sound {
-		exported.Sound = append(exported.Sound, quetzalroad.SoundSegment{ID: id, Wave: wave})
+		if listed[id] {
+			exported.Sound = append(exported.Sound, quetzalroad.SoundSegment{ID: id, Wave: wave})
+		}
 	}
 	for id, at := range e.refused {
-		exported.Refused = append(exported.Refused, quetzalroad.RefusedSegment{ID: id, At: at})
+		if listed[id] {
+			exported.Refused = append(exported.Refused, quetzalroad.RefusedSegment{ID: id, At: at})
+		}
 	}
 	slices.SortFunc(exported.Sound, func(a, b quetzalroad.SoundSegment) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(exported.Refused, func(a, b quetzalroad.RefusedSegment) int { return cmp.Compare(a.ID, b.ID) })
@@ -226,7 +243,7 @@
 
 // digest returns a hash of exported evidence; zero if it is empty.
 func digest(e quetzalroad.LossEvidence) uint64 {
-	if len(e.Losses)+len(e.InFlight) == 0 {
+	if len(e.Losses) == 0 {
 		return 0
 	}
 	h := xxhash.New()
@@ -235,7 +252,7 @@
 		_, _ = h.WriteString(text)
 		_, _ = h.WriteString("\x00" + strconv.FormatInt(number, 10) + "\x00")
 	}
-	for _, l := range slices.Concat(e.Losses, e.InFlight) {
+	for _, l := range e.Losses {
 		write(string(l.Upstream), l.At.UnixMilli())
 		for _, s := range l.Segments {
 			write(s.ID, int64(s.Wave))
--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -72,47 +72,19 @@
 	return all
 }
 
-// directEvidence returns the evidence without the requests in flight and what disproves these alone.
-func directEvidence(e quetzalroad.LossEvidence) quetzalroad.LossEvidence {
-	listed := make(map[string]bool)
-	for _, l := range e.Losses {
-		for _, s := range l.Segments {
-			listed[s.ID] = true
-		}
-	}
-	e.InFlight = nil
-	e.Sound = slices.DeleteFunc(slices.Clone(e.Sound), func(s quetzalroad.SoundSegment) bool { return !listed[s.ID] })
-	return e
-}
-
-const (
-	// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
-	// elsewhere, after which their segments are no suspects.
-	inFlightDelay = time.Second
-	// maxLostOnce bounds the requests that are remembered because they were lost with one upstream, and
-	// lostOnceLifetime how long they are.
-	maxLostOnce      = 1024
-	lostOnceLifetime = 30 * time.Second
-)
-
-// lostOnce is a request as a whole that was in flight on one upstream that exited.
-type lostOnce struct {
-	upstream quetzalroad.UpstreamName
-	wave     int
-	at       time.Time
-}
+// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
+// elsewhere, after which their segments are no suspects.
+const inFlightDelay = time.Second
 
-// RecordInFlight implements quetzalroad.Quarantine. Each exit takes many requests with it. So a request as a
-// whole counts once it was lost with two upstreams, and a segment if it was in flight on another upstream that
-// exited, or after some time if it was in no complete response by then. Other nodes are not told.
+// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
+// another upstream that exited, count at once.
 func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	var urgent, later []quetzalroad.ExposedSegment
 	table := q.table.Load()
+	var urgent, later []quetzalroad.ExposedSegment
 	for _, s := range exposed {
-		switch {
-		case table.knows(s.ID) || quetzalroad.IsWholeRequest(s.ID) && q.recordLostAgain(now, u, s):
+		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
 			urgent = append(urgent, s)
-		case !quetzalroad.IsWholeRequest(s.ID):
+		} else {
 			later = append(later, s)
 		}
 	}
@@ -120,24 +92,6 @@
 	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, later) })
 }
 
-// recordLostAgain remembers that a request was lost with an upstream. If it was lost with another one before, it
-// records that loss and returns true.
-func (q *Quarantiner) recordLostAgain(now time.Time, u quetzalroad.UpstreamName, request quetzalroad.ExposedSegment) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	first, known := q.lostOnce[request.ID]
-	if known && first.upstream != u && now.Sub(first.at) < lostOnceLifetime {
-		delete(q.lostOnce, request.ID)
-		q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: first.upstream, At: first.at, Segments: []quetzalroad.ExposedSegment{{ID: request.ID, Wave: first.wave}}})
-		return true
-	}
-	if q.lostOnce == nil || len(q.lostOnce) >= maxLostOnce {
-		q.lostOnce = make(map[string]lostOnce)
-	}
-	q.lostOnce[request.ID] = lostOnce{upstream: u, wave: request.Wave, at: now}
-	return false
-}
-
 // addInFlight adds the segments that were not lately seen in complete responses to the evidence.
 func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
 	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -4,12 +4,12 @@
 // A loss is recorded if an upstream's process exits as it begins to respond to a request. Each shared
 // segment of the request's prompt is a suspect, and so is the request as a whole. If nothing explains the
 // exit like that, it is a weak sign against each request that was in flight. A complete response
-// disproves the losses under its segments that were known by then. A segment under which several upstreams exited, in more than one
-// wave, is quarantined: requests with it are refused. From time to time one node lets a single request
-// through to find out whether the segment still crashes upstreams.
+// disproves the losses under its segments that were known by then. A segment under which several
+// upstreams exited, in more than one wave, is quarantined: requests with it are refused. From time to time
+// one node lets a single request through to find out whether the segment still crashes upstreams.
 //
-// Each node sees few of the losses. So nodes exchange their evidence and come to the same conclusion
-// from it.
+// Each node sees few of the losses. So nodes exchange their evidence of losses and come to the same
+// conclusion from it. Of requests in flight each node only knows its own.
 package quarantiner
 
 import (
@@ -55,8 +55,6 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	evidence evidence
-	// lostOnce holds the requests that were lost with one upstream; see RecordInFlight.
-	lostOnce map[string]lostOnce
 	probes   map[string]*probe
 	exits    recentExits
 }
@@ -78,8 +76,8 @@
 	// complete response disproves; proven reports whether there was such a response.
 	wave, sound int
 	proven      bool
-	// suspicious reports whether more than a single exit with requests in flight speaks against it, so that a
-	// complete response is worth telling other nodes.
+	// suspicious reports whether more than a single exit with requests in flight speaks against it. Less
+	// quarantines nothing, so that a complete response changes nothing.
 	suspicious bool
 	// upstreams is the number of upstreams that exited under the segment if it is quarantined, else zero.
 	upstreams int
@@ -171,7 +169,7 @@
 
 // Merge implements quetzalroad.Quarantine.
 func (q *Quarantiner) Merge(now time.Time, e quetzalroad.LossEvidence) {
-	if len(e.Losses)+len(e.InFlight) == 0 {
+	if len(e.Losses) == 0 {
 		return
 	}
 	q.mu.Lock()
@@ -201,13 +199,12 @@
 		q.replaceTable(now, before, nil)
 		return
 	}
-	exported := q.evidence.export()
-	shared := directEvidence(exported)
-	table := &segmentTable{evidence: shared, digest: digest(shared), localDigest: digest(exported), segments: make(map[string]segmentState, len(waves))}
+	shared := q.evidence.export()
+	table := &segmentTable{evidence: shared, digest: digest(shared), localDigest: digest(q.evidence.exportAll()), segments: make(map[string]segmentState, len(waves))}
 	if before != nil && before.localDigest == table.localDigest {
 		return
 	}
-	quarantined := attribute(exported, q.evidence.sound, q.thresholds)
+	quarantined := attribute(shared.Losses, q.evidence.sortedInFlight(), q.evidence.sound, q.thresholds)
 	weights := q.evidence.weigh()
 	for segment, wave := range waves {
 		sound, proven := q.evidence.sound[segment]
--- a/quarantine.go
+++ b/quarantine.go
@@ -32,13 +32,11 @@
 	Wave int
 }
 
-// UpstreamLoss is the exit of an upstream's process, with the suspects: as it began to respond to a request,
-// or with requests in flight.
+// UpstreamLoss is the exit of an upstream's process as it began to respond to a request.
 type UpstreamLoss struct {
 	// Upstream is the incarnation that exited.
 	Upstream UpstreamName
 	// Segments are the shared segments of the request's prompt, in order, and last the request as a whole.
-	// Of requests in flight they are the segments of all of them, ordered by id.
 	Segments []ExposedSegment
 	// At is when the node noticed the loss, by the time of day.
 	At time.Time
@@ -63,10 +61,7 @@
 type LossEvidence struct {
 	// Losses are of upstreams that exited as they began to respond, each with one request.
 	Losses []UpstreamLoss
-	// InFlight are of upstreams that exited with requests whose response had not begun or was past its
-	// first event, at most one of each upstream. Any of the requests may be to blame, or none.
-	InFlight []UpstreamLoss
-	// Sound and Refused only list segments of Losses and InFlight.
+	// Sound and Refused only list segments of Losses.
 	Sound   []SoundSegment
 	Refused []RefusedSegment
 }
@@ -91,7 +86,7 @@
 	// RecordLoss records that an upstream exited as it began to respond to a request.
 	RecordLoss(now time.Time, u UpstreamName, exposed []ExposedSegment)
 	// RecordInFlight records that an upstream exited with requests in flight that it was not beginning to
-	// respond to.
+	// respond to. Only this node goes by it.
 	RecordInFlight(now time.Time, u UpstreamName, exposed []ExposedSegment)
 	// RecordComplete records that an upstream responded completely to a request.
 	RecordComplete(now time.Time, segments []PromptSegment)
