Let the soak's rule on deadly requests be reached, and excuse a pause that was not heard

They come for 15 s now, and only the node's own disruptions and the store's are excuses.

The users' rule excuses a cut; the check does so now for a pause that is asked for over a disrupted link, and has a case for it.

--- a/cmd/quetzalsoak/checker/checker.go
+++ b/cmd/quetzalsoak/checker/checker.go
@@ -109,6 +109,10 @@
 	unplannedDisruptions []interval
 	plannedStops         map[int][]time.Time
 	serviceChanges       []ServiceChange
+	// storeDisruptions repeats those of globalDisruptions that affected the store.
+	storeDisruptions []interval
+	// linkDisruptions holds those of the links to each server.
+	linkDisruptions map[string][]interval
 	// deadlyCrashes holds the times at which servers crashed under deadly requests.
 	deadlyCrashes []time.Time
 	violations    []Violation
@@ -173,6 +177,28 @@
 	c.serviceChanges = append(c.serviceChanges, change)
 }
 
+// RecordStoreDisruption records that a fault affected the store, and so all nodes, in an interval.
+func (c *Checker) RecordStoreDisruption(from, until time.Time) {
+	c.RecordDisruption(allNodes, from, until, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeDisruptions = append(c.storeDisruptions, interval{from, until})
+}
+
+// RecordLinkDisruption records that a fault affected the links of all nodes to a server in an interval.
+func (c *Checker) RecordLinkDisruption(server string, from, until time.Time) {
+	c.RecordDisruption(allNodes, from, until, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.linkDisruptions == nil {
+		c.linkDisruptions = make(map[string][]interval)
+	}
+	c.linkDisruptions[server] = append(c.linkDisruptions[server], interval{from, until})
+}
+
+// allNodes is the node index that stands for all nodes in RecordDisruption.
+const allNodes = -1
+
 // RecordDeadlyCrash records that a server crashed under a deadly request, and was away until a time.
 func (c *Checker) RecordDeadlyCrash(at, until time.Time) {
 	c.mu.Lock()
--- a/cmd/quetzalsoak/checker/checker_test.go
+++ b/cmd/quetzalsoak/checker/checker_test.go
@@ -152,11 +152,27 @@
 				c.RecordArrival(again)
 			}
 		}},
+		{"requests in a pause that was asked for over a disrupted link", "", func(c *Checker, e *Exchange, a *Arrival) {
+			c.Bounds.RetryBudgetBase = 10
+			c.RecordLinkDisruption("s", a.ReceivedAt.Add(-time.Second), a.ReceivedAt.Add(time.Second))
+			e.Class, a.Executed, a.RetryAfter = list, false, 5*time.Second
+			for i := range 3 {
+				again := *a
+				again.Executed, again.RetryAfter, again.ReceivedAt = true, 0, a.ReceivedAt.Add(time.Duration(i+1)*time.Second)
+				c.RecordArrival(again)
+			}
+		}},
 		{"deadly requests long after the fifth crash", "deadly", func(c *Checker, e *Exchange, _ *Arrival) {
 			e.Class = list
 			c.Bounds.RetryBudgetBase = 10
 			recordDeadly(c, 5, 4, 5*time.Second)
 		}},
+		{"deadly requests while the store is away", "", func(c *Checker, e *Exchange, _ *Arrival) {
+			e.Class = list
+			c.Bounds.RetryBudgetBase = 10
+			recordDeadly(c, 5, 4, 5*time.Second)
+			c.RecordStoreDisruption(sentAt, sentAt.Add(2*time.Second))
+		}},
 		{"deadly requests soon after it", "", func(c *Checker, e *Exchange, _ *Arrival) {
 			e.Class = list
 			c.Bounds.RetryBudgetBase = 10
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -61,7 +61,7 @@
 		i.recordDisruption(nodeIndex, f, now.Add(f.Duration))
 		i.disruptLink(ctx, f, node.CallerProxy)
 	case scheduler.ServerLinkBlackhole, scheduler.ServerLinkReset, scheduler.ServerLinkOneWay, scheduler.ServerLinkDelay:
-		i.recordDisruption(allNodes, f, now.Add(f.Duration))
+		i.Checker.RecordLinkDisruption(server.ID, now, now.Add(f.Duration))
 		i.disruptLink(ctx, f, server.Proxy)
 	case scheduler.StoreBusy, scheduler.StoreUnresponsive, scheduler.StoreCompaction, scheduler.StoreRestore:
 		i.injectStoreFault(ctx, f)
@@ -93,7 +93,7 @@
 		i.sleep(ctx, f.Duration)
 		server.SetFaults(backendserver.Faults{})
 	case scheduler.DeadlyRequests:
-		i.SendDeadlyRequests(ctx, f.Target, deadlyFactor*f.Duration)
+		i.SendDeadlyRequests(ctx, f.Target, deadlyDuration)
 	}
 }
 
@@ -103,7 +103,8 @@
 		i.Store.TruncateAll()
 		return
 	}
-	i.recordDisruption(allNodes, f, time.Now().Add(f.Duration))
+	now := time.Now()
+	i.Checker.RecordStoreDisruption(now, now.Add(f.Duration))
 	i.Store.SetMode(storeModes[f.Kind])
 	i.sleep(ctx, f.Duration)
 	if f.Kind == scheduler.StoreRestore {
@@ -112,8 +113,9 @@
 	i.Store.SetMode(storeserver.ModeAvailable)
 }
 
-// deadlyFactor is how many times as long as other faults deadly requests come.
-const deadlyFactor = 3
+// deadlyDuration is how long deadly requests come: long enough for several servers to crash, and for nodes to be
+// late in learning of it.
+const deadlyDuration = 15 * time.Second
 
 // maxCopyAge is the age in seconds of the oldest copy from which the store is restored.
 const maxCopyAge = 9
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -164,8 +164,8 @@
 			continue
 		}
 		generated := generateOneKind(k, stream, seed, period)
-		if k == LastKeyWithdrawal {
-			// Nothing is served meanwhile.
+		if k == LastKeyWithdrawal || k == DeadlyRequests {
+			// Little is served meanwhile, or it lasts long.
 			generated = generated[:min(1, len(generated))]
 		}
 		faults = append(faults, generated...)
