--- a/decisions/quarantiner/inflight_test.go
+++ b/decisions/quarantiner/inflight_test.go
@@ -81,6 +81,8 @@
 			q.RecordInFlight(time.Now(), quetzalroad.UpstreamName(fmt.Sprint(i)), q.Expose(suspects))
 		}
 		time.Sleep(2 * inFlightDelay)
+		q.mu.Lock()
+		defer q.mu.Unlock()
 		size := 0
 		for _, l := range q.evidence.sortedInFlight() {
 			for _, s := range l.Segments {
