--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,35 +65,48 @@
 // newFixtureWithSettings starts a node with further settings sections.
 func newFixtureWithSettings(t *testing.T, withState bool, sections map[string]string) *fixture {
 	t.Helper()
-	x := &fixture{callerAddress: freeAddress(t), readinessAddress: freeAddress(t)}
-	settings := map[string]string{
-		"callers":       `{"plugin": "forward", "address": "` + x.callerAddress.String() + `", "ready-address": "` + x.readinessAddress.String() + `"}`,
-		"caller-fields": `{"plugin": "platform"}`,
-		"state":         `{"plugin": "watcher", "revoke-within": "2s", "state-wait": "200ms", "call-timeout": "200ms", "places": "west-1=west"}`,
+	x := &fixture{}
+	for !x.build(t, sections) {
+		t.Log("another process took a port; choosing others")
 	}
-	maps.Copy(settings, sections)
-	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), settings, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
-	if err != nil {
-		t.Fatal(err)
-	}
-	x.node = node
 	if withState {
 		x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", publishedState(1))
 		x.putUpstream()
 	}
-	node.Start()
+	x.node.Start()
 	t.Cleanup(func() {
-		node.Stop(canceled())
-		if err := node.Wait(); err != nil {
+		x.node.Stop(canceled())
+		if err := x.node.Wait(); err != nil {
 			t.Error(err)
 		}
 	})
-	for withState && node.Ready() != nil {
+	for withState && x.node.Ready() != nil {
 		time.Sleep(time.Millisecond)
 	}
 	return x
 }
 
+// build builds the node with free ports. It returns false if another process took one of them meanwhile.
+func (x *fixture) build(t *testing.T, sections map[string]string) bool {
+	t.Helper()
+	x.callerAddress, x.readinessAddress = freeAddress(t), freeAddress(t)
+	settings := map[string]string{
+		"callers":       `{"plugin": "forward", "address": "` + x.callerAddress.String() + `", "ready-address": "` + x.readinessAddress.String() + `"}`,
+		"caller-fields": `{"plugin": "platform"}`,
+		"state":         `{"plugin": "watcher", "revoke-within": "2s", "state-wait": "200ms", "call-timeout": "200ms", "places": "west-1=west"}`,
+	}
+	maps.Copy(settings, sections)
+	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), settings, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return false
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.node = node
+	return true
+}
+
 func (x *fixture) putUpstream() {
 	x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, "a", quetzalroad.UpstreamRegistration{Upstream: quetzalroad.Upstream{
 		Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "west-1", InstanceID: "a", MaxConcurrency: 4,
