Answer chats and calls at the end of a planned stop, and run no late ones that may outlive it

Cause: only the forwarded road took part in what ends a planned stop; the check of late requests stood in its server. Change: the dispatcher begins every request alike and refuses late ones as not run; the chat interface answers 502 where a request may have run, since 503 says that it wasn't. Result: TestPlannedStopAnswersChatsAndCalls fails in each of its six cases without the change and passes with it. Heads that break off at any byte were never taken for responses on this road (TestHeadThatBreaksOffIsNoResponse, no change needed).

--- a/decisions/dispatcher/call.go
+++ b/decisions/dispatcher/call.go
@@ -12,7 +12,10 @@
 // Call implements quetzalroad.Dispatcher.
 func (d *Dispatcher) Call(ctx context.Context, c *quetzalroad.ServiceRequest) (*quetzalroad.ServiceResponse, error) {
 	defer d.trackRequest()()
-	ctx, cancel := withDeadline(ctx, &c.Request)
+	if refusal := d.checkTimeLeft(&c.Request); refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancel := d.begin(ctx, &c.Request)
 	defer cancel()
 	held, err := d.admit(ctx, &c.Request)
 	if err != nil {
@@ -24,7 +27,7 @@
 	}
 	// A non-idempotent request keeps running if its caller disconnects, so that a repeated request
 	// with the same key gets a known outcome.
-	runCtx, cancelRun := withDeadline(context.WithoutCancel(ctx), &c.Request)
+	runCtx, cancelRun := d.begin(context.WithoutCancel(ctx), &c.Request)
 	defer cancelRun()
 	if c.IdempotencyKey == "" {
 		return d.callWithRetries(runCtx, held, c)
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -35,7 +35,10 @@
 // Chat implements quetzalroad.Dispatcher.
 func (d *Dispatcher) Chat(ctx context.Context, c *quetzalroad.ChatRequest, sink quetzalroad.ChatSink) error {
 	defer d.trackRequest()()
-	ctx, cancel := withDeadline(ctx, &c.Request)
+	if refusal := d.checkTimeLeft(&c.Request); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := d.begin(ctx, &c.Request)
 	defer cancel()
 	held, err := d.admit(ctx, &c.Request)
 	if err != nil {
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -106,6 +106,9 @@
 		return held, nil
 	}
 	permit.Release(time.Now(), 0)
+	if ctx.Err() != nil && d.isEnding() {
+		return reservation{}, d.contextRefusal(ctx, quetzalroad.OutcomeNotRun)
+	}
 	return reservation{}, err
 }
 
@@ -129,12 +132,15 @@
 	r.permit.Release(time.Now(), tokens)
 }
 
-// withDeadline returns a context that ends at the request's deadline.
-func withDeadline(ctx context.Context, r *quetzalroad.Request) (context.Context, context.CancelFunc) {
+// begin returns a context that ends at the request's deadline, or when the node's planned stop is nearly over.
+func (d *Dispatcher) begin(ctx context.Context, r *quetzalroad.Request) (context.Context, context.CancelFunc) {
+	var cancel context.CancelFunc
 	if deadline := r.Deadline(); !deadline.IsZero() {
-		return context.WithDeadline(ctx, deadline)
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+	} else {
+		ctx, cancel = context.WithCancel(ctx)
 	}
-	return context.WithCancel(ctx)
+	return ctx, d.endings.add(cancel)
 }
 
 // chooseUpstream chooses an upstream that has not been tried, or any upstream if all have been. The
--- a/decisions/dispatcher/ending.go
+++ b/decisions/dispatcher/ending.go
@@ -4,9 +4,12 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/cpu"
+
+	"github.com/quetzalroad/quetzalroad"
 )
 
 // errNodeEnding is why the work in flight ends at the end of a planned stop.
@@ -80,6 +83,21 @@
 	}
 }
 
+// stoppingRetryAfter is the delay after which a caller may retry on another node.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+// checkTimeLeft refuses a request that comes late in a planned stop and may not end before the node does.
+func (d *Dispatcher) checkTimeLeft(r *quetzalroad.Request) *quetzalroad.Refusal {
+	latest, closing := d.node.WorkDeadline()
+	if !closing {
+		return nil
+	}
+	if deadline := r.Deadline(); !deadline.IsZero() && deadline.Before(latest) {
+		return nil
+	}
+	return quetzalroad.NewRefusal(quetzalroad.ReasonNotReady, "the node stops", stoppingRetryAfter)
+}
+
 // isEnding reports whether the node's planned stop is nearly over.
 func (d *Dispatcher) isEnding() bool {
 	return d.node.Ending().Err() != nil
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -15,8 +15,11 @@
 // Forward implements quetzalroad.Forwarder.
 func (d *Dispatcher) Forward(ctx context.Context, f *quetzalroad.ForwardRequest, sink quetzalroad.ForwardSink) error {
 	defer d.trackRequest()()
-	deadlineCtx, cancel := withDeadline(ctx, &f.Request)
-	defer d.endings.add(cancel)()
+	if refusal := d.checkTimeLeft(&f.Request); refusal != nil {
+		return refusal
+	}
+	deadlineCtx, cancel := d.begin(ctx, &f.Request)
+	defer cancel()
 	service, ok := d.node.Directory.Service(pickService(f.Route.TrafficSplit))
 	if !ok {
 		return noUpstreamRefusal()
@@ -28,9 +31,6 @@
 	}
 	held, err := d.admit(deadlineCtx, &f.Request)
 	if err != nil {
-		if d.isEnding() && ctx.Err() == nil {
-			return d.contextRefusal(deadlineCtx, quetzalroad.OutcomeNotRun)
-		}
 		return err
 	}
 	run := &forwardRun{dispatcher: d, request: f, suspects: suspects, reservation: held, sink: sink, callerCtx: ctx, lastEventID: f.LastEventID}
@@ -40,8 +40,8 @@
 		// A non-idempotent request keeps running if its caller disconnects, because cancelling it
 		// would leave its outcome unknown.
 		var cancelRun context.CancelFunc
-		runCtx, cancelRun = withDeadline(context.WithoutCancel(ctx), &f.Request)
-		defer d.endings.add(cancelRun)()
+		runCtx, cancelRun = d.begin(context.WithoutCancel(ctx), &f.Request)
+		defer cancelRun()
 	}
 	return run.runAttempts(runCtx)
 }
--- a/servers/callerserver/exchange.go
+++ b/servers/callerserver/exchange.go
@@ -148,7 +148,7 @@
 	return nil
 }
 
-// refusalStatuses maps refusal reasons to HTTP statuses; all others are 503.
+// refusalStatuses maps refusal reasons to HTTP statuses; refusalStatus has the others.
 var refusalStatuses = map[quetzalroad.RefusalReason]int{
 	quetzalroad.ReasonUnauthorized:            http.StatusUnauthorized,
 	quetzalroad.ReasonMalformedRequest:        http.StatusBadRequest,
@@ -168,6 +168,18 @@
 	quetzalroad.ReasonDuplicateInProgress:     http.StatusConflict,
 }
 
+// refusalStatus returns the HTTP status of a refusal. Without one for its reason, 503 means that the request was
+// not run, and 502 that it may have been.
+func refusalStatus(refusal *quetzalroad.Refusal) int {
+	if status, ok := refusalStatuses[refusal.Reason]; ok {
+		return status
+	}
+	if refusal.Outcome == quetzalroad.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
 type refusalJSON struct {
 	Code      string     `json:"code"`
 	Message   string     `json:"message"`
@@ -219,10 +231,7 @@
 
 func (x *exchange) writeRefusal(refusal *quetzalroad.Refusal) {
 	var rejected *quetzalroad.RejectedError
-	status, ok := refusalStatuses[refusal.Reason]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
+	status := refusalStatus(refusal)
 	if x.statusOverride != 0 {
 		status = x.statusOverride
 	}
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -68,22 +68,7 @@
 	if err := x.authenticate(metadata); err != nil {
 		return err
 	}
-	if err := x.readBody(); err != nil {
-		return err
-	}
-	return x.refuseIfTooLate()
-}
-
-// refuseIfTooLate refuses a request that comes late in a planned stop and may not end before the node does.
-func (x *exchange) refuseIfTooLate() error {
-	latest, closing := x.server.node.WorkDeadline()
-	if !closing {
-		return nil
-	}
-	if deadline := x.forwardRequest.Deadline(); !deadline.IsZero() && deadline.Before(latest) {
-		return nil
-	}
-	return quetzalroad.NewRefusal(quetzalroad.ReasonNotReady, "the node stops", notReadyRetryAfter)
+	return x.readBody()
 }
 
 // notReadyRetryAfter is the delay after which a caller may retry on another node.
