Don't age with the machine what a fake clock measures

Cause: an Instant aged by the machine's boot clock too. Where a test runs slower than its fake clock, views grow old by the time that the test takes (here 244 s for 20 s); readers are left, and all nodes read the log themselves. Change: an instant of a fake clock, which has no monotonic reading, ages by that clock alone. On a real clock nothing changes. Result: TestInstantOfFakeClockDoesNotAgeWithMachine fails without it (5 ms and 1.005 s) and passes with it.

--- a/support/boottimer/boottimer.go
+++ b/support/boottimer/boottimer.go
@@ -12,12 +12,24 @@
 // Instant is a point in time. The age of the zero value is Never.
 type Instant struct {
 	monotonic time.Time
-	boot      time.Duration
+	// boot is the reading of the machine's boot clock; zero if there is none, as with a fake clock.
+	boot time.Duration
 }
 
 // Now returns the current instant.
 func Now() Instant {
-	return Instant{monotonic: time.Now(), boot: bootTime()}
+	now := time.Now()
+	if isFake(now) {
+		return Instant{monotonic: now}
+	}
+	return Instant{monotonic: now, boot: bootTime()}
+}
+
+// isFake reports whether a current time is that of a fake clock, which has no monotonic reading. The machine's
+// clocks don't follow it.
+func isFake(now time.Time) bool {
+	// Round strips the monotonic reading; Equal would ignore it.
+	return now == now.Round(0)
 }
 
 // IsZero reports whether the instant is the zero value.
@@ -28,13 +40,16 @@
 // Never is the age of the zero Instant.
 const Never = time.Duration(math.MaxInt64)
 
-// Age returns the time since the instant, including suspended time. Go's monotonic
-// clock is used if it is ahead, as tests with a fake clock advance only that one.
+// Age returns the time since the instant, including suspended time.
 func (i Instant) Age() time.Duration {
 	if i.IsZero() {
 		return Never
 	}
-	return max(time.Since(i.monotonic), bootTime()-i.boot)
+	age := time.Since(i.monotonic)
+	if i.boot == 0 {
+		return age
+	}
+	return max(age, bootTime()-i.boot)
 }
 
 // After reports whether the instant is later than another.
@@ -45,7 +60,6 @@
 func bootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// Without this clock, only the monotonic one is used.
 		return 0
 	}
 	return time.Duration(ts.Nano())
@@ -56,5 +70,9 @@
 	if i.IsZero() || d == Never {
 		return Instant{}
 	}
-	return Instant{monotonic: i.monotonic.Add(-d), boot: i.boot - d}
+	earlier := Instant{monotonic: i.monotonic.Add(-d)}
+	if i.boot != 0 {
+		earlier.boot = i.boot - d
+	}
+	return earlier
 }
--- a/support/boottimer/boottimer_test.go
+++ b/support/boottimer/boottimer_test.go
@@ -19,6 +19,23 @@
 	})
 }
 
+// A test with a fake clock may run slower than that clock. What it measures must not age with the machine.
+func TestInstantOfFakeClockDoesNotAgeWithMachine(t *testing.T) {
+	const runTime = 5 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		instant := Now()
+		for start := bootTime(); bootTime()-start < runTime; {
+			continue
+		}
+		if age := instant.Age(); age != 0 {
+			t.Errorf("age %v while the fake clock stood still", age)
+		}
+		if age := instant.Sub(time.Second).Age(); age != time.Second {
+			t.Errorf("age %v of the instant a second earlier", age)
+		}
+	})
+}
+
 func TestAgeIncludesSuspendedTime(t *testing.T) {
 	instant := Now()
 	instant.boot -= time.Minute
