Share the requests in flight on crashed upstreams again

With it gone a deadly part under which engines crash before the first byte or between two events was known only to the nodes that lost engines by it.

--- a/codecs/nodemapper/evidence.go
+++ b/codecs/nodemapper/evidence.go
@@ -22,7 +22,7 @@
 		return nil
 	}
 	message := new(peerwire.LossEvidence)
-	message.Losses = encodeLosses(e.Losses)
+	message.Losses, message.InFlight = encodeLosses(e.Losses), encodeLosses(e.InFlight)
 	for _, s := range e.Sound {
 		message.Sound = append(message.Sound, &peerwire.SoundSegment{Segment: s.ID, Wave: uint32(s.Wave)})
 	}
@@ -60,7 +60,7 @@
 		return nil
 	}
 	e := new(quetzalroad.LossEvidence)
-	e.Losses = decodeLosses(message.GetLosses())
+	e.Losses, e.InFlight = decodeLosses(message.GetLosses()), decodeLosses(message.GetInFlight())
 	for _, s := range message.GetSound() {
 		if s.GetWave() <= maxWave {
 			e.Sound = append(e.Sound, quetzalroad.SoundSegment{ID: s.GetSegment(), Wave: int(s.GetWave())})
--- a/codecs/nodemapper/evidence_test.go
+++ b/codecs/nodemapper/evidence_test.go
@@ -24,8 +24,9 @@
 			{Upstream: "u", At: at, Segments: []quetzalroad.ExposedSegment{{ID: "a", Wave: 1}, {ID: "b", Wave: 3}}},
 			{Upstream: "w", At: at, Segments: long},
 		},
-		Sound:   []quetzalroad.SoundSegment{{ID: "a", Wave: 0}},
-		Refused: []quetzalroad.RefusedSegment{{ID: "b", At: at}},
+		InFlight: []quetzalroad.UpstreamLoss{{Upstream: "v", At: at, Segments: []quetzalroad.ExposedSegment{{ID: "request:9f", Wave: 2}}}},
+		Sound:    []quetzalroad.SoundSegment{{ID: "a", Wave: 0}},
+		Refused:  []quetzalroad.RefusedSegment{{ID: "b", At: at}},
 	}
 }
 
@@ -100,6 +101,7 @@
 	for _, l := range message.GetLosses() {
 		l.MoreSegments, l.MoreWaves = nil, nil
 	}
+	message.InFlight = nil
 	got := decodeEvidence(message)
 	if len(got.Losses) != 2 || len(got.Losses[1].Segments) != maxListedSegments {
 		t.Errorf("%d losses taken over from an earlier build", len(got.Losses))
--- a/decisions/dispatcher/quarantine_test.go
+++ b/decisions/dispatcher/quarantine_test.go
@@ -140,10 +140,14 @@
 			return nil, connectionLostError(a)
 		}
 		x.forward(t.Context(), promptRequest("3", "waiting"))
-		// Requests in flight are recorded a little later, and other nodes are not told.
+		// The evidence of requests in flight is recorded a little later.
 		time.Sleep(2 * time.Second)
-		if diff := cmp.Diff([]string{"begun"}, segmentsOf(x.node.Quarantine.Evidence().Losses)); diff != "" {
-			t.Errorf("(-want +got):\n%s", diff)
+		evidence := x.node.Quarantine.Evidence()
+		if diff := cmp.Diff([]string{"begun"}, segmentsOf(evidence.Losses)); diff != "" {
+			t.Errorf("losses (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]string{"streaming", "waiting"}, segmentsOf(evidence.InFlight)); diff != "" {
+			t.Errorf("requests in flight (-want +got):\n%s", diff)
 		}
 	})
 }
@@ -173,7 +177,7 @@
 		}
 		x.forward(t.Context(), promptRequest("1", "s"))
 		time.Sleep(2 * time.Second)
-		if evidence := x.node.Quarantine.Evidence(); len(evidence.Losses) > 0 {
+		if evidence := x.node.Quarantine.Evidence(); len(evidence.Losses)+len(evidence.InFlight) > 0 {
 			t.Errorf("evidence %+v of an upstream that left as planned", evidence)
 		}
 	})
--- a/decisions/quarantiner/bypasser/bypasser.go
+++ b/decisions/quarantiner/bypasser/bypasser.go
@@ -54,6 +54,9 @@
 // Digest implements quetzalroad.Quarantine.
 func (*Bypasser) Digest() uint64 { return 0 }
 
+// DirectDigest implements quetzalroad.Quarantine.
+func (*Bypasser) DirectDigest() uint64 { return 0 }
+
 // Merge implements quetzalroad.Quarantine.
 func (*Bypasser) Merge(time.Time, quetzalroad.LossEvidence) {}
 
--- a/decisions/quarantiner/evidence.go
+++ b/decisions/quarantiner/evidence.go
@@ -142,6 +142,9 @@
 	for _, l := range other.Losses {
 		e.addLoss(l)
 	}
+	for _, l := range other.InFlight {
+		e.addInFlight(l)
+	}
 	for _, s := range other.Sound {
 		e.markSound(s.ID, s.Wave)
 	}
@@ -207,21 +210,21 @@
 	return all
 }
 
-// export returns the evidence for other nodes, without the requests in flight, of which there are too many.
+// export returns the evidence for other nodes.
 func (e *evidence) export() quetzalroad.LossEvidence {
-	return e.exportWith(e.sortedLosses())
+	return e.exportWith(e.sortedInFlight(e.isWorthSharing(e.weigh())))
 }
 
 // exportAll returns all evidence of this node.
 func (e *evidence) exportAll() quetzalroad.LossEvidence {
-	return e.exportWith(slices.Concat(e.sortedLosses(), e.sortedInFlight()))
+	return e.exportWith(e.sortedInFlight(func(string) bool { return true }))
 }
 
-// exportWith returns evidence of losses, with what is known of their segments.
-func (e *evidence) exportWith(losses []quetzalroad.UpstreamLoss) quetzalroad.LossEvidence {
-	exported := quetzalroad.LossEvidence{Losses: losses}
+// exportWith returns the losses and some requests in flight, with what is known of their segments.
+func (e *evidence) exportWith(inFlight []quetzalroad.UpstreamLoss) quetzalroad.LossEvidence {
+	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses(), InFlight: inFlight}
 	listed := make(map[string]bool)
-	for _, l := range losses {
+	for _, l := range slices.Concat(exported.Losses, exported.InFlight) {
 		for _, s := range l.Segments {
 			listed[s.ID] = true
 		}
@@ -243,7 +246,7 @@
 
 // digest returns a hash of exported evidence; zero if it is empty.
 func digest(e quetzalroad.LossEvidence) uint64 {
-	if len(e.Losses) == 0 {
+	if len(e.Losses)+len(e.InFlight) == 0 {
 		return 0
 	}
 	h := xxhash.New()
@@ -252,7 +255,7 @@
 		_, _ = h.WriteString(text)
 		_, _ = h.WriteString("\x00" + strconv.FormatInt(number, 10) + "\x00")
 	}
-	for _, l := range e.Losses {
+	for _, l := range slices.Concat(e.Losses, e.InFlight) {
 		write(string(l.Upstream), l.At.UnixMilli())
 		for _, s := range l.Segments {
 			write(s.ID, int64(s.Wave))
--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -58,23 +58,51 @@
 	}
 }
 
-// sortedInFlight returns the exits and their segments in an order that doesn't depend on how they were learnt.
-func (e *evidence) sortedInFlight() []quetzalroad.UpstreamLoss {
+// sortedInFlight returns the exits with those of their segments that are included, in an order that doesn't
+// depend on how they were learnt.
+func (e *evidence) sortedInFlight(included func(id string) bool) []quetzalroad.UpstreamLoss {
 	var all []quetzalroad.UpstreamLoss
 	for _, u := range slices.Sorted(maps.Keys(e.inFlight)) {
 		known := e.inFlight[u]
 		l := quetzalroad.UpstreamLoss{Upstream: u, At: known.at}
 		for _, id := range slices.Sorted(maps.Keys(known.waves)) {
-			l.Segments = append(l.Segments, quetzalroad.ExposedSegment{ID: id, Wave: known.waves[id]})
+			if included(id) {
+				l.Segments = append(l.Segments, quetzalroad.ExposedSegment{ID: id, Wave: known.waves[id]})
+			}
+		}
+		if len(l.Segments) > 0 {
+			all = append(all, l)
 		}
-		all = append(all, l)
 	}
 	return all
 }
 
-// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
-// elsewhere, after which their segments are no suspects.
-const inFlightDelay = time.Second
+// isWorthSharing returns which segments of requests in flight other nodes are told of. Each exit takes many
+// requests with it, so that a request as a whole is only told of after its second one.
+func (e *evidence) isWorthSharing(weights map[string]segmentWeight) func(id string) bool {
+	return func(id string) bool { return !quetzalroad.IsWholeRequest(id) || weights[id].occurrences > 1 }
+}
+
+// directEvidence returns the evidence without the requests in flight and what disproves these alone.
+func directEvidence(e quetzalroad.LossEvidence) quetzalroad.LossEvidence {
+	listed := make(map[string]bool)
+	for _, l := range e.Losses {
+		for _, s := range l.Segments {
+			listed[s.ID] = true
+		}
+	}
+	e.InFlight = nil
+	e.Sound = slices.DeleteFunc(slices.Clone(e.Sound), func(s quetzalroad.SoundSegment) bool { return !listed[s.ID] })
+	return e
+}
+
+const (
+	// inFlightDelay is how long requests that were in flight on an upstream that exited have to be answered
+	// elsewhere, after which their segments are no suspects.
+	inFlightDelay = time.Second
+	// inFlightInterval is the minimum time between two notices that only requests in flight were recorded.
+	inFlightInterval = 500 * time.Millisecond
+)
 
 // RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
 // another upstream that exited, count at once.
@@ -100,6 +128,24 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	before := q.Digest()
 	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
 	q.conclude(time.Now())
+	if q.Digest() != before {
+		q.notifyOfInFlight(time.Now())
+	}
+}
+
+// notifyOfInFlight gives notice of requests in flight, not too often. The caller holds the lock.
+func (q *Quarantiner) notifyOfInFlight(now time.Time) {
+	if q.noticePending {
+		return
+	}
+	q.noticePending = true
+	time.AfterFunc(max(0, q.lastNotice.Add(inFlightInterval).Sub(now)), func() {
+		q.mu.Lock()
+		q.noticePending, q.lastNotice = false, time.Now()
+		q.mu.Unlock()
+		q.notify()
+	})
 }
--- a/decisions/quarantiner/inflight_test.go
+++ b/decisions/quarantiner/inflight_test.go
@@ -29,8 +29,10 @@
 		if !q.refuses("1", "deadly") || q.refuses("2", "common") {
 			t.Error("the deadly segment is not refused, or a sound one is")
 		}
-		if evidence := q.Evidence(); len(evidence.Losses)+len(evidence.Sound) > 0 || q.Digest() != 0 {
-			t.Errorf("other nodes are told %+v", evidence)
+		other := newQuarantiner(t, "other", "n", "other")
+		other.Merge(time.Now(), q.Evidence())
+		if !other.refuses("1", "deadly") || other.refuses("2", "common") {
+			t.Error("another node doesn't come to the same conclusion")
 		}
 	})
 }
@@ -84,7 +86,7 @@
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		size := 0
-		for _, l := range q.evidence.sortedInFlight() {
+		for _, l := range q.evidence.exportAll().InFlight {
 			for _, s := range l.Segments {
 				size += len(s.ID) + segmentOverheadBytes
 			}
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -8,14 +8,15 @@
 // upstreams exited, in more than one wave, is quarantined: requests with it are refused. From time to time
 // one node lets a single request through to find out whether the segment still crashes upstreams.
 //
-// Each node sees few of the losses. So nodes exchange their evidence of losses and come to the same
-// conclusion from it. Of requests in flight each node only knows its own.
+// Each node sees few of the losses. So nodes exchange their evidence and come to the same conclusion
+// from it. A request that was in flight at one exit only is not told of, as each exit takes many with it.
 package quarantiner
 
 import (
 	"context"
 	"expvar"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -57,15 +58,19 @@
 	evidence evidence
 	probes   map[string]*probe
 	exits    recentExits
+	// lastNotice is when notice was last given of requests in flight, and noticePending is set if it will be.
+	lastNotice    time.Time
+	noticePending bool
 }
 
 // segmentTable is what a node concludes from the evidence.
 type segmentTable struct {
-	// evidence is what other nodes are told: not the requests in flight, of which there are too many. digest is its
-	// hash, and localDigest that of all that this node knows.
-	evidence    quetzalroad.LossEvidence
-	digest      uint64
-	localDigest uint64
+	// evidence is what other nodes are told, and digest its hash; directDigest is that without the requests in
+	// flight, and localDigest that of all that this node knows.
+	evidence     quetzalroad.LossEvidence
+	digest       uint64
+	directDigest uint64
+	localDigest  uint64
 	// segments holds all segments of the losses.
 	segments map[string]segmentState
 }
@@ -169,7 +174,7 @@
 
 // Merge implements quetzalroad.Quarantine.
 func (q *Quarantiner) Merge(now time.Time, e quetzalroad.LossEvidence) {
-	if len(e.Losses) == 0 {
+	if len(e.Losses)+len(e.InFlight) == 0 {
 		return
 	}
 	q.mu.Lock()
@@ -199,12 +204,15 @@
 		q.replaceTable(now, before, nil)
 		return
 	}
-	shared := q.evidence.export()
-	table := &segmentTable{evidence: shared, digest: digest(shared), localDigest: digest(q.evidence.exportAll()), segments: make(map[string]segmentState, len(waves))}
+	all, shared := q.evidence.exportAll(), q.evidence.export()
+	table := &segmentTable{
+		evidence: shared, digest: digest(shared), directDigest: digest(directEvidence(shared)), localDigest: digest(all),
+		segments: make(map[string]segmentState, len(waves)),
+	}
 	if before != nil && before.localDigest == table.localDigest {
 		return
 	}
-	quarantined := attribute(shared.Losses, q.evidence.sortedInFlight(), q.evidence.sound, q.thresholds)
+	quarantined := attribute(all.Losses, all.InFlight, q.evidence.sound, q.thresholds)
 	weights := q.evidence.weigh()
 	for segment, wave := range waves {
 		sound, proven := q.evidence.sound[segment]
@@ -212,7 +220,7 @@
 		table.segments[segment] = segmentState{wave: wave, sound: sound, proven: proven, suspicious: w.occurrences > 1 || w.direct > 0, upstreams: quarantined[segment]}
 	}
 	q.replaceTable(now, before, table)
-	if before == nil || before.digest != table.digest {
+	if before == nil || before.directDigest != table.directDigest || !maps.Equal(before.quarantined(), table.quarantined()) {
 		q.notify()
 	}
 }
@@ -276,6 +284,14 @@
 	return 0
 }
 
+// DirectDigest implements quetzalroad.Quarantine.
+func (q *Quarantiner) DirectDigest() uint64 {
+	if table := q.table.Load(); table != nil {
+		return table.directDigest
+	}
+	return 0
+}
+
 // IsAlert implements quetzalroad.Quarantine.
 func (q *Quarantiner) IsAlert(now time.Time) bool {
 	q.mu.Lock()
--- a/decisions/quarantiner/summary.go
+++ b/decisions/quarantiner/summary.go
@@ -26,9 +26,9 @@
 func Summarize(all []quetzalroad.LossEvidence) []Summary {
 	combined := combine(all)
 	exported := combined.export()
-	quarantined := attribute(exported.Losses, nil, combined.sound, defaultThresholds)
+	quarantined := attribute(exported.Losses, exported.InFlight, combined.sound, defaultThresholds)
 	var summaries []Summary
-	for id, s := range suspects(exported.Losses, combined.sound) {
+	for id, s := range suspects(slices.Concat(exported.Losses, exported.InFlight), combined.sound) {
 		summaries = append(summaries, Summary{Segment: id, Upstreams: len(s.upstreams), Waves: len(s.waves), Proven: s.proven, Quarantined: quarantined[id] > 0})
 	}
 	slices.SortFunc(summaries, func(a, b Summary) int {
@@ -52,11 +52,11 @@
 		return quetzalroad.LossEvidence{}, false
 	}
 	lifted := quetzalroad.LossEvidence{Sound: []quetzalroad.SoundSegment{{ID: segment, Wave: wave}}}
-	for _, l := range combined.sortedLosses() {
-		if slices.ContainsFunc(l.Segments, func(s quetzalroad.ExposedSegment) bool { return s.ID == segment }) {
-			lifted.Losses = append(lifted.Losses, l)
-		}
+	lacksSegment := func(l quetzalroad.UpstreamLoss) bool {
+		return !slices.ContainsFunc(l.Segments, func(s quetzalroad.ExposedSegment) bool { return s.ID == segment })
 	}
+	lifted.Losses = slices.DeleteFunc(combined.sortedLosses(), lacksSegment)
+	lifted.InFlight = slices.DeleteFunc(combined.exportAll().InFlight, lacksSegment)
 	return lifted, true
 }
 
--- a/quarantine.go
+++ b/quarantine.go
@@ -32,11 +32,13 @@
 	Wave int
 }
 
-// UpstreamLoss is the exit of an upstream's process as it began to respond to a request.
+// UpstreamLoss is the exit of an upstream's process, with the suspects: as it began to respond to a request,
+// or with requests in flight.
 type UpstreamLoss struct {
 	// Upstream is the incarnation that exited.
 	Upstream UpstreamName
 	// Segments are the shared segments of the request's prompt, in order, and last the request as a whole.
+	// Of requests in flight they are the segments of all of them, ordered by id.
 	Segments []ExposedSegment
 	// At is when the node noticed the loss, by the time of day.
 	At time.Time
@@ -61,7 +63,10 @@
 type LossEvidence struct {
 	// Losses are of upstreams that exited as they began to respond, each with one request.
 	Losses []UpstreamLoss
-	// Sound and Refused only list segments of Losses.
+	// InFlight are of upstreams that exited with requests whose response had not begun or was past its
+	// first event, at most one of each upstream. Any of the requests may be to blame, or none.
+	InFlight []UpstreamLoss
+	// Sound and Refused only list segments of Losses and InFlight.
 	Sound   []SoundSegment
 	Refused []RefusedSegment
 }
@@ -86,7 +91,7 @@
 	// RecordLoss records that an upstream exited as it began to respond to a request.
 	RecordLoss(now time.Time, u UpstreamName, exposed []ExposedSegment)
 	// RecordInFlight records that an upstream exited with requests in flight that it was not beginning to
-	// respond to. Only this node goes by it.
+	// respond to.
 	RecordInFlight(now time.Time, u UpstreamName, exposed []ExposedSegment)
 	// RecordComplete records that an upstream responded completely to a request.
 	RecordComplete(now time.Time, segments []PromptSegment)
@@ -96,6 +101,8 @@
 	// empty.
 	Evidence() LossEvidence
 	Digest() uint64
+	// DirectDigest returns a hash of the evidence without the requests in flight.
+	DirectDigest() uint64
 	// Merge adds the evidence of other nodes.
 	Merge(now time.Time, e LossEvidence)
 	// IsAlert reports whether several upstreams exited recently, so that evidence is urgent.
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -20,6 +20,8 @@
 type evidenceSharing struct {
 	// interval is the minimum time between two writes, and between two reads.
 	interval time.Duration
+	// writtenDirect is the digest of the written evidence without the requests in flight.
+	writtenDirect atomic.Uint64
 	// readerDigest is the digest that this node's reader sent last, and writtenDigest that of the
 	// evidence in this node's registration.
 	readerDigest  atomic.Uint64
@@ -64,6 +66,11 @@
 	return digest != d.evidence.writtenDigest.Load() && digest != 0 && !d.ownRole().hasReader()
 }
 
+// hasUnwrittenLosses reports whether the evidence that this node wrote lacks losses of begun responses.
+func (d *Distributor) hasUnwrittenLosses() bool {
+	return d.node.Quarantine.DirectDigest() != d.evidence.writtenDirect.Load()
+}
+
 // shareEvidence writes this node's evidence whenever it has changed, and follows that of other nodes
 // during an alert.
 func (d *Distributor) shareEvidence(ctx context.Context) error {
@@ -78,10 +85,11 @@
 		if d.followsEvidence() && d.evidence.following.CompareAndSwap(false, true) {
 			follower.Go(func() { d.followEvidence(ctx) })
 		}
-		for d.hasUnwrittenEvidence() {
-			delay := d.evidence.interval
-			if !d.writeOwnRegistration(ctx) {
-				delay = d.callTimeout
+		// What is learnt meanwhile of requests in flight on other nodes is no reason to write again.
+		for written := false; d.hasUnwrittenEvidence() && (!written || d.hasUnwrittenLosses()); {
+			delay := d.callTimeout
+			if d.writeOwnRegistration(ctx) {
+				written, delay = true, d.evidence.interval
 			}
 			if err := sleeper.Sleep(ctx, delay); err != nil {
 				return err
--- a/state/distributor/registrations.go
+++ b/state/distributor/registrations.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	self := d.self
 	self.WrittenAt = time.Now()
-	digest := d.node.Quarantine.Digest()
+	digest, direct := d.node.Quarantine.Digest(), d.node.Quarantine.DirectDigest()
 	if digest != 0 {
 		evidence := d.node.Quarantine.Evidence()
 		self.Evidence = &evidence
@@ -102,6 +102,7 @@
 	}
 	d.logger.Info("wrote own node registration", "stream", string(quetzalroad.LogStreamNodes), "epoch", uint64(epoch))
 	d.evidence.writtenDigest.Store(digest)
+	d.evidence.writtenDirect.Store(direct)
 	return true
 }
 
