--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -174,7 +174,7 @@
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonTimeout, Message: "the request ran out of time", Outcome: outcome}
 	case d.isEnding():
-		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonNotReady, Message: "the node stops", RetryAfter: noUpstreamRetryAfter, Outcome: outcome, Cause: errNodeEnding}
+		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonNotReady, Message: "the node stops", RetryAfter: noUpstreamRetryAfter, Outcome: outcome, Cause: context.Cause(d.node.Ending())}
 	}
 	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerDisconnected, Message: "the caller left", Outcome: outcome}
 }
--- a/decisions/dispatcher/ending.go
+++ b/decisions/dispatcher/ending.go
@@ -6,15 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/cpu"
 
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// errNodeEnding is why the work in flight ends at the end of a planned stop.
-var errNodeEnding = errors.New("the node's planned stop is over")
-
 // endingShardCount is the number of shards of the requests in flight.
 const endingShardCount = 16
 
--- a/decisions/quarantiner/evidence.go
+++ b/decisions/quarantiner/evidence.go
@@ -212,7 +212,7 @@
 
 // export returns the evidence for other nodes.
 func (e *evidence) export() quetzalroad.LossEvidence {
-	return e.exportWith(e.sortedInFlight(e.isWorthSharing(e.weigh())))
+	return e.exportWith(e.sortedInFlight(isWorthSharing(e.weigh())))
 }
 
 // exportAll returns all evidence of this node.
--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -77,9 +77,10 @@
 	return all
 }
 
-// isWorthSharing returns which segments of requests in flight other nodes are told of. Each exit takes many
-// requests with it, so that a request as a whole is only told of after its second one.
-func (e *evidence) isWorthSharing(weights map[string]segmentWeight) func(id string) bool {
+// isWorthSharing returns a function that reports whether other nodes are told of a segment of requests in
+// flight. Each exit takes many requests with it, so that of a request as a whole they are told after its second
+// one.
+func isWorthSharing(weights map[string]segmentWeight) func(id string) bool {
 	return func(id string) bool { return !quetzalroad.IsWholeRequest(id) || weights[id].occurrences > 1 }
 }
 
