Keep requests that were lost once beside the evidence

Cause, by reading: requests as a whole that only one node knows stood in the bounded evidence, whose bound drops what has the fewest exits. So nodes dropped different segments, and went on telling each other. Their wave counts now, so that a request is refused after three exits as before.

--- a/decisions/quarantiner/attribution.go
+++ b/decisions/quarantiner/attribution.go
@@ -68,10 +68,10 @@
 // Segments that crash upstreams come with sound ones. So the worst suspect is taken first, and the exits of
 // its upstreams no longer speak against the others. Then the exits that nothing explains so far are
 // attributed to what the requests in flight have in common.
-func attribute(direct, inFlight []quetzalroad.UpstreamLoss, sound map[string]int, t thresholds) map[string]int {
+func attribute(e quetzalroad.LossEvidence, sound map[string]int, t thresholds) map[string]int {
 	quarantined := make(map[string]int)
-	losses := quarantineWorst(quarantined, direct, sound, func(s *suspect) bool { return s.exceeds(t) })
-	inFlight = withoutUpstreams(inFlight, func(u quetzalroad.UpstreamName) bool { return explains(quarantined, direct, u) })
+	losses := quarantineWorst(quarantined, e.Losses, sound, func(s *suspect) bool { return s.exceeds(t) })
+	inFlight := withoutUpstreams(e.InFlight, func(u quetzalroad.UpstreamName) bool { return explains(quarantined, e.Losses, u) })
 	quarantineWorst(quarantined, slices.Concat(losses, inFlight), sound, func(s *suspect) bool { return s.exceedsInFlight(t) })
 	return quarantined
 }
--- a/decisions/quarantiner/attribution_test.go
+++ b/decisions/quarantiner/attribution_test.go
@@ -81,7 +81,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, attribute(c.losses, nil, c.sound, defaultThresholds)); diff != "" {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses}, c.sound, defaultThresholds)); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
@@ -108,7 +108,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, attribute(c.losses, nil, c.sound, defaultThresholds)); diff != "" {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses}, c.sound, defaultThresholds)); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
@@ -150,7 +150,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, attribute(c.losses, c.inFlight, c.sound, defaultThresholds)); diff != "" {
+			if diff := cmp.Diff(c.want, attribute(quetzalroad.LossEvidence{Losses: c.losses, InFlight: c.inFlight}, c.sound, defaultThresholds)); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
--- a/decisions/quarantiner/evidence.go
+++ b/decisions/quarantiner/evidence.go
@@ -212,32 +212,12 @@
 
 // export returns the evidence for other nodes.
 func (e *evidence) export() quetzalroad.LossEvidence {
-	return e.exportWith(e.sortedInFlight(isWorthSharing(e.weigh())))
-}
-
-// exportAll returns all evidence of this node.
-func (e *evidence) exportAll() quetzalroad.LossEvidence {
-	return e.exportWith(e.sortedInFlight(func(string) bool { return true }))
-}
-
-// exportWith returns the losses and some requests in flight, with what is known of their segments.
-func (e *evidence) exportWith(inFlight []quetzalroad.UpstreamLoss) quetzalroad.LossEvidence {
-	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses(), InFlight: inFlight}
-	listed := make(map[string]bool)
-	for _, l := range slices.Concat(exported.Losses, exported.InFlight) {
-		for _, s := range l.Segments {
-			listed[s.ID] = true
-		}
-	}
+	exported := quetzalroad.LossEvidence{Losses: e.sortedLosses(), InFlight: e.sortedInFlight()}
 	for id, wave := range e.sound {
-		if listed[id] {
-			exported.Sound = append(exported.Sound, quetzalroad.SoundSegment{ID: id, Wave: wave})
-		}
+		exported.Sound = append(exported.Sound, quetzalroad.SoundSegment{ID: id, Wave: wave})
 	}
 	for id, at := range e.refused {
-		if listed[id] {
-			exported.Refused = append(exported.Refused, quetzalroad.RefusedSegment{ID: id, At: at})
-		}
+		exported.Refused = append(exported.Refused, quetzalroad.RefusedSegment{ID: id, At: at})
 	}
 	slices.SortFunc(exported.Sound, func(a, b quetzalroad.SoundSegment) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(exported.Refused, func(a, b quetzalroad.RefusedSegment) int { return cmp.Compare(a.ID, b.ID) })
--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -58,32 +58,20 @@
 	}
 }
 
-// sortedInFlight returns the exits with those of their segments that are included, in an order that doesn't
-// depend on how they were learnt.
-func (e *evidence) sortedInFlight(included func(id string) bool) []quetzalroad.UpstreamLoss {
+// sortedInFlight returns the exits and their segments in an order that doesn't depend on how they were learnt.
+func (e *evidence) sortedInFlight() []quetzalroad.UpstreamLoss {
 	var all []quetzalroad.UpstreamLoss
 	for _, u := range slices.Sorted(maps.Keys(e.inFlight)) {
 		known := e.inFlight[u]
 		l := quetzalroad.UpstreamLoss{Upstream: u, At: known.at}
 		for _, id := range slices.Sorted(maps.Keys(known.waves)) {
-			if included(id) {
-				l.Segments = append(l.Segments, quetzalroad.ExposedSegment{ID: id, Wave: known.waves[id]})
-			}
-		}
-		if len(l.Segments) > 0 {
-			all = append(all, l)
+			l.Segments = append(l.Segments, quetzalroad.ExposedSegment{ID: id, Wave: known.waves[id]})
 		}
+		all = append(all, l)
 	}
 	return all
 }
 
-// isWorthSharing returns a function that reports whether other nodes are told of a segment of requests in
-// flight. Each exit takes many requests with it, so that of a request as a whole they are told after its second
-// one.
-func isWorthSharing(weights map[string]segmentWeight) func(id string) bool {
-	return func(id string) bool { return !quetzalroad.IsWholeRequest(id) || weights[id].occurrences > 1 }
-}
-
 // directEvidence returns the evidence without the requests in flight and what disproves these alone.
 func directEvidence(e quetzalroad.LossEvidence) quetzalroad.LossEvidence {
 	listed := make(map[string]bool)
@@ -105,15 +93,17 @@
 	inFlightInterval = 500 * time.Millisecond
 )
 
-// RecordInFlight implements quetzalroad.Quarantine. Requests as a whole, and segments that were in flight on
-// another upstream that exited, count at once.
+// RecordInFlight implements quetzalroad.Quarantine. Each exit takes many requests with it. So a request as a
+// whole counts once it was lost with two upstreams, and a segment if it was in flight on another upstream that
+// exited, or after some time if it was in no complete response by then.
 func (q *Quarantiner) RecordInFlight(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
-	table := q.table.Load()
 	var urgent, later []quetzalroad.ExposedSegment
+	table := q.table.Load()
 	for _, s := range exposed {
-		if quetzalroad.IsWholeRequest(s.ID) || table.knows(s.ID) {
+		switch {
+		case table.knows(s.ID) || quetzalroad.IsWholeRequest(s.ID) && q.recordLostAgain(now, u, s):
 			urgent = append(urgent, s)
-		} else {
+		case !quetzalroad.IsWholeRequest(s.ID):
 			later = append(later, s)
 		}
 	}
@@ -121,6 +111,19 @@
 	time.AfterFunc(inFlightDelay, func() { q.addInFlight(now, u, later) })
 }
 
+// recordLostAgain remembers that a request was lost with an upstream. If it was lost with another one before, it
+// adds that loss to the evidence and returns true.
+func (q *Quarantiner) recordLostAgain(now time.Time, u quetzalroad.UpstreamName, request quetzalroad.ExposedSegment) bool {
+	first, again := q.lost.add(request.ID, lostRequest{upstream: u, wave: request.Wave, at: now})
+	if !again {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: first.upstream, At: first.at, Segments: []quetzalroad.ExposedSegment{{ID: request.ID, Wave: first.wave}}})
+	return true
+}
+
 // addInFlight adds the segments that were not lately seen in complete responses to the evidence.
 func (q *Quarantiner) addInFlight(at time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
 	exposed = slices.DeleteFunc(slices.Clone(exposed), func(s quetzalroad.ExposedSegment) bool { return q.provenSet(s.ID).contains(s.ID) })
@@ -129,12 +132,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	before := q.Digest()
 	q.evidence.addInFlight(quetzalroad.UpstreamLoss{Upstream: u, Segments: exposed, At: at})
-	q.conclude(time.Now())
-	if q.Digest() != before {
-		q.notifyOfInFlight(time.Now())
-	}
+	now := time.Now()
+	q.conclude(now)
+	q.notifyOfInFlight(now)
 }
 
 // notifyOfInFlight gives notice of requests in flight, not too often. The caller holds the lock.
--- a/decisions/quarantiner/inflight_test.go
+++ b/decisions/quarantiner/inflight_test.go
@@ -86,7 +86,7 @@
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		size := 0
-		for _, l := range q.evidence.exportAll().InFlight {
+		for _, l := range q.evidence.sortedInFlight() {
 			for _, s := range l.Segments {
 				size += len(s.ID) + segmentOverheadBytes
 			}
--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -49,6 +49,7 @@
 	proven provenSegments
 	// provenRequests holds the requests as a whole that lately had complete responses.
 	provenRequests provenSegments
+	lost           lostRequests
 	// table is what follows from the evidence; nil while there is none. It is not modified once it is
 	// stored.
 	table atomic.Pointer[segmentTable]
@@ -56,21 +57,19 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	evidence evidence
-	probes   map[string]*probe
-	exits    recentExits
 	// lastNotice is when notice was last given of requests in flight, and noticePending is set if it will be.
 	lastNotice    time.Time
 	noticePending bool
+	probes        map[string]*probe
+	exits         recentExits
 }
 
 // segmentTable is what a node concludes from the evidence.
 type segmentTable struct {
-	// evidence is what other nodes are told, and digest its hash; directDigest is that without the requests in
-	// flight, and localDigest that of all that this node knows.
-	evidence     quetzalroad.LossEvidence
-	digest       uint64
+	evidence quetzalroad.LossEvidence
+	digest   uint64
+	// directDigest is the digest without the requests in flight.
 	directDigest uint64
-	localDigest  uint64
 	// segments holds all segments of the losses.
 	segments map[string]segmentState
 }
@@ -81,8 +80,8 @@
 	// complete response disproves; proven reports whether there was such a response.
 	wave, sound int
 	proven      bool
-	// suspicious reports whether more than a single exit with requests in flight speaks against it. Less
-	// quarantines nothing, so that a complete response changes nothing.
+	// suspicious reports whether more than a single exit with requests in flight speaks against it, so that a
+	// complete response is worth telling other nodes of.
 	suspicious bool
 	// upstreams is the number of upstreams that exited under the segment if it is quarantined, else zero.
 	upstreams int
@@ -204,15 +203,12 @@
 		q.replaceTable(now, before, nil)
 		return
 	}
-	all, shared := q.evidence.exportAll(), q.evidence.export()
-	table := &segmentTable{
-		evidence: shared, digest: digest(shared), directDigest: digest(directEvidence(shared)), localDigest: digest(all),
-		segments: make(map[string]segmentState, len(waves)),
-	}
-	if before != nil && before.localDigest == table.localDigest {
+	exported := q.evidence.export()
+	table := &segmentTable{evidence: exported, digest: digest(exported), directDigest: digest(directEvidence(exported)), segments: make(map[string]segmentState, len(waves))}
+	if before != nil && before.digest == table.digest {
 		return
 	}
-	quarantined := attribute(all.Losses, all.InFlight, q.evidence.sound, q.thresholds)
+	quarantined := attribute(exported, q.evidence.sound, q.thresholds)
 	weights := q.evidence.weigh()
 	for segment, wave := range waves {
 		sound, proven := q.evidence.sound[segment]
@@ -268,6 +264,14 @@
 	return known
 }
 
+// wave returns the highest wave of the losses under a segment; zero if there is none.
+func (t *segmentTable) wave(segment string) int {
+	if t == nil {
+		return 0
+	}
+	return t.segments[segment].wave
+}
+
 // Evidence implements quetzalroad.Quarantine.
 func (q *Quarantiner) Evidence() quetzalroad.LossEvidence {
 	if table := q.table.Load(); table != nil {
--- a/decisions/quarantiner/recording.go
+++ b/decisions/quarantiner/recording.go
@@ -18,15 +18,19 @@
 			continue
 		}
 		seen[key] = struct{}{}
-		wave := 1
-		if table != nil {
-			wave += table.segments[key].wave
-		}
-		exposed = append(exposed, quetzalroad.ExposedSegment{ID: key, Wave: wave})
+		exposed = append(exposed, quetzalroad.ExposedSegment{ID: key, Wave: 1 + q.knownWave(table, key)})
 	}
 	return exposed
 }
 
+// knownWave returns the highest wave of the exits under a segment that this node knows of; zero if there is none.
+func (q *Quarantiner) knownWave(table *segmentTable, segment string) int {
+	if table.knows(segment) || !quetzalroad.IsWholeRequest(segment) {
+		return table.wave(segment)
+	}
+	return q.lost.wave(segment)
+}
+
 // RecordLoss implements quetzalroad.Quarantine.
 func (q *Quarantiner) RecordLoss(now time.Time, u quetzalroad.UpstreamName, exposed []quetzalroad.ExposedSegment) {
 	q.mu.Lock()
--- a/decisions/quarantiner/summary.go
+++ b/decisions/quarantiner/summary.go
@@ -26,7 +26,7 @@
 func Summarize(all []quetzalroad.LossEvidence) []Summary {
 	combined := combine(all)
 	exported := combined.export()
-	quarantined := attribute(exported.Losses, exported.InFlight, combined.sound, defaultThresholds)
+	quarantined := attribute(exported, combined.sound, defaultThresholds)
 	var summaries []Summary
 	for id, s := range suspects(slices.Concat(exported.Losses, exported.InFlight), combined.sound) {
 		summaries = append(summaries, Summary{Segment: id, Upstreams: len(s.upstreams), Waves: len(s.waves), Proven: s.proven, Quarantined: quarantined[id] > 0})
@@ -56,7 +56,7 @@
 		return !slices.ContainsFunc(l.Segments, func(s quetzalroad.ExposedSegment) bool { return s.ID == segment })
 	}
 	lifted.Losses = slices.DeleteFunc(combined.sortedLosses(), lacksSegment)
-	lifted.InFlight = slices.DeleteFunc(combined.exportAll().InFlight, lacksSegment)
+	lifted.InFlight = slices.DeleteFunc(combined.sortedInFlight(), lacksSegment)
 	return lifted, true
 }
 
