Leave a server alone for the pause it asked for, also if its process starts again

Cause: the nodes' logs show the server reborn under its id 0.28 s after its 503; a pause was kept by incarnation. Change: pauses are kept by the server's key; names of incarnations are made and read in one place. Result: TestPauseOutlivesARestartOfTheUpstream fails before and passes now.

--- a/decisions/throttler/pauses.go
+++ b/decisions/throttler/pauses.go
@@ -18,17 +18,18 @@
 	shards    [shardCount]pauseShard
 }
 
-// pauseShard holds the upstreams whose names hash to it.
+// pauseShard holds the upstreams whose keys hash to it.
 type pauseShard struct {
 	// Padding keeps the locks of different shards on separate cache lines.
 	_  cpu.CacheLinePad
 	mu sync.Mutex
-	// until holds the end of each pause. It is guarded by mu and allocated on first use.
-	until map[quetzalroad.UpstreamName]time.Time
+	// until holds the end of each pause by the upstream's key: an upstream that is started again is still to be
+	// left alone. It is guarded by mu and allocated on first use.
+	until map[string]time.Time
 }
 
 func (p *pauses) shard(u quetzalroad.UpstreamName) *pauseShard {
-	return &p.shards[xxhash.Sum64String(string(u))%shardCount]
+	return &p.shards[xxhash.Sum64String(u.Key())%shardCount]
 }
 
 // add begins a pause, or extends it, and reports whether it is a new one. It forgets those that have ended.
@@ -37,16 +38,16 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if sh.until == nil {
-		sh.until = make(map[quetzalroad.UpstreamName]time.Time)
+		sh.until = make(map[string]time.Time)
 	}
-	for name, end := range sh.until {
+	for key, end := range sh.until {
 		if !end.After(now) {
-			delete(sh.until, name)
+			delete(sh.until, key)
 		}
 	}
-	end, paused := sh.until[u]
+	end, paused := sh.until[u.Key()]
 	if until.After(end) {
-		sh.until[u] = until
+		sh.until[u.Key()] = until
 	}
 	p.extend(until)
 	return !paused
@@ -92,5 +93,5 @@
 	sh := p.shard(u)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return max(0, sh.until[u].Sub(now))
+	return max(0, sh.until[u.Key()].Sub(now))
 }
--- a/decisions/throttler/pauses_test.go
+++ b/decisions/throttler/pauses_test.go
@@ -8,6 +8,26 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
+// An upstream may be started again in the pause that it asked for, which it may not ask for once more.
+func TestPauseOutlivesARestartOfTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		throttler := newFleet(t, 1)[0]
+		started := time.Now()
+		throttler.Pause(time.Now(), quetzalroad.IncarnationName("u", started), 2*time.Second)
+		again := quetzalroad.IncarnationName("u", started.Add(time.Second))
+		if throttler.acquire(again) || throttler.State(time.Now(), again) != quetzalroad.ThrottleExhausted {
+			t.Error("it may be sent a request")
+		}
+		if !throttler.acquire(quetzalroad.IncarnationName("v", started)) {
+			t.Error("another upstream may not")
+		}
+		time.Sleep(2 * time.Second)
+		if !throttler.acquire(again) {
+			t.Error("the pause does not end")
+		}
+	})
+}
+
 func TestPausedUpstreamGetsNothingUntilItsPauseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		throttler := newFleet(t, 1)[0]
--- a/names.go
+++ b/names.go
@@ -1,6 +1,11 @@
 package quetzalroad
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // TeamName names a customer team.
 type TeamName string
@@ -11,9 +16,27 @@
 // ServiceName names a service, which upstreams provide.
 type ServiceName string
 
-// UpstreamName names one back end of a service.
+// UpstreamName names one back end of a service. Where a back end registers itself, it names one incarnation.
 type UpstreamName string
 
+// incarnationSeparator separates a back end's key from its incarnation.
+const incarnationSeparator = "@"
+
+// IncarnationName returns a name that is unique to one incarnation of the upstream that registered under a key,
+// so that what is known about an earlier one isn't applied to a later one.
+func IncarnationName(key string, startedAt time.Time) UpstreamName {
+	if startedAt.IsZero() {
+		return UpstreamName(key)
+	}
+	return UpstreamName(key + incarnationSeparator + strconv.FormatInt(startedAt.UnixMilli(), 36))
+}
+
+// Key returns what all incarnations of an upstream have in common.
+func (u UpstreamName) Key() string {
+	key, _, _ := strings.Cut(string(u), incarnationSeparator)
+	return key
+}
+
 // ModelName names a language model as callers request it.
 type ModelName string
 
--- a/state/watcher/registrations.go
+++ b/state/watcher/registrations.go
@@ -1,7 +1,6 @@
 package watcher
 
 import (
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -87,7 +86,7 @@
 		known = new(registration)
 		w.registrations.byKey[r.Key] = known
 	}
-	name := incarnationName(r.Key, decoded.StartedAt)
+	name := quetzalroad.IncarnationName(r.Key, decoded.StartedAt)
 	if known.name == name {
 		// It isn't missing, though it may be an older one.
 		known.missingSince = boottimer.Instant{}
@@ -132,15 +131,6 @@
 	return decoded.Sequence > known.sequence
 }
 
-// incarnationName returns a name that is unique to one incarnation of an upstream,
-// so that nothing known about an earlier one is applied to a later one.
-func incarnationName(key string, startedAt time.Time) quetzalroad.UpstreamName {
-	if startedAt.IsZero() {
-		return quetzalroad.UpstreamName(key)
-	}
-	return quetzalroad.UpstreamName(key + "@" + strconv.FormatInt(startedAt.UnixMilli(), 36))
-}
-
 func (w *Watcher) putUpstream(known *registration, u quetzalroad.Upstream, offset int64) {
 	u.Name = known.name
 	u.Region = w.regions[u.DataCentre]
