--- a/state/watcher/restore_test.go
+++ b/state/watcher/restore_test.go
@@ -1,7 +1,6 @@
 package watcher_test
 
 import (
-	"strconv"
 	"testing"
 	"time"
 
@@ -16,7 +15,7 @@
 
 // incarnation returns the name of the upstream that registered under a key.
 func incarnation(key string) quetzalroad.UpstreamName {
-	return quetzalroad.UpstreamName(key + "@" + strconv.FormatInt(startedAt.UnixMilli(), 36))
+	return quetzalroad.IncarnationName(key, startedAt)
 }
 
 func TestStateUnderAnOffsetGivenOutAgainIsApplied(t *testing.T) {
