--- a/decisions/quarantiner/quarantiner.go
+++ b/decisions/quarantiner/quarantiner.go
@@ -80,8 +80,8 @@
 	// complete response disproves; proven reports whether there was such a response.
 	wave, sound int
 	proven      bool
-	// suspicious reports whether more than a single exit with requests in flight speaks against it, so that a
-	// complete response is worth telling other nodes of.
+	// suspicious reports whether more than a single exit with requests in flight speaks against it. Only then are
+	// other nodes told of a complete response.
 	suspicious bool
 	// upstreams is the number of upstreams that exited under the segment if it is quarantined, else zero.
 	upstreams int
