Wait for the server's registration in a test of withdrawn keys

Cause, by reading: the test waited for the config only; the server's registration comes on another stream and may be later. Change: it waits for both. Every check stays; the node is unchanged.

--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -113,6 +113,12 @@
 	}})
 }
 
+// knowsUpstream reports whether the node has read the registration of putUpstream, which may come after the state.
+func (x *fixture) knowsUpstream() bool {
+	_, ok := x.node.Directory.Upstream("a")
+	return ok
+}
+
 // canceled returns a canceled context, with which a node stops at once.
 func canceled() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -203,7 +209,7 @@
 			c.change(&state)
 			x.KeyedLog.Put(quetzalroad.LogStreamOperators, "config", state)
 			x.putUpstream()
-			for x.node.Ready() != nil || x.node.Freshness.Version() != 2 {
+			for x.node.Ready() != nil || x.node.Freshness.Version() != 2 || !x.knowsUpstream() {
 				time.Sleep(time.Millisecond)
 			}
 			for what, r := range map[string]struct {
