--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -240,8 +240,9 @@
 	return d.waitBackoff(ctx, backoff, history.outcome())
 }
 
-// logFailure logs a failed attempt, with the upstream's load if it reported one.
+// logFailure counts and logs a failed attempt, with the upstream's load if it reported one.
 func (d *Dispatcher) logFailure(r *quetzalroad.Request, failure *quetzalroad.AttemptError) {
+	d.node.Recorder.CountFailure(failure.RetryReason)
 	attributes := []any{
 		"request-id", string(r.ID), "upstream", string(failure.Upstream), "reason", string(failure.RetryReason), "not-run", failure.NotRun, "error", failure.Cause,
 	}
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -82,6 +82,10 @@
 	lastEventID int64
 	// eventCount counts the events relayed; each is charged to the team as one token.
 	eventCount int
+	// unnumberedEvents counts the relayed events that have no id.
+	unnumberedEvents int
+	// head is that of the last response that was received.
+	head quetzalroad.ResponseHead
 	// status is the response's HTTP status, and timeToFirstByte the time from the request's arrival
 	// to the first data; both are zero before that.
 	status          int
@@ -137,6 +141,7 @@
 	attributes := []any{
 		"request-id", string(f.ID), "upstream", string(u.Name), "attempts", r.history.attempts,
 		"status", r.status, "first-after", r.timeToFirstByte, "took", time.Since(f.Arrived), "events", r.eventCount, "longest-gap", r.longestGap,
+		"event-stream", r.head.EventStream, "unnumbered-events", r.unnumberedEvents, "unframed", r.head.Unframed, "reused-connection", r.head.ReusedConnection,
 	}
 	if r.rateLimit != nil && r.rateLimit.IsSet {
 		attributes = append(attributes, "told-rate-limit", r.rateLimit.PerSecond)
@@ -215,6 +220,7 @@
 	}
 	defer response.Close()
 	head := response.Head()
+	r.head = head
 	r.attempt.responded, r.attempt.eventStream = true, head.EventStream
 	r.recordLoad(u, head.LoadReport)
 	r.recordRateLimit(u, head.RateLimit)
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -132,6 +132,9 @@
 		if err := r.checkOrder(u, chunk); err != nil {
 			return err
 		}
+		if chunk.EventID == 0 {
+			r.unnumberedEvents++
+		}
 		r.lastEventID = max(r.lastEventID, chunk.EventID)
 		r.eventCount++
 		if err := r.write(head, chunk.Data); err != nil {
--- a/forward.go
+++ b/forward.go
@@ -79,6 +79,8 @@
 	EventStream bool
 	// Unframed reports whether nothing but the end of the connection ends the body.
 	Unframed bool
+	// ReusedConnection reports whether the connection had carried another response before.
+	ReusedConnection bool
 	// LoadReport is the load report sent with the response; nil if there was none.
 	LoadReport *LoadReport
 	// RateLimit is the limit stated with the response; nil if the statement can't be understood.
--- a/recorder.go
+++ b/recorder.go
@@ -9,6 +9,8 @@
 	CountRefusal(r RefusalReason)
 	CountRetry(r RetryReason)
 	CountAttempt()
+	// CountFailure counts an attempt that failed, whether or not it is retried.
+	CountFailure(r RetryReason)
 	// CountTokens counts generated tokens, and those of them that were discarded or belong to a
 	// failed response as wasted.
 	CountTokens(generated, wasted int)
--- a/support/recorder/recorder.go
+++ b/support/recorder/recorder.go
@@ -34,6 +34,7 @@
 
 	refusals        expvar.Map
 	retries         expvar.Map
+	failures        expvar.Map
 	outcomes        expvar.Map
 	violations      expvar.Map
 	sent            expvar.Map
@@ -58,6 +59,7 @@
 	n.Recorder = r
 	n.Vars.Set("refusals", &r.refusals)
 	n.Vars.Set("retries", &r.retries)
+	n.Vars.Set("failed-attempts", &r.failures)
 	n.Vars.Set("outcomes", &r.outcomes)
 	n.Vars.Set("invariant-breaches", &r.violations)
 	n.Vars.Set("control-bytes-sent", &r.sent)
@@ -103,6 +105,11 @@
 	r.attempts.Add(1)
 }
 
+// CountFailure implements quetzalroad.Recorder.
+func (r *Recorder) CountFailure(reason quetzalroad.RetryReason) {
+	r.failures.Add(string(reason), 1)
+}
+
 // CountTokens implements quetzalroad.Recorder.
 func (r *Recorder) CountTokens(generated, wasted int) {
 	r.tokensGenerated.Add(int64(generated))
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -179,6 +179,7 @@
 		Status: x.response.StatusCode, Header: headerfilter.EndToEnd(x.response.Header, "Content-Length"), ContentLength: x.response.ContentLength,
 		EventStream: strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"), LoadReport: x.metadata.LoadReport,
 		RateLimit: x.metadata.RateLimit, Leaving: x.metadata.Leaving, RetryAfter: x.metadata.RetryAfter,
+		ReusedConnection: x.conn.reused,
 	}
 	x.head.Unframed = x.isUnframed()
 	if x.head.EventStream {
