Pass on no event whose id can't be read or doesn't follow

Cause: UpstreamCodec.EventID told 'none' and 'can't be read' alike, and checkOrder took an event without an id as long as the caller had none; any first id was taken too, and lower ids later were dropped without a word. Class: a value that can't be decoded passes for an absent one. Change: DecodeEvent returns an error for a block that is no event. On streaming routes each event needs an id, the first is 1 or follows the caller's last one, and ids within a response are consecutive. A stream that ends before any event is broken off. Comments are passed on once the caller has an event, and count as none. A failed attempt is a malformed-answer: retried or resumed where the route allows it, else the response breaks off. Beside it, the reader takes all sound forms: carriage returns, byte order mark, comment at the end. One expectation changes its fixture: a comment is now marked as such by the codec, so the scripted response of TestErrorInTheMiddleOfAStreamIsNotPartOfIt marks it; what it checks is the same.

--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -311,7 +311,7 @@
 func TestErrorInTheMiddleOfAStreamIsNotPartOfIt(t *testing.T) {
 	runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 		x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
-			chunks := append(eventChunks(a.ResumeAfter+1, 2), quetzalroad.BodyChunk{Data: []byte(": open\n\n")}, quetzalroad.BodyChunk{Data: []byte("HTTP/1.1 500 Internal Server Error\r\n\r\n")})
+			chunks := append(eventChunks(a.ResumeAfter+1, 2), quetzalroad.BodyChunk{Data: []byte(": open\n\n"), IsComment: true}, quetzalroad.BodyChunk{Data: []byte("HTTP/1.1 500 Internal Server Error\r\n\r\n")})
 			if a.ResumeAfter > 0 {
 				chunks = eventChunks(a.ResumeAfter+1, 4)
 			}
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"time"
@@ -99,8 +98,8 @@
 	}
 }
 
-// relayEvents relays whole events as they arrive. Event ids are consecutive across attempts; an event
-// that the caller already has is dropped.
+// relayEvents relays whole events as they arrive. On streaming routes their ids are consecutive across attempts,
+// and an event that the caller already has is dropped.
 func (r *forwardRun) relayEvents(ctx context.Context, u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
 	head := response.Head()
 	head.ContentLength = -1
@@ -116,6 +115,12 @@
 		if err != nil {
 			return err
 		}
+		if chunk.IsComment {
+			if err := r.relayComment(head, chunk); err != nil {
+				return err
+			}
+			continue
+		}
 		r.attempt.countChunk(chunk)
 		now := time.Now()
 		if lastEventAt.IsZero() {
@@ -126,23 +131,37 @@
 			r.dispatcher.node.LoadTracker.ObserveInterToken(u.Name, now, gap)
 		}
 		lastEventAt = now
-		if chunk.EventID > 0 && chunk.EventID <= r.lastEventID {
-			continue
-		}
-		if err := r.checkOrder(u, chunk); err != nil {
-			return err
-		}
-		if chunk.EventID == 0 {
-			r.unnumberedEvents++
-		}
-		r.lastEventID = max(r.lastEventID, chunk.EventID)
-		r.eventCount++
-		if err := r.write(head, chunk.Data); err != nil {
+		if err := r.relayEvent(u, head, chunk); err != nil {
 			return err
 		}
 	}
 }
 
+// relayEvent relays one event, unless the caller has it already.
+func (r *forwardRun) relayEvent(u quetzalroad.Upstream, head quetzalroad.ResponseHead, event quetzalroad.BodyChunk) error {
+	if err := r.checkOrder(u, event); err != nil {
+		return err
+	}
+	if r.request.Route.Streaming && event.EventID <= r.lastEventID {
+		return nil
+	}
+	if event.EventID == 0 {
+		r.unnumberedEvents++
+	}
+	r.lastEventID = max(r.lastEventID, event.EventID)
+	r.eventCount++
+	return r.write(head, event.Data)
+}
+
+// relayComment relays a comment, unless the caller has no event yet: until then the request may still be sent to
+// another upstream.
+func (r *forwardRun) relayComment(head quetzalroad.ResponseHead, comment quetzalroad.BodyChunk) error {
+	if !r.responseStarted {
+		return nil
+	}
+	return r.write(head, comment.Data)
+}
+
 // checkEnd returns an error if the body may have broken off, although its end looks like that of a whole one.
 // The connections of a process that exits end like those of one that closes them.
 func (r *forwardRun) checkEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
@@ -155,26 +174,24 @@
 // errUnframedBreak is the cause of an attempt whose response may have broken off.
 var errUnframedBreak = errors.New("the upstream exited as the unframed response ended")
 
-// checkOrder returns an error if an event does not follow the last one that the caller received, in this
-// response or in the one that it resumes. In a
-// stream of events with ids, one without is not the stream's: it holds the text of an error, say.
+// checkOrder returns an error if an event of a streaming route does not follow the one before it in the response,
+// or is the first of the response and would leave a gap behind the last event that the caller received.
 func (r *forwardRun) checkOrder(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
+	id, before := event.EventID, r.attempt.lastEventID
 	switch {
-	case event.EventID == 0 && (r.lastEventID == 0 || isComment(event.Data)):
-		return nil
-	case event.EventID == r.lastEventID+1 || (event.EventID > 0 && r.lastEventID == 0 && !r.responseStarted):
+	case !r.request.Route.Streaming:
 		return nil
+	case id == 0:
+		return malformedEventError(u, errors.Newf("event without an id after event %d", max(before, r.lastEventID)))
+	case before > 0 && id != before+1:
+		return malformedEventError(u, errors.Newf("event %d received after event %d", id, before))
+	case before == 0 && id > r.lastEventID+1:
+		return malformedEventError(u, errors.Newf("the response begins with event %d, and the caller has event %d", id, r.lastEventID))
 	}
-	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Newf("event %d received after event %d", event.EventID, r.lastEventID)}
+	r.attempt.lastEventID = id
+	return nil
 }
 
-// isComment reports whether an event consists of comments, which upstreams send to keep connections open.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) > 0 && line[0] != ':' {
-			return false
-		}
-	}
-	return true
+func malformedEventError(u quetzalroad.Upstream, cause error) error {
+	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: cause}
 }
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -20,6 +20,8 @@
 	responded bool
 	// chunks counts the events or parts of the body that have arrived.
 	chunks int
+	// lastEventID is the id of the last event of the response; zero before the first.
+	lastEventID int64
 	// eventStream reports whether the response is an event stream.
 	eventStream bool
 	// exposed lists the request's suspects as of the attempt's begin.
@@ -34,7 +36,7 @@
 }
 
 func (a *attemptProgress) countChunk(c quetzalroad.BodyChunk) {
-	if len(c.Data) > 0 {
+	if len(c.Data) > 0 && !c.IsComment {
 		a.chunks++
 	}
 }
--- a/forward.go
+++ b/forward.go
@@ -75,7 +75,8 @@
 	Header http.Header
 	// ContentLength is the size of the body; negative if unknown.
 	ContentLength int64
-	// EventStream reports whether the body is an event stream.
+	// EventStream reports whether the body is read as an event stream: that of each success on a streaming route,
+	// whatever type it declares, and elsewhere that of a response which declares the type.
 	EventStream bool
 	// Unframed reports whether nothing but the end of the connection ends the body.
 	Unframed bool
@@ -91,11 +92,21 @@
 	RetryAfter time.Duration
 }
 
-// BodyChunk is a part of a response body. In an event stream it is one whole event.
+// BodyChunk is a part of a response body. In an event stream it is one whole event, or comments.
 type BodyChunk struct {
 	Data []byte
 	// EventID is the id of the event; zero if it has none.
 	EventID int64
+	// IsComment is set if the chunk holds nothing but comments of an event stream, which keep a connection open.
+	IsComment bool
+}
+
+// StreamEvent is what a block of an event stream holds, which ends with an empty line.
+type StreamEvent struct {
+	// ID is the id of the event, which is positive; zero if it has none.
+	ID int64
+	// IsComment is set if the block holds nothing but comments.
+	IsComment bool
 }
 
 // ForwardResponse is a response being received. It must not be used concurrently.
@@ -188,8 +199,9 @@
 	Encode(h http.Header, a *Attempt)
 	// Decode reads the head of a response; received is when it arrived.
 	Decode(received time.Time, status int, h http.Header) ResponseMetadata
-	// EventID returns the id of one whole event; false if it has none.
-	EventID(event []byte) (int64, bool)
+	// DecodeEvent decodes a block of an event stream, with or without the empty line that ends it. The error
+	// tells why the block is no event.
+	DecodeEvent(block []byte) (StreamEvent, error)
 }
 
 // KeyedRecord is a record of a log stream that retains only the latest record of
--- a/upstreams/forwardclient/client_test.go
+++ b/upstreams/forwardclient/client_test.go
@@ -34,11 +34,14 @@
 	return quetzalroad.ResponseMetadata{CallerRequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
 }
 
-func (fakeCodec) EventID(event []byte) (int64, bool) {
-	if len(event) < 4 || !strings.HasPrefix(string(event), "id:") {
-		return 0, false
+func (fakeCodec) DecodeEvent(block []byte) (quetzalroad.StreamEvent, error) {
+	if strings.HasPrefix(string(block), ":") {
+		return quetzalroad.StreamEvent{IsComment: true}, nil
 	}
-	return int64(event[3] - '0'), true
+	if len(block) < 4 || !strings.HasPrefix(string(block), "id:") {
+		return quetzalroad.StreamEvent{}, errors.New("no event")
+	}
+	return quetzalroad.StreamEvent{ID: int64(block[3] - '0')}, nil
 }
 
 // fakeUpstream is an upstream that runs a script on each connection.
--- a/upstreams/forwardclient/events.go
+++ b/upstreams/forwardclient/events.go
@@ -12,29 +12,36 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
-// eventReader splits a stream into complete events. An event ends with an empty
-// line; data after the last complete event is not returned.
+// eventReader splits a stream into complete events, each of which ends with an empty line. It drops further empty
+// lines and the byte order mark.
 type eventReader struct {
 	src   io.Reader
 	codec quetzalroad.UpstreamCodec
+	// strict makes a block that is no event an error. Elsewhere it is an event without an id.
+	strict bool
 	// buffer[start:end] was read and not yet returned; buffer[start:scanned]
-	// contains no event terminator.
+	// contains no end of an event.
 	buffer     []byte
 	start, end int
 	scanned    int
-	readErr    error
+	// begun is set once a block was returned or dropped.
+	begun   bool
+	readErr error
 }
 
 var errEventTooLong = errors.New("event exceeds the size limit")
 
+// byteOrderMark may precede the first event.
+var byteOrderMark = []byte("\ufeff")
+
 func (r *eventReader) next() (quetzalroad.BodyChunk, error) {
 	for {
-		if n := r.eventLen(); n > 0 {
-			data := r.buffer[r.start : r.start+n]
-			r.start += n
-			r.scanned = r.start
-			id, _ := r.codec.EventID(data)
-			return quetzalroad.BodyChunk{Data: data, EventID: id}, nil
+		if block := r.nextBlock(); len(block) > 0 {
+			event, err := r.codec.DecodeEvent(block)
+			if err != nil && r.strict {
+				return quetzalroad.BodyChunk{}, err
+			}
+			return quetzalroad.BodyChunk{Data: block, EventID: event.ID, IsComment: event.IsComment}, nil
 		}
 		if r.readErr != nil {
 			return quetzalroad.BodyChunk{}, r.finalError()
@@ -45,29 +52,62 @@
 	}
 }
 
+// nextBlock returns the lines up to the next empty one; nil if they have not all been read.
+func (r *eventReader) nextBlock() []byte {
+	for r.start < r.end && isLineEnd(r.buffer[r.start]) {
+		r.start++
+	}
+	n := r.blockLen()
+	if n == 0 {
+		return nil
+	}
+	block := r.buffer[r.start : r.start+n]
+	r.start += n
+	r.scanned = r.start
+	if !r.begun {
+		block = bytes.TrimPrefix(block, byteOrderMark)
+	}
+	r.begun = true
+	return block
+}
+
+func isLineEnd(c byte) bool {
+	return c == '\n' || c == '\r'
+}
+
 // finalError returns the read error, or io.ErrUnexpectedEOF for an EOF inside an event.
 func (r *eventReader) finalError() error {
-	if errors.Is(r.readErr, io.EOF) && r.end > r.start {
-		return io.ErrUnexpectedEOF
+	rest := r.buffer[r.start:r.end]
+	if !errors.Is(r.readErr, io.EOF) || len(rest) == 0 {
+		return r.readErr
+	}
+	if event, err := r.codec.DecodeEvent(rest); err == nil && event.IsComment && isLineEnd(rest[len(rest)-1]) {
+		return r.readErr
 	}
-	return r.readErr
+	return io.ErrUnexpectedEOF
 }
 
-// eventLen returns the length of the first complete event, or zero if there is none.
-func (r *eventReader) eventLen() int {
-	scanStart := max(r.start, r.scanned-len("\r\n\r"))
-	unscanned := r.buffer[scanStart:r.end]
-	eventEnd := -1
-	for _, terminator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\n\r\n")} {
-		if i := bytes.Index(unscanned, terminator); i >= 0 && (eventEnd < 0 || i+len(terminator) < eventEnd) {
-			eventEnd = i + len(terminator)
+// maxBlockEndBytes is the length of the longest end of a block.
+const maxBlockEndBytes = len("\n\r\n")
+
+// blockLen returns the length of the first block with the empty line that ends it, or zero if that line was not
+// read yet. Lines end with a line feed, a carriage return or both.
+func (r *eventReader) blockLen() int {
+	b := r.buffer[:r.end]
+	for i := max(r.start, r.scanned-maxBlockEndBytes+1); i+1 < len(b); i++ {
+		switch {
+		case !isLineEnd(b[i]):
+		case b[i] == b[i+1]:
+			return i + 2 - r.start
+		case b[i] == '\r' || b[i+1] != '\r' || i+2 == len(b):
+		case b[i+2] == '\n':
+			return i + 3 - r.start
+		default:
+			return i + 2 - r.start
 		}
 	}
 	r.scanned = r.end
-	if eventEnd < 0 {
-		return 0
-	}
-	return scanStart + eventEnd - r.start
+	return 0
 }
 
 // fill reads more of src into the buffer, growing it up to maxEventBytes.
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -174,20 +174,25 @@
 			Cause: errors.Newf("upstream responded with status %d and states that it did not run the request", x.response.StatusCode),
 		}
 	}
-	mediaType, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
 	x.head = quetzalroad.ResponseHead{
 		Status: x.response.StatusCode, Header: headerfilter.EndToEnd(x.response.Header, "Content-Length"), ContentLength: x.response.ContentLength,
-		EventStream: strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"), LoadReport: x.metadata.LoadReport,
+		EventStream: x.isEventStream(), LoadReport: x.metadata.LoadReport,
 		RateLimit: x.metadata.RateLimit, Leaving: x.metadata.Leaving, RetryAfter: x.metadata.RetryAfter,
 		ReusedConnection: x.conn.reused,
 	}
 	x.head.Unframed = x.isUnframed()
 	if x.head.EventStream {
-		x.events = &eventReader{src: x.response.Body, codec: x.client.codec}
+		x.events = &eventReader{src: x.response.Body, codec: x.client.codec, strict: x.attempt.Request.Route.Streaming}
 	}
 	return nil
 }
 
+// isEventStream reports whether the response declares an event stream.
+func (x *exchange) isEventStream() bool {
+	mediaType, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // discardBody reads the response to its end, within the bounds on what is discarded.
 func (x *exchange) discardBody() error {
 	if err := x.conn.SetReadDeadline(time.Now().Add(x.client.discardTimeout)); err != nil {
@@ -222,7 +227,7 @@
 		if errors.Is(err, io.EOF) && x.endsBeforeFirstEvent() {
 			err = io.ErrUnexpectedEOF
 		}
-		x.hasEvents = x.hasEvents || err == nil
+		x.hasEvents = x.hasEvents || (err == nil && !event.IsComment)
 		return event, x.bodyError(err)
 	}
 	if x.chunkBuf == nil {
@@ -240,10 +245,11 @@
 	return quetzalroad.BodyChunk{Data: x.chunkBuf[:n]}, x.bodyError(err)
 }
 
-// endsBeforeFirstEvent reports whether the end of the connection, which is the only end that the stream
-// has, came before any event. An upstream that exits as it begins to respond leaves just that.
+// endsBeforeFirstEvent reports whether a stream ended before any event, though it is not the rest of another one.
+// An upstream that exits as it begins to respond leaves just that of an unframed response, and one in trouble of
+// any other.
 func (x *exchange) endsBeforeFirstEvent() bool {
-	return x.isUnframed() && !x.hasEvents && x.attempt.ResumeAfter == 0
+	return (x.events.strict || x.isUnframed()) && !x.hasEvents && x.attempt.ResumeAfter == 0
 }
 
 // isUnframed reports whether nothing but the end of the connection ends the body.
