Read each success on a streaming route as an event stream

What callers saw: bytes that are no event, at any place of a stream, as one whole response. Cause: only a response that declares text/event-stream was read as one; on a streaming route one that declares another type, or none, was relayed as a plain body, events and garbage alike. Change: the route decides, not what the upstream declares. Failures stay plain bodies.

--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -187,8 +187,12 @@
 	return nil
 }
 
-// isEventStream reports whether the response declares an event stream.
+// isEventStream reports whether the body is read as an event stream. On a streaming route a success is nothing
+// else, even if an upstream in trouble declares another type.
 func (x *exchange) isEventStream() bool {
+	if x.attempt.Request.Route.Streaming {
+		return x.response.StatusCode >= http.StatusOK && x.response.StatusCode < http.StatusMultipleChoices
+	}
 	mediaType, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
