Take no response without events for a whole stream

What callers would see: a stream that ends as complete before its first event, after an empty response of a server in trouble, framed by its length or in chunks, or an empty one of another type where the node resumes a stream. Cause: only an unframed stream without events was known to be broken off. Change: a stream without events is whole only if it resumes another and declares its type; the attempt fails as malformed-answer otherwise. The methods on streams have a file of their own.

--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -187,16 +186,6 @@
 	return nil
 }
 
-// isEventStream reports whether the body is read as an event stream. On a streaming route a success is nothing
-// else, even if an upstream in trouble declares another type.
-func (x *exchange) isEventStream() bool {
-	if x.attempt.Request.Route.Streaming {
-		return x.response.StatusCode >= http.StatusOK && x.response.StatusCode < http.StatusMultipleChoices
-	}
-	mediaType, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
-
 // discardBody reads the response to its end, within the bounds on what is discarded.
 func (x *exchange) discardBody() error {
 	if err := x.conn.SetReadDeadline(time.Now().Add(x.client.discardTimeout)); err != nil {
@@ -227,11 +216,7 @@
 func (x *exchange) Next() (quetzalroad.BodyChunk, error) {
 	x.resetReadDeadline()
 	if x.events != nil {
-		event, err := x.events.next()
-		if errors.Is(err, io.EOF) && x.endsBeforeFirstEvent() {
-			err = io.ErrUnexpectedEOF
-		}
-		x.hasEvents = x.hasEvents || (err == nil && !event.IsComment)
+		event, err := x.nextEvent()
 		return event, x.bodyError(err)
 	}
 	if x.chunkBuf == nil {
@@ -249,18 +234,6 @@
 	return quetzalroad.BodyChunk{Data: x.chunkBuf[:n]}, x.bodyError(err)
 }
 
-// endsBeforeFirstEvent reports whether a stream ended before any event, though it is not the rest of another one.
-// An upstream that exits as it begins to respond leaves just that of an unframed response, and one in trouble of
-// any other.
-func (x *exchange) endsBeforeFirstEvent() bool {
-	return (x.events.strict || x.isUnframed()) && !x.hasEvents && x.attempt.ResumeAfter == 0
-}
-
-// isUnframed reports whether nothing but the end of the connection ends the body.
-func (x *exchange) isUnframed() bool {
-	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
-}
-
 // bodyError maps a body's read error to the errors specified for ForwardResponse.Next.
 func (x *exchange) bodyError(err error) error {
 	switch {
