--- a/proofs/prover/streambytes_test.go
+++ b/proofs/prover/streambytes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"log/slog"
@@ -67,11 +69,30 @@
 	return head + "\r\n" + body
 }
 
+// failureLogCounter counts the log lines on failed attempts.
+type failureLogCounter struct {
+	slog.Handler
+	lines *atomic.Int64
+}
+
+func (failureLogCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+func (c failureLogCounter) WithAttrs([]slog.Attr) slog.Handler { return c }
+
+func (c failureLogCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "attempt failed" {
+		c.lines.Add(1)
+	}
+	return nil
+}
+
 // streamFixture is a node before upstreams on loopback that send whatever bytes a script returns.
 type streamFixture struct {
 	faker.KeyedLog
 	node     *kernel.Node
 	received atomic.Int32
+	// loggedFailures counts the failed attempts that were logged.
+	loggedFailures atomic.Int64
 	// respond returns the bytes of a response, from the number of requests before it and the event to resume after.
 	// It is set before each request.
 	respond func(before int, request *http.Request, resumeAfter int) string
@@ -80,7 +101,7 @@
 func newStreamFixture(t *testing.T) *streamFixture {
 	t.Helper()
 	x := new(streamFixture)
-	node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
+	node, err := faker.BuildForwardNode(slog.New(failureLogCounter{slog.DiscardHandler, &x.loggedFailures}), map[string]string{
 		"forwards": `{"plugin": "relayer"}`, "upstream-fields": `{"plugin": "platform"}`,
 		"retry": `{"share": 1, "reserve": 100000, "initial": 100000, "attempts": 3, "backoff": "0s", "hedge-after": 0}`,
 	}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog})
@@ -107,6 +128,15 @@
 	return x
 }
 
+// countedFailures returns how many attempts failed, by reason.
+func (x *streamFixture) countedFailures() int64 {
+	var sum int64
+	x.node.Vars.Get("failed-attempts").(*expvar.Map).Do(func(reason expvar.KeyValue) {
+		sum += reason.Value.(*expvar.Int).Value()
+	})
+	return sum
+}
+
 func (x *streamFixture) startUpstream(t *testing.T, id string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -197,44 +227,71 @@
 
 var wholeEvents = regexp.MustCompile(`^(id: \d+\ndata: piece \d+\n\n)*$`)
 
-// Garbage in a stream was passed on to callers as a piece, or made a stream look complete.
-func TestBytesThatAreNoEventReachNoCaller(t *testing.T) {
-	x := newStreamFixture(t)
-	for place, p := range places {
-		for name, garbage := range noEvents {
+// garbledStream is a stream in which some bytes are no event, in a response that begins a stream or resumes one.
+type garbledStream struct {
+	bytes, place, contentType string
+	framing                   framing
+	resumeAfter               int
+	resumable                 bool
+}
+
+// garbledStreams returns a stream for each of noEvents, at each place, of each type and framing.
+func garbledStreams() []garbledStream {
+	var streams []garbledStream
+	for place := range places {
+		for name := range noEvents {
 			for _, contentType := range []string{"text/event-stream", "text/plain", ""} {
-				for _, framing := range framings {
-					for _, resumed := range []int64{0, 20} {
-						for _, resumable := range []bool{true, false} {
-							x.respond = func(before int, r *http.Request, resumeAfter int) string {
-								id, last := r.Header.Get("Request-Attempt-Id"), int(resumed)+streamLength
-								if before > 0 {
-									return encodeResponse(id, "text/event-stream", framingChunks, streamEvents(resumeAfter+1, last))
-								}
-								body := streamEvents(resumeAfter+1, resumeAfter+p.before) + garbage
-								if p.follow {
-									body += streamEvents(resumeAfter+p.before+1, last)
-								}
-								return encodeResponse(id, contentType, framing, body)
-							}
-							got, refusal := x.forward(t, resumable, resumed)
-							where := fmt.Sprintf("%s %s, type %q, %s, after %d, resumable %v", name, place, contentType, framing, resumed, resumable)
-							whole := streamEvents(int(resumed)+1, int(resumed)+streamLength)
-							if !strings.HasPrefix(whole, got) || !wholeEvents.MatchString(got) {
-								t.Errorf("%s: the caller got %q", where, got)
-							}
-							if refusal == nil && got != whole {
-								t.Errorf("%s: the response ended as complete after %q", where, got)
-							}
-							if resumable && refusal != nil {
-								t.Errorf("%s: refused with %v though other upstreams are sound", where, refusal)
-							}
-						}
+				for _, f := range framings {
+					for _, resumable := range []bool{true, false} {
+						streams = append(streams,
+							garbledStream{name, place, contentType, f, 0, resumable},
+							garbledStream{name, place, contentType, f, 20, resumable})
 					}
 				}
 			}
 		}
 	}
+	return streams
+}
+
+// last is the id of the stream's last event.
+func (s garbledStream) last() int { return s.resumeAfter + streamLength }
+
+// respond returns the garbled response to the first request, and a sound one to the others.
+func (s garbledStream) respond(before int, request *http.Request, resumeAfter int) string {
+	id := request.Header.Get("Request-Attempt-Id")
+	if before > 0 {
+		return encodeResponse(id, "text/event-stream", framingChunks, streamEvents(resumeAfter+1, s.last()))
+	}
+	place := places[s.place]
+	body := streamEvents(resumeAfter+1, resumeAfter+place.before) + noEvents[s.bytes]
+	if place.follow {
+		body += streamEvents(resumeAfter+place.before+1, s.last())
+	}
+	return encodeResponse(id, s.contentType, s.framing, body)
+}
+
+// Garbage in a stream was passed on to callers as a piece, or made a stream look complete.
+func TestBytesThatAreNoEventReachNoCaller(t *testing.T) {
+	x := newStreamFixture(t)
+	for _, s := range garbledStreams() {
+		x.respond = s.respond
+		failures := x.countedFailures()
+		got, refusal := x.forward(t, s.resumable, int64(s.resumeAfter))
+		whole := streamEvents(s.resumeAfter+1, s.last())
+		if !strings.HasPrefix(whole, got) || !wholeEvents.MatchString(got) {
+			t.Errorf("%+v: the caller got %q", s, got)
+		}
+		if refusal == nil && got != whole {
+			t.Errorf("%+v: the response ended as complete after %q", s, got)
+		}
+		if s.resumable && refusal != nil {
+			t.Errorf("%+v: refused with %v though other upstreams are sound", s, refusal)
+		}
+		if counted, logged := x.countedFailures(), x.loggedFailures.Load(); counted <= failures || logged != counted {
+			t.Errorf("%+v: %d failed attempts counted and %d logged, %d before", s, counted, logged, failures)
+		}
+	}
 }
 
 // soundForms are streams in the forms that the format allows, each with streamLength events.
--- a/upstreams/forwardclient/stream.go
+++ b/upstreams/forwardclient/stream.go
@@ -15,7 +15,7 @@
 // isEventStream reports whether the body is read as an event stream. On a streaming route a success is nothing
 // else, even if an upstream in trouble declares another type.
 func (x *exchange) isEventStream() bool {
-	if x.attempt.Request.Route.Streaming {
+	if x.attempt.Request.Route.Streaming && x.attempt.Request.Method != http.MethodHead {
 		return x.response.StatusCode >= http.StatusOK && x.response.StatusCode < http.StatusMultipleChoices
 	}
 	return x.declaresEventStream()
