Refuse shared reads whose age is missing or out of range

What callers would see: a withdrawn key or a server that left in use, or all servers gone. A response of a reader without an age counted as of this moment, also an empty one; an age over 292 years, which a view that was never confirmed has, became a negative one and passed for fresh. Cause: a missing age decodes as zero, and the conversion to nanoseconds overflowed. Change: a response with records needs a positive age, as each build has encoded it; one that is out of range is boottimer.Never.

--- a/codecs/nodemapper/nodemapper_test.go
+++ b/codecs/nodemapper/nodemapper_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/peers/peerwire"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 )
 
 func TestRegistrationRoundTrip(t *testing.T) {
@@ -95,6 +96,21 @@
 	}
 }
 
+// A node would go by a view of any age, and by the list of an empty response.
+func TestSharedReadWhoseAgeIsUnknownIsNotFresh(t *testing.T) {
+	for _, message := range []*peerwire.ReadAnswer{{State: peerwire.ReadAnswer_GIVEN}, {State: peerwire.ReadAnswer_GIVEN, Through: 9, Epoch: 4}} {
+		if response, err := DecodeReadResponse(message); err == nil {
+			t.Errorf("%v was decoded as %+v", message, response)
+		}
+	}
+	for _, age := range []time.Duration{boottimer.Never, boottimer.Never / 2} {
+		got, err := DecodeReadResponse(EncodeReadResponse(quetzalroad.SharedReadResponse{Status: quetzalroad.SharedReadOK, Age: age}))
+		if err != nil || got.Age < age {
+			t.Errorf("age %s became %s, error %v", age, got.Age, err)
+		}
+	}
+}
+
 func FuzzDecodeRegistration(f *testing.F) {
 	f.Add("node", []byte(`{"data-centre": "x", "address": "10.1.0.1:1", "capacity": 1}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
--- a/codecs/nodemapper/read.go
+++ b/codecs/nodemapper/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/peers/peerwire"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 )
 
 // EncodeReadRequest encodes the request of a shared read.
@@ -36,15 +37,26 @@
 	return message
 }
 
-// DecodeReadResponse decodes the response to a shared read.
+// decodeAge decodes an age in microseconds.
+func decodeAge(us int64) time.Duration {
+	if us > boottimer.Never.Microseconds() {
+		return boottimer.Never
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// DecodeReadResponse decodes the response to a shared read. Records always come with their age, which is positive.
 func DecodeReadResponse(message *peerwire.ReadAnswer) (quetzalroad.SharedReadResponse, error) {
 	if message.GetAgeUs() < 0 || message.GetThrough() < 0 || message.GetInheritedEnd() < 0 || message.GetState() < 0 || message.GetState() > peerwire.ReadAnswer_TRIMMED {
 		return quetzalroad.SharedReadResponse{}, errors.Newf("invalid shared read response: state %d, age %d µs, through %d", message.GetState(), message.GetAgeUs(), message.GetThrough())
 	}
+	if message.GetState() == peerwire.ReadAnswer_GIVEN && message.GetAgeUs() == 0 {
+		return quetzalroad.SharedReadResponse{}, errors.New("shared read response without an age")
+	}
 	response := quetzalroad.SharedReadResponse{
 		Status: quetzalroad.SharedReadStatus(message.GetState()), Epoch: quetzalroad.Epoch(message.GetEpoch()),
 		NextRead: quetzalroad.Offset(message.GetThrough()), InheritedEnd: quetzalroad.Offset(message.GetInheritedEnd()),
-		Age: time.Duration(message.GetAgeUs()) * time.Microsecond, Observations: decodeObservations(message.GetObservations()),
+		Age: decodeAge(message.GetAgeUs()), Observations: decodeObservations(message.GetObservations()),
 	}
 	for _, r := range message.GetRecords() {
 		response.Records = append(response.Records, quetzalroad.KeyedRecord{Key: r.GetKey(), Offset: quetzalroad.Offset(r.GetOffset()), Value: r.Value})
