Keep a node listed whose registration can't be decoded

What callers would see: more retries and requests than services bear. A node whose registration was overwritten with other bytes counted as gone, so that each of the others took a larger share of the limits that all keep together, and the ranking of readers changed. Cause: an undecodable registration was left out of the list like a deleted one. Change: the last one that could be decoded holds, until its lifetime ends. The log line stays. Measured: TestNodeWhoseRegistrationCannotBeDecodedStaysListed: 2 nodes of 3 listed before, 3 now, and 2 after three minutes without a registration that can be decoded.

--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -484,3 +484,24 @@
 		}
 	})
 }
+
+// With fewer nodes, each would allow itself more of the limits that all of them share.
+func TestNodeWhoseRegistrationCannotBeDecodedStaysListed(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		c.logs[2].unavailable.Store(true)
+		if _, err := c.log.PutKeyed(t.Context(), quetzalroad.LogStreamNodes, "node-2", []byte("bytes of another writer")); err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range []struct {
+			wait time.Duration
+			want int
+		}{{30 * time.Second, 3}, {30 * time.Second, 3}, {3 * time.Minute, 2}} {
+			time.Sleep(step.wait)
+			for i, n := range c.nodes[:2] {
+				if got := len(n.Fleet.Nodes()); got != step.want {
+					t.Errorf("node %d knows %d nodes, want %d", i, got, step.want)
+				}
+			}
+		}
+	})
+}
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -134,7 +134,8 @@
 		d.logger.Info("failed to read the evidence of other nodes", "epoch", uint64(from.Epoch), "from", int64(from.Offset), "error", err)
 		return false
 	}
-	for _, registration := range d.decodeRegistrations(records) {
+	registrations, _ := d.decodeRegistrations(records)
+	for _, registration := range registrations {
 		d.mergeRegisteredEvidence(registration)
 	}
 	d.setEvidencePosition(bounds)
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -29,6 +29,9 @@
 	// nodes holds the names of all nodes of all data centres, this one included; guarded by mu. The
 	// slice is never modified once it is set.
 	nodes []quetzalroad.NodeName
+	// registrations are the last ones that could be decoded, of all nodes, without their evidence; guarded by mu.
+	// The slice is never modified once it is set.
+	registrations []quetzalroad.NodeRegistration
 	// known is closed once the members have been read, and isKnown is set then. Both are guarded by
 	// mu; known is allocated on first use.
 	known   chan struct{}
@@ -92,6 +95,30 @@
 	m.nodes = nodes
 }
 
+// setRegistrations keeps registrations for when a node's next one can't be decoded.
+func (m *members) setRegistrations(registrations []quetzalroad.NodeRegistration) {
+	kept := slices.Clone(registrations)
+	for i := range kept {
+		kept[i].Evidence = nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.registrations = kept
+}
+
+// lastRegistrations returns the registrations of nodes that were kept.
+func (m *members) lastRegistrations(nodes []quetzalroad.NodeName) []quetzalroad.NodeRegistration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var last []quetzalroad.NodeRegistration
+	for _, r := range m.registrations {
+		if slices.Contains(nodes, r.Name) {
+			last = append(last, r)
+		}
+	}
+	return last
+}
+
 func (m *members) knownLocked() chan struct{} {
 	if m.known == nil {
 		m.known = make(chan struct{})
--- a/state/distributor/registrations.go
+++ b/state/distributor/registrations.go
@@ -115,9 +115,9 @@
 	}
 }
 
-// decodeRegistrations returns the registrations in the records, without deleted and undecodable ones.
-func (d *Distributor) decodeRegistrations(records []quetzalroad.KeyedRecord) []quetzalroad.NodeRegistration {
-	var registrations []quetzalroad.NodeRegistration
+// decodeRegistrations returns the registrations in the records without deleted ones, and the names of the nodes
+// whose registrations can't be decoded.
+func (d *Distributor) decodeRegistrations(records []quetzalroad.KeyedRecord) (registrations []quetzalroad.NodeRegistration, undecodable []quetzalroad.NodeName) {
 	for _, r := range records {
 		if r.Value == nil {
 			continue
@@ -125,11 +125,12 @@
 		registration, err := nodemapper.DecodeRegistration(r)
 		if err != nil {
 			d.logger.Warn("ignoring undecodable node registration", "key", r.Key, "offset", int64(r.Offset), "error", err)
+			undecodable = append(undecodable, quetzalroad.NodeName(r.Key))
 			continue
 		}
 		registrations = append(registrations, registration)
 	}
-	return registrations
+	return registrations, undecodable
 }
 
 // writtenWithin reports whether a registration was written within a duration before now, or after now, as
@@ -149,7 +150,7 @@
 		d.logger.Warn("failed to read node registrations", "stream", string(quetzalroad.LogStreamNodes), "error", err)
 		return
 	}
-	registrations := d.decodeRegistrations(records)
+	registrations, undecodable := d.decodeRegistrations(records)
 	for _, registration := range registrations {
 		d.mergeRegisteredEvidence(registration)
 	}
@@ -159,6 +160,8 @@
 		d.logger.Info("keeping the known nodes, as the log was restored", "epoch", uint64(bounds.Epoch), "known", d.listEpoch.Load())
 		return
 	}
+	registrations = append(registrations, d.members.lastRegistrations(undecodable)...)
+	d.members.setRegistrations(registrations)
 	var others []quetzalroad.NodeRegistration
 	nodes := []quetzalroad.NodeName{d.self.Name}
 	for _, registration := range registrations {
