Tell an unreadable response of the product's log from an empty log

A 200 with other content ({}, null, {"error":…}) was a log without records; a record without data was skipped on this node alone. Cause: missing fields were decoded as zero and empty. Change: offsets and data are required (the epoch and an empty list may be missing, as documented); the read or append fails, is counted by its caller as before, and tried again.

--- a/state/logclient/client.go
+++ b/state/logclient/client.go
@@ -70,22 +70,43 @@
 	return nil
 }
 
+// appendResponse is the response to an append. Fields that are missing or null are nil, here and below.
 type appendResponse struct {
-	Offset int64 `json:"offset"`
+	Offset *int64 `json:"offset"`
 }
 
 type readResponse struct {
-	Earliest int64        `json:"earliest"`
-	Next     int64        `json:"next"`
+	Earliest *int64       `json:"earliest"`
+	Next     *int64       `json:"next"`
 	Epoch    uint64       `json:"epoch"`
 	Records  []recordJSON `json:"records"`
 }
 
 type recordJSON struct {
-	Offset int64  `json:"offset"`
+	Offset *int64 `json:"offset"`
 	Data   []byte `json:"data"`
 }
 
+// decode returns the records and bounds. A log is empty, and a record too, only if the response says so.
+func (r readResponse) decode() ([]quetzalroad.Record, quetzalroad.StreamBounds, error) {
+	if !isOffset(r.Earliest) || !isOffset(r.Next) || *r.Earliest > *r.Next {
+		return nil, quetzalroad.StreamBounds{}, errors.New("log: response to a read without valid offsets")
+	}
+	records := make([]quetzalroad.Record, len(r.Records))
+	for i, record := range r.Records {
+		if !isOffset(record.Offset) || record.Data == nil {
+			return nil, quetzalroad.StreamBounds{}, errors.Newf("log: record %d of the response has no valid offset or no data", i)
+		}
+		records[i] = quetzalroad.Record{Offset: quetzalroad.Offset(*record.Offset), Data: record.Data}
+	}
+	bounds := quetzalroad.StreamBounds{Epoch: quetzalroad.Epoch(r.Epoch), Earliest: quetzalroad.Offset(*r.Earliest), End: quetzalroad.Offset(*r.Next)}
+	return records, bounds, nil
+}
+
+func isOffset(n *int64) bool {
+	return n != nil && *n >= 0
+}
+
 func (c *Client) url(s quetzalroad.LogStream, query string) string {
 	return fmt.Sprintf("http://%s/v1/streams/%s/records%s", c.address, url.PathEscape(string(s)), query)
 }
@@ -96,7 +117,10 @@
 	if err := c.do(ctx, http.MethodPost, c.url(s, ""), data, &response); err != nil {
 		return quetzalroad.NoOffset, err
 	}
-	return quetzalroad.Offset(response.Offset), nil
+	if !isOffset(response.Offset) {
+		return quetzalroad.NoOffset, errors.New("log: response to an append without a valid offset")
+	}
+	return quetzalroad.Offset(*response.Offset), nil
 }
 
 // Read implements quetzalroad.Log.
@@ -108,12 +132,7 @@
 	if err := c.do(ctx, http.MethodGet, c.url(s, query), nil, &response); err != nil {
 		return nil, quetzalroad.StreamBounds{}, err
 	}
-	records := make([]quetzalroad.Record, len(response.Records))
-	for i, r := range response.Records {
-		records[i] = quetzalroad.Record{Offset: quetzalroad.Offset(r.Offset), Data: r.Data}
-	}
-	bounds := quetzalroad.StreamBounds{Epoch: quetzalroad.Epoch(response.Epoch), Earliest: quetzalroad.Offset(response.Earliest), End: quetzalroad.Offset(response.Next)}
-	return records, bounds, nil
+	return response.decode()
 }
 
 func (c *Client) do(ctx context.Context, method, url string, body []byte, target any) error {
