Take no load report for one of the future

What callers would see: requests crowd at an upstream, or keep away from it, for good. A report whose time is ahead, as one digit more makes it, hid each later one and never expired, leaving included. Cause: reports are ordered by the upstream's clock, which nothing bounded. Change: a report counts as measured when it was received, at the latest. Measured: TestReportMeasuredInTheFutureDoesNotHideLaterOnes: 50 running by a report that had expired, and by one of a single request, before; 0 and 1 now.

--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -252,8 +252,12 @@
 	})
 }
 
-// UpdateReport implements quetzalroad.LoadTracker.
+// UpdateReport implements quetzalroad.LoadTracker. A report can't be measured after it is received, whatever the
+// upstream's clock says.
 func (t *Tracker) UpdateReport(u quetzalroad.UpstreamName, received time.Time, r quetzalroad.LoadReport) {
+	if r.MeasuredAt.After(received) {
+		r.MeasuredAt = received
+	}
 	t.withState(u, func(s *upstreamState) {
 		if s.updateReport(received, r, t.reportTTL) {
 			s.reportFromPeer = false
