Believe no refusal that contradicts itself

A refusal with Quetzalroad-Outcome not-run in one line and another value in the next, or with two X-Request-Id on a reused connection, was believed to say that this request was not run, so that it was sent to another upstream. Cause: only the first line of either field was read. Change: each line has to say the same; otherwise the outcome is unknown.

--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -212,11 +213,17 @@
 func (e *Exchange) ReportsNotRun() bool {
 	r := e.Response
 	refused := r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests
-	return refused && r.Header.Get(OutcomeHeader) == string(quetzalroad.OutcomeNotRun) && e.IsOwnResponse()
+	return refused && hasOnly(r.Header, OutcomeHeader, string(quetzalroad.OutcomeNotRun)) && e.IsOwnResponse()
 }
 
 // IsOwnResponse reports whether the response is certainly that to the request: it names the request, or is
 // the first one on its connection.
 func (e *Exchange) IsOwnResponse() bool {
-	return !e.reused.Load() || e.Response.Header.Get(RequestIDHeader) == e.requestID
+	return !e.reused.Load() || hasOnly(e.Response.Header, RequestIDHeader, e.requestID)
+}
+
+// hasOnly reports whether each line of a field has a value.
+func hasOnly(h http.Header, name, value string) bool {
+	lines := h.Values(name)
+	return len(lines) > 0 && !slices.ContainsFunc(lines, func(line string) bool { return line != value })
 }
--- a/upstreams/httpclient/refusal_test.go
+++ b/upstreams/httpclient/refusal_test.go
@@ -103,3 +103,23 @@
 		}
 	}
 }
+
+// The request may have run, and would be sent to another upstream.
+func TestContradictoryOutcomeIsNoStatementThatTheRequestWasNotRun(t *testing.T) {
+	for _, headers := range []http.Header{
+		{OutcomeHeader: {"not-run", "unknown"}}, {OutcomeHeader: {"not-run", ""}}, {OutcomeHeader: {"not-run, unknown"}}, {OutcomeHeader: {"Not-Run"}}, {OutcomeHeader: {""}},
+	} {
+		e := &Exchange{requestID: "1", Response: &http.Response{StatusCode: http.StatusServiceUnavailable, Header: headers}}
+		if e.ReportsNotRun() {
+			t.Errorf("%v was believed", headers)
+		}
+	}
+	e := &Exchange{requestID: "1", Response: &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{OutcomeHeader: {"not-run", "not-run"}, RequestIDHeader: {"1", "2"}}}}
+	if !e.ReportsNotRun() {
+		t.Error("the same statement twice was not believed on a new connection")
+	}
+	e.reused.Store(true)
+	if e.ReportsNotRun() {
+		t.Error("the statement of a response that names two requests was believed on a reused connection")
+	}
+}
