Change nothing by a list of VMs that can't be read

What callers would see: an upstream that leaves in use again. A VM whose state is missing or unknown counted as not leaving; a 200 with other content was a list without VMs. Failed reads went unnoticed. Cause: missing fields were decoded as empty, and any state but one meant not leaving. Change: the list is required; an unknown state changes nothing; failed reads are counted (vm-list-failures).

--- a/state/vmclient/client.go
+++ b/state/vmclient/client.go
@@ -71,7 +71,8 @@
 }
 
 type listJSON struct {
-	VMs []vmJSON `json:"vms"`
+	// VMs is nil if the field is missing or null.
+	VMs *[]vmJSON `json:"vms"`
 }
 
 type vmJSON struct {
@@ -84,6 +85,14 @@
 
 // ListVMs implements quetzalroad.VMList.
 func (c *Client) ListVMs(ctx context.Context) ([]quetzalroad.VM, error) {
+	vms, err := c.readVMs(ctx)
+	if err != nil {
+		c.node.Vars.Add("vm-list-failures", 1)
+	}
+	return vms, err
+}
+
+func (c *Client) readVMs(ctx context.Context) ([]quetzalroad.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address.String()+"/v1/vms", http.NoBody)
@@ -135,8 +144,11 @@
 	if err := json.Unmarshal(data, &list); err != nil {
 		return nil, err
 	}
-	vms := make([]quetzalroad.VM, 0, len(list.VMs))
-	for _, j := range list.VMs {
+	if list.VMs == nil {
+		return nil, errors.New("VM list without vms")
+	}
+	vms := make([]quetzalroad.VM, 0, len(*list.VMs))
+	for _, j := range *list.VMs {
 		address, err := netip.ParseAddrPort(j.Address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "VM %q", j.Name)
@@ -166,9 +178,10 @@
 	}
 }
 
+// markLeaving tells the load tracker which upstreams leave. A state that is unknown here changes nothing.
 func (c *Client) markLeaving(vms []quetzalroad.VM) {
 	for _, v := range vms {
-		if v.Role == quetzalroad.RoleUpstream {
+		if v.Role == quetzalroad.RoleUpstream && (v.State == quetzalroad.VMLive || v.State == quetzalroad.VMLeaving) {
 			c.node.LoadTracker.SetLeaving(quetzalroad.UpstreamName(v.Name), v.State == quetzalroad.VMLeaving)
 		}
 	}
