--- a/state/follower/machine.go
+++ b/state/follower/machine.go
@@ -96,7 +96,8 @@
 }
 
 type snapshotJSON struct {
-	Covers  int64              `json:"covers"`
+	Covers int64 `json:"covers"`
+	// Objects is nil if the field is missing or null.
 	Objects []objectJSON       `json:"objects"`
 	Recent  []changeResultJSON `json:"recent"`
 }
@@ -116,7 +117,7 @@
 
 // snapshot encodes the whole state as of the last applied record.
 func (m *stateMachine) snapshot() ([]byte, error) {
-	j := snapshotJSON{Covers: int64(m.store.AppliedOffset())}
+	j := snapshotJSON{Covers: int64(m.store.AppliedOffset()), Objects: []objectJSON{}}
 	for _, o := range m.objects() {
 		data, err := objectmapper.Encode(o.object)
 		if err != nil {
@@ -170,6 +171,9 @@
 	if covers <= m.store.AppliedOffset() {
 		return errSnapshotNotNewer
 	}
+	if j.Objects == nil {
+		return errors.New("decode snapshot: no list of objects")
+	}
 	objects := make([]stateObject, len(j.Objects))
 	for i, o := range j.Objects {
 		kind := quetzalroad.ObjectKind(o.Kind)
@@ -177,6 +181,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "decode object %d of snapshot", i)
 		}
+		if object == (quetzalroad.Object{}) {
+			return errors.Newf("decode object %d of snapshot: it is empty", i)
+		}
 		objects[i] = stateObject{kind, object}
 	}
 	m.replaceContents(objects, j.Recent)
--- a/state/follower/machine_test.go
+++ b/state/follower/machine_test.go
@@ -174,3 +174,24 @@
 	}
 	b.ReportMetric(float64(len(data))/1e6, "MB-snapshot")
 }
+
+// The node would go on with an empty state: without teams, upstreams and services.
+func TestSnapshotWithoutObjectsIsNotThatOfAnEmptyState(t *testing.T) {
+	for _, data := range []string{"", "null", "{}", `{"covers":900}`, `{"covers":900,"objects":null}`, `{"covers":900,"objects":[{"kind":"team","object":null}]}`, `{"covers":900,"objects":[{"kind":"team"}]}`} {
+		m := newStateMachine()
+		applyAll(t, m, stateRecords(t, 2, 2))
+		before := len(m.objects())
+		if err := m.restore([]byte(data)); err == nil || len(m.objects()) != before {
+			t.Errorf("%s: error %v, %d objects, want %d", data, err, len(m.objects()), before)
+		}
+	}
+	m := newStateMachine()
+	m.store.SetAppliedOffset(5)
+	data, err := m.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := newStateMachine().restore(data); err != nil {
+		t.Errorf("the snapshot of an empty state: %v", err)
+	}
+}
