Take no demand of a data centre for one of the future

What callers would see: requests spilled to a data centre that is full, or limits shared out by an old demand, on the product's own peers. A demand whose time is ahead, as after a step of a VM's clock, hid each later one until that time. Cause: demands are ordered by the clock of the node that measured them, which nothing bounded. Change: a demand counts as measured when it was received, at the latest. Measured: TestDemandMeasuredInTheFutureDoesNotHideLaterOnes: the second demand was ignored before, it counts now.

--- a/peers/gossiper/gossiper.go
+++ b/peers/gossiper/gossiper.go
@@ -163,6 +163,10 @@
 	g.node.Drainer.MergeDrains(h.Drains)
 	for _, d := range h.DataCentreDemands {
 		if d.DataCentre != g.node.DataCentre {
+			if d.MeasuredAt.After(now) {
+				// The clock of the other VM is ahead.
+				d.MeasuredAt = now
+			}
 			g.members.updateDemand(now, d, h.CrossDataCentre)
 			g.node.Limiter.UpdateDataCentre(d.DataCentre, d.MeasuredAt, d.TeamDemands)
 			g.node.Spiller.UpdateDataCentre(d.DataCentre, d.MeasuredAt, g.members.roundTrip(d.DataCentre), d.Headroom)
