Refuse an idempotency key that is empty or one of several

What callers would see: a call of the product's own roads runs twice. An Idempotency-Key without a value, or whose first line is empty, counted as none, so that the call was not protected though its caller believes so; of several keys the first was taken. Cause: only the first line was read, and an empty one is none. Change: such a call is refused as malformed, before anything of it is run.

--- a/servers/callerserver/exchange.go
+++ b/servers/callerserver/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -129,13 +130,18 @@
 	return profile, nil
 }
 
-// idempotencyKey returns the caller's idempotency key after checking its length.
+// idempotencyKey returns the caller's idempotency key after checking it; empty if the caller sent none.
 func (x *exchange) idempotencyKey() (string, error) {
-	key := x.request.Header.Get(fieldIdempotencyKey)
-	if len(key) > maxIdempotencyKeyBytes {
+	lines := slices.Compact(slices.Clone(x.request.Header.Values(fieldIdempotencyKey)))
+	switch {
+	case len(lines) == 0:
+		return "", nil
+	case len(lines) > 1 || lines[0] == "":
+		return "", quetzalroad.NewRefusal(quetzalroad.ReasonMalformedRequest, "the idempotency key is empty, or there are several", 0)
+	case len(lines[0]) > maxIdempotencyKeyBytes:
 		return "", quetzalroad.NewRefusal(quetzalroad.ReasonMalformedRequest, "the idempotency key is longer than "+strconv.Itoa(maxIdempotencyKeyBytes)+" bytes", 0)
 	}
-	return key, nil
+	return lines[0], nil
 }
 
 // write writes part of the response, with a deadline for a caller that doesn't read.
--- a/servers/callerserver/exchange_test.go
+++ b/servers/callerserver/exchange_test.go
@@ -24,3 +24,19 @@
 		}
 	}
 }
+
+// The caller believes that its request runs once at most, and may send it again.
+func TestIdempotencyKeyThatIsNoneIsRefused(t *testing.T) {
+	for _, lines := range [][]string{{""}, {"", "a"}, {"a", ""}, {"a", "b"}} {
+		x := &exchange{request: &http.Request{Header: http.Header{fieldIdempotencyKey: lines}}}
+		if key, err := x.idempotencyKey(); err == nil {
+			t.Errorf("%q is key %q", lines, key)
+		}
+	}
+	for want, lines := range map[string][]string{"": nil, "a": {"a"}, "b": {"b", "b"}} {
+		x := &exchange{request: &http.Request{Header: http.Header{fieldIdempotencyKey: lines}}}
+		if key, err := x.idempotencyKey(); err != nil || key != want {
+			t.Errorf("%q: key %q, error %v, want %q", lines, key, err, want)
+		}
+	}
+}
