--- a/proofs/prover/streambytes_test.go
+++ b/proofs/prover/streambytes_test.go
@@ -172,7 +172,11 @@
 // forward sends a request for a stream and returns what the caller got, and the refusal, if any.
 func (x *streamFixture) forward(t *testing.T, resumable bool, lastEventID int64) (string, *quetzalroad.Refusal) {
 	t.Helper()
-	x.received.Store(0)
+	return x.send(t, newStreamRequest(resumable, lastEventID))
+}
+
+// newStreamRequest returns a request for a stream, or for the rest of one after lastEventID.
+func newStreamRequest(resumable bool, lastEventID int64) *quetzalroad.ForwardRequest {
 	f := &quetzalroad.ForwardRequest{CallerRequestID: "caller-1", Method: http.MethodPost, RequestTarget: "/x/", Host: "h", Header: http.Header{"Request-Attempt-Id": {"caller-1"}}, LastEventID: lastEventID}
 	f.ID, f.Arrived = "caller-1", time.Now()
 	f.Route = quetzalroad.Route{
@@ -180,6 +184,13 @@
 		Profile: quetzalroad.Profile{Name: "route", Class: "class", FirstTokenTarget: time.Second, Timeout: 5 * time.Second, Interactive: true, Idempotent: resumable},
 	}
 	f.Profile, f.Idempotent = f.Route.Profile, resumable
+	return f
+}
+
+// send sends a request and returns the body that the caller got, and the refusal, if any.
+func (x *streamFixture) send(t *testing.T, f *quetzalroad.ForwardRequest) (string, *quetzalroad.Refusal) {
+	t.Helper()
+	x.received.Store(0)
 	sink := new(faker.ForwardSink)
 	var refusal *quetzalroad.Refusal
 	if err := x.node.Forwarder.Forward(t.Context(), f, sink); err != nil && !errors.As(err, &refusal) {
