Take no stream for whole that ends before the caller's last event

The events of a response that the caller has already are dropped; a response of nothing else has to reach the last of them, or it is another stream. The attempt fails as malformed-answer and is resumed where the route allows it.

--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -107,7 +107,7 @@
 	for {
 		chunk, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			if err := r.checkEnd(ctx, u, head); err != nil {
+			if err := r.checkStreamEnd(ctx, u, head); err != nil {
 				return err
 			}
 			return r.write(head, nil)
@@ -162,6 +162,14 @@
 	return r.write(head, comment.Data)
 }
 
+// checkStreamEnd returns an error if the stream may have broken off, or if it is shorter than what the caller has of it.
+func (r *forwardRun) checkStreamEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
+	if last := r.attempt.lastEventID; last > 0 && last < r.lastEventID {
+		return malformedEventError(u, errors.Newf("the response ends with event %d, and the caller has event %d", last, r.lastEventID))
+	}
+	return r.checkEnd(ctx, u, head)
+}
+
 // checkEnd returns an error if the body may have broken off, although its end looks like that of a whole one.
 // The connections of a process that exits end like those of one that closes them.
 func (r *forwardRun) checkEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
