--- a/upstreams/forwardclient/stream.go
+++ b/upstreams/forwardclient/stream.go
@@ -13,9 +13,12 @@
 var errNoEvents = errors.New("the stream ended before any event")
 
 // isEventStream reports whether the body is read as an event stream. On a streaming route a success is nothing
-// else, even if an upstream in trouble declares another type.
+// else, even if an upstream in trouble declares another type. A response to HEAD has no body.
 func (x *exchange) isEventStream() bool {
-	if x.attempt.Request.Route.Streaming && x.attempt.Request.Method != http.MethodHead {
+	if x.attempt.Request.Method == http.MethodHead {
+		return false
+	}
+	if x.attempt.Request.Route.Streaming {
 		return x.response.StatusCode >= http.StatusOK && x.response.StatusCode < http.StatusMultipleChoices
 	}
 	return x.declaresEventStream()
