--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -115,7 +115,7 @@
 		if err != nil {
 			return err
 		}
-		if chunk.IsComment {
+		if chunk.IsComment && r.request.Route.Streaming {
 			if err := r.relayComment(head, chunk); err != nil {
 				return err
 			}
--- a/upstreams/forwardclient/events.go
+++ b/upstreams/forwardclient/events.go
@@ -12,12 +12,12 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
-// eventReader splits a stream into complete events, each of which ends with an empty line. It drops further empty
-// lines and the byte order mark.
+// eventReader splits a stream into complete events, each of which ends with an empty line.
 type eventReader struct {
 	src   io.Reader
 	codec quetzalroad.UpstreamCodec
-	// strict makes a block that is no event an error. Elsewhere it is an event without an id.
+	// strict makes a block that is no event an error, and drops further empty lines, the byte order mark and a comment
+	// line at the end. Elsewhere all bytes are returned, and such a block is an event without an id.
 	strict bool
 	// buffer[start:end] was read and not yet returned; buffer[start:scanned]
 	// contains no end of an event.
@@ -54,7 +54,7 @@
 
 // nextBlock returns the lines up to the next empty one; nil if they have not all been read.
 func (r *eventReader) nextBlock() []byte {
-	for r.start < r.end && isLineEnd(r.buffer[r.start]) {
+	for r.strict && r.start < r.end && isLineEnd(r.buffer[r.start]) {
 		r.start++
 	}
 	n := r.blockLen()
@@ -64,7 +64,7 @@
 	block := r.buffer[r.start : r.start+n]
 	r.start += n
 	r.scanned = r.start
-	if !r.begun {
+	if r.strict && !r.begun {
 		block = bytes.TrimPrefix(block, byteOrderMark)
 	}
 	r.begun = true
@@ -81,6 +81,9 @@
 	if !errors.Is(r.readErr, io.EOF) || len(rest) == 0 {
 		return r.readErr
 	}
+	if !r.strict {
+		return io.ErrUnexpectedEOF
+	}
 	if event, err := r.codec.DecodeEvent(rest); err == nil && event.IsComment && isLineEnd(rest[len(rest)-1]) {
 		return r.readErr
 	}
--- a/upstreams/forwardclient/stream.go
+++ b/upstreams/forwardclient/stream.go
@@ -39,7 +39,7 @@
 	event, err := x.events.next()
 	switch {
 	case err == nil:
-		x.hasEvents = x.hasEvents || !event.IsComment
+		x.hasEvents = x.hasEvents || !event.IsComment || !x.events.strict
 	case errors.Is(err, io.EOF) && !x.hasEvents:
 		err = x.emptyStreamError()
 	}
