Find the ends of an event's lines without a look at each byte

TestEventsAreTheSameHoweverTheyArrive holds the reader's result before and after: 20,000 streams of mixed line ends, whole and byte by byte.

--- a/upstreams/forwardclient/events.go
+++ b/upstreams/forwardclient/events.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/linefinder"
 )
 
 // maxEventBytes limits the size of one event.
@@ -97,9 +98,13 @@
 // read yet. Lines end with a line feed, a carriage return or both.
 func (r *eventReader) blockLen() int {
 	b := r.buffer[:r.end]
-	for i := max(r.start, r.scanned-maxBlockEndBytes+1); i+1 < len(b); i++ {
+	for i := max(r.start, r.scanned-maxBlockEndBytes+1); ; i++ {
+		n := linefinder.Index(b[i:])
+		i += n
+		if n < 0 || i+1 == len(b) {
+			break
+		}
 		switch {
-		case !isLineEnd(b[i]):
 		case b[i] == b[i+1]:
 			return i + 2 - r.start
 		case b[i] == '\r' || b[i+1] != '\r' || i+2 == len(b):
