--- a/proofs/prover/streamforms_test.go
+++ b/proofs/prover/streamforms_test.go
@@ -62,3 +62,17 @@
 		}
 	}
 }
+
+// An event with a field that the format doesn't define was refused for its name.
+func TestEventWithAnUnknownFieldIsForwarded(t *testing.T) {
+	x := newStreamFixture(t)
+	for _, field := range []string{"trace: 7", "trace-id: 7", "trace_id: 7", "trace.id: 7"} {
+		body := field + "\nid: 1\ndata: a\n\n"
+		x.respond = func(_ int, r *http.Request, _ int) string {
+			return encodeResponse(r.Header.Get("Request-Attempt-Id"), "text/event-stream", framingChunks, body)
+		}
+		if got, refusal := x.forward(t, false, 0); got != body || refusal != nil {
+			t.Errorf("%s: the caller got %q, refusal %v", field, got, refusal)
+		}
+	}
+}
