Show that a broken stream looks whole to a caller of HTTP/1.0

Fails on and on: a response without chunks ends with the connection, and a handler that aborts closes it as after a whole one. The users' callers use HTTP/1.1, where a broken stream lacks its last chunk, also with Connection: close. No fix proposed: the connection would have to be reset.

--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -309,6 +309,22 @@
 	}
 }
 
+// A stream that broke off ended like a whole one for a caller who can't read chunks.
+func TestInterruptedStreamLooksWholeToNoCallerWithoutChunks(t *testing.T) {
+	x := newFixture(t, true)
+	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+		return &faker.ScriptedResponse{EventStream: true, Chunks: []quetzalroad.BodyChunk{{Data: []byte("id: 1\n\n"), EventID: 1}}, Interrupted: true}, nil
+	}
+	_, r := x.sendRaw(t, "GET /stream/ HTTP/1.0\r\nHost: h.example\r\n\r\n")
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return
+	}
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("the response ended as complete after %q", body)
+	}
+}
+
 func TestLostUpstreamResponseReturnsBadGateway(t *testing.T) {
 	x := newFixture(t, true)
 	x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
