--- a/upstreams/forwardclient/events.go
+++ b/upstreams/forwardclient/events.go
@@ -7,17 +7,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/linefinder"
 )
 
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
-// eventReader splits a stream into complete events, each of which ends with an empty line. It drops further empty
-// lines and the byte order mark.
+// eventReader splits a stream into complete events, each of which ends with an empty line.
 type eventReader struct {
 	src   io.Reader
 	codec quetzalroad.UpstreamCodec
-	// strict makes a block that is no event an error. Elsewhere it is an event without an id.
+	// strict makes a block that is no event an error, and drops further empty lines, the byte order mark and a comment
+	// line at the end. Elsewhere all bytes are returned, and such a block is an event without an id.
 	strict bool
 	// buffer[start:end] was read and not yet returned; buffer[start:scanned]
 	// contains no end of an event.
@@ -54,7 +55,7 @@
 
 // nextBlock returns the lines up to the next empty one; nil if they have not all been read.
 func (r *eventReader) nextBlock() []byte {
-	for r.start < r.end && isLineEnd(r.buffer[r.start]) {
+	for r.strict && r.start < r.end && isLineEnd(r.buffer[r.start]) {
 		r.start++
 	}
 	n := r.blockLen()
@@ -64,7 +65,7 @@
 	block := r.buffer[r.start : r.start+n]
 	r.start += n
 	r.scanned = r.start
-	if !r.begun {
+	if r.strict && !r.begun {
 		block = bytes.TrimPrefix(block, byteOrderMark)
 	}
 	r.begun = true
@@ -81,6 +82,9 @@
 	if !errors.Is(r.readErr, io.EOF) || len(rest) == 0 {
 		return r.readErr
 	}
+	if !r.strict {
+		return io.ErrUnexpectedEOF
+	}
 	if event, err := r.codec.DecodeEvent(rest); err == nil && event.IsComment && isLineEnd(rest[len(rest)-1]) {
 		return r.readErr
 	}
@@ -94,9 +98,13 @@
 // read yet. Lines end with a line feed, a carriage return or both.
 func (r *eventReader) blockLen() int {
 	b := r.buffer[:r.end]
-	for i := max(r.start, r.scanned-maxBlockEndBytes+1); i+1 < len(b); i++ {
+	for i := max(r.start, r.scanned-maxBlockEndBytes+1); ; i++ {
+		n := linefinder.Index(b[i:])
+		i += n
+		if n < 0 || i+1 == len(b) {
+			break
+		}
 		switch {
-		case !isLineEnd(b[i]):
 		case b[i] == b[i+1]:
 			return i + 2 - r.start
 		case b[i] == '\r' || b[i+1] != '\r' || i+2 == len(b):
--- a/upstreams/forwardclient/stream.go
+++ b/upstreams/forwardclient/stream.go
@@ -13,9 +13,12 @@
 var errNoEvents = errors.New("the stream ended before any event")
 
 // isEventStream reports whether the body is read as an event stream. On a streaming route a success is nothing
-// else, even if an upstream in trouble declares another type.
+// else, even if an upstream in trouble declares another type. A response to HEAD has no body.
 func (x *exchange) isEventStream() bool {
-	if x.attempt.Request.Route.Streaming && x.attempt.Request.Method != http.MethodHead {
+	if x.attempt.Request.Method == http.MethodHead {
+		return false
+	}
+	if x.attempt.Request.Route.Streaming {
 		return x.response.StatusCode >= http.StatusOK && x.response.StatusCode < http.StatusMultipleChoices
 	}
 	return x.declaresEventStream()
@@ -36,7 +39,7 @@
 	event, err := x.events.next()
 	switch {
 	case err == nil:
-		x.hasEvents = x.hasEvents || !event.IsComment
+		x.hasEvents = x.hasEvents || !event.IsComment || !x.events.strict
 	case errors.Is(err, io.EOF) && !x.hasEvents:
 		err = x.emptyStreamError()
 	}
