Reset the connection of an HTTP/1.0 caller whose response broke off

What callers would see: a stream that broke off as a whole one. Without chunks a response ends with its connection, and the handler that aborts closes it in order. Of HTTP/1.1 callers none is concerned. Change: the connection ends with a reset there.

--- a/servers/forwardserver/conn.go
+++ b/servers/forwardserver/conn.go
@@ -1,6 +1,7 @@
 package forwardserver
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -86,3 +87,23 @@
 		_ = c.SetReadDeadline(time.Time{})
 	}
 }
+
+// callerConnKey is the context key of a request's *callerConn.
+type callerConnKey struct{}
+
+// withCallerConn adds the connection to the context of its requests.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// resetOnClose makes the connection of a request end with a reset instead of an orderly close.
+func resetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if tcpConn, ok := c.Conn.(*net.TCPConn); ok {
+		// On a closed connection this fails, and nothing is left to end.
+		_ = tcpConn.SetLinger(0)
+	}
+}
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -219,7 +219,7 @@
 	s.node.Recorder.CountOutcome(class, refusal.Outcome)
 	x.logRefusal(refusal)
 	if x.responseStarted || refusal.Reason == quetzalroad.ReasonCallerDisconnected {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	status, header := s.codec.EncodeRefusal(refusal)
 	for name, values := range header {
@@ -235,6 +235,15 @@
 	_, _ = x.writer.Write(body)
 }
 
+// abort closes the connection so that the response looks incomplete. In HTTP/1.0 an orderly close ends a whole
+// response, so that the connection has to be reset.
+func (x *exchange) abort() {
+	if x.responseStarted && !x.request.ProtoAtLeast(1, 1) {
+		resetOnClose(x.request.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refusalJSON is the body of a refusal.
 type refusalJSON struct {
 	Code    string `json:"code"`
--- a/servers/forwardserver/server.go
+++ b/servers/forwardserver/server.go
@@ -63,7 +63,7 @@
 	s.codec = n.CallerCodec
 	errorLog := slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug)
 	s.callerServer = http.Server{
-		Handler: http.HandlerFunc(s.handleRequest), ConnState: trackConnState, ErrorLog: errorLog,
+		Handler: http.HandlerFunc(s.handleRequest), ConnState: trackConnState, ConnContext: withCallerConn, ErrorLog: errorLog,
 		ReadHeaderTimeout: s.headerTimeout, MaxHeaderBytes: s.maxHeaderBytes,
 	}
 	s.readinessServer = http.Server{Handler: http.HandlerFunc(s.handleReadiness), ErrorLog: errorLog, ReadHeaderTimeout: readinessHeaderTimeout, MaxHeaderBytes: s.maxHeaderBytes}
