Pass on no success that lacks its server's signature

Found by the review, by reading: nothing looked for the signature, so that an absent one passed for a sound one.

--- a/forward.go
+++ b/forward.go
@@ -178,6 +178,9 @@
 	CallerRequestID string
 	// NotRun reports whether the upstream stated that it did not run the request.
 	NotRun bool
+	// Unsigned reports whether the response is a success without the upstream's signature, which is no response of
+	// a sound upstream.
+	Unsigned bool
 	// Misdirected reports whether another instance now uses the address.
 	Misdirected bool
 	// LoadReport is the load report sent with the response; nil if there was none.
--- a/proofs/prover/streambytes_test.go
+++ b/proofs/prover/streambytes_test.go
@@ -50,9 +50,12 @@
 
 var framings = []framing{framingLength, framingChunks, framingUnframed}
 
+// sealLine is a server's signature in the head of a response.
+const sealLine = "Response-Seal: s\r\n"
+
 // encodeResponse returns a response to a request of a caller.
 func encodeResponse(callerRequestID, contentType string, f framing, body string) string {
-	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Attempt-Id: " + callerRequestID + "\r\n"
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Attempt-Id: " + callerRequestID + "\r\n" + sealLine
 	if contentType != "" {
 		head += "Content-Type: " + contentType + "\r\n"
 	}
--- a/proofs/prover/streamends_test.go
+++ b/proofs/prover/streamends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -28,3 +29,25 @@
 		}
 	}
 }
+
+// A success that no server had signed was passed on to callers.
+func TestUnsignedSuccessReachesNoCaller(t *testing.T) {
+	x := newStreamFixture(t)
+	for _, seal := range []string{"", "Response-Seal:\r\n"} {
+		for _, f := range framings {
+			x.respond = func(before int, r *http.Request, _ int) string {
+				response := encodeResponse(r.Header.Get("Request-Attempt-Id"), "text/event-stream", f, streamEvents(1, streamLength))
+				if before == 0 {
+					return strings.Replace(response, sealLine, seal, 1)
+				}
+				return response
+			}
+			if got, refusal := x.forward(t, false, 0); refusal == nil || got != "" {
+				t.Errorf("seal %q, %s: refusal %v, the caller got %q", seal, f, refusal, got)
+			}
+			if got, refusal := x.forward(t, true, 0); refusal != nil || got != streamEvents(1, streamLength) {
+				t.Errorf("seal %q, %s, resumable: refusal %v, the caller got %q", seal, f, refusal, got)
+			}
+		}
+	}
+}
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -112,7 +112,11 @@
 		}
 		x.response = response
 		x.metadata = x.client.codec.Decode(time.Now(), response.StatusCode, response.Header)
-		if x.isOwnResponse() {
+		switch {
+		case !x.isOwnResponse():
+		case x.metadata.Unsigned:
+			return x.attemptError(ctx, quetzalroad.RetryMalformedResponse, errUnsigned)
+		default:
 			return x.accept()
 		}
 		if err := x.discardBody(); err != nil {
@@ -122,6 +126,8 @@
 	return x.attemptError(ctx, quetzalroad.RetryMismatchedResponse, errors.Newf("response belongs to request %q", x.metadata.CallerRequestID))
 }
 
+var errUnsigned = errors.New("success without the upstream's signature")
+
 // isOwnResponse reports whether the response belongs to this request. One that names no request is
 // accepted only on a new connection and only if it states that the request was not run: on a reused
 // connection it may belong to an earlier request.
