--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -139,7 +139,7 @@
 
 // relayEvent relays one event, unless the caller has it already.
 func (r *forwardRun) relayEvent(u quetzalroad.Upstream, head quetzalroad.ResponseHead, event quetzalroad.BodyChunk) error {
-	if err := r.checkOrder(u, event); err != nil {
+	if err := r.acceptEvent(u, event); err != nil {
 		return err
 	}
 	if r.request.Route.Streaming && event.EventID <= r.lastEventID {
@@ -182,9 +182,9 @@
 // errUnframedBreak is the cause of an attempt whose response may have broken off.
 var errUnframedBreak = errors.New("the upstream exited as the unframed response ended")
 
-// checkOrder returns an error if an event of a streaming route does not follow the one before it in the response,
-// or is the first of the response and would leave a gap behind the last event that the caller received.
-func (r *forwardRun) checkOrder(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
+// acceptEvent records the last event of the response. On a streaming route it returns an error instead if the event
+// does not follow the one before it, or is the first and would leave a gap behind the last one that the caller has.
+func (r *forwardRun) acceptEvent(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
 	id, before := event.EventID, r.attempt.lastEventID
 	switch {
 	case !r.request.Route.Streaming:
