Bound the memory of all buffered responses of a node together

What callers saw: with many endless responses at once, the process ran out of memory and all of its requests were lost. Cause: a forwarded response was bounded by 256 KiB, whether held back as a plain body or collected as an event, and nothing bounded their sum. A thousand of them are more than the smallest node has. Change: a slot "buffers" with a budget for the node, in shards (max-bytes, 16 MiB), from which a response takes before its buffer grows beyond 8 KiB. Once it is used up, plain responses are relayed as they arrive, and an event that needs more ends its attempt as buffers-full, which is counted and logged and is no fault of the upstream. A stream returns what it took for a large event. TestStreamThatNeverEndsEndsWithTheRequest passed before, too. streambytes_test.go: its fixture can keep connections open and write without end; no check changed.

--- a/cmd/quetzalbench/scalingmeasurer/plugins.go
+++ b/cmd/quetzalbench/scalingmeasurer/plugins.go
@@ -6,6 +6,8 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/admitter/queuer"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/estimator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/balancer/rotator"
+	_ "github.com/quetzalroad/quetzalroad/decisions/bufferlimiter"
+	_ "github.com/quetzalroad/quetzalroad/decisions/bufferlimiter/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/dispatcher"
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/allocator"
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/bypasser"
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -193,13 +193,13 @@
 }
 
 // isUpstreamFault reports whether the upstream caused an attempt to fail. Declining a request is not
-// a fault.
+// a fault, and a lack of memory is one of this node.
 func (r *forwardRun) isUpstreamFault(ctx context.Context, err error) bool {
 	var failure *quetzalroad.AttemptError
 	if ctx.Err() != nil || !errors.As(err, &failure) {
 		return false
 	}
-	return failure.RetryReason != quetzalroad.RetryNotRun
+	return failure.RetryReason != quetzalroad.RetryNotRun && failure.RetryReason != quetzalroad.RetryBuffersFull
 }
 
 // exchange sends the request and relays the response, unless it must not be relayed or is retried.
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -8,29 +8,37 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 )
 
 // maxBufferedBytes is the largest response that is relayed only once it is complete.
 const maxBufferedBytes = 256 << 10
 
 // relayBuffered relays a response once it is complete, so that a truncated one can be retried. A
-// response larger than maxBufferedBytes is relayed as it arrives.
+// response larger than maxBufferedBytes, or than the budget for buffers allows, is relayed as it arrives.
 func (r *forwardRun) relayBuffered(ctx context.Context, u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
 	head := response.Head()
+	reservation := bufferer.Reservation{Budget: r.dispatcher.node.BufferBudget}
+	defer reservation.Release()
 	var buffered []byte
 	for {
 		chunk, err := response.Next()
 		r.attempt.countChunk(chunk)
-		buffered = append(buffered, chunk.Data...)
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
 			return err
 		}
-		if len(buffered) > maxBufferedBytes {
-			return r.relayUnbuffered(ctx, u, response, head, buffered)
+		grown, ok := reservation.Append(buffered, chunk.Data)
+		if !ok || len(grown) > maxBufferedBytes {
+			if err := r.write(head, buffered, chunk.Data); err != nil {
+				return err
+			}
+			reservation.Release()
+			return r.relayUnbuffered(ctx, u, response, head)
 		}
+		buffered = grown
 	}
 	if err := r.checkEnd(ctx, u, head); err != nil {
 		return err
@@ -53,8 +61,8 @@
 	d.node.Recorder.ObserveFirstToken(profile.Class, elapsed, elapsed <= profile.FirstTokenTarget)
 }
 
-// write sends the head to the caller, unless already sent, and then data.
-func (r *forwardRun) write(head quetzalroad.ResponseHead, data []byte) error {
+// write sends the head to the caller, unless already sent, and then the parts of the body.
+func (r *forwardRun) write(head quetzalroad.ResponseHead, parts ...[]byte) error {
 	if !r.responseStarted {
 		r.responseStarted = true
 		r.status = head.Status
@@ -62,11 +70,13 @@
 			return r.callerDisconnectedRefusal(err)
 		}
 	}
-	if len(data) == 0 {
-		return nil
-	}
-	if err := r.sink.Write(data); err != nil {
-		return r.callerDisconnectedRefusal(err)
+	for _, data := range parts {
+		if len(data) == 0 {
+			continue
+		}
+		if err := r.sink.Write(data); err != nil {
+			return r.callerDisconnectedRefusal(err)
+		}
 	}
 	return nil
 }
@@ -76,11 +86,8 @@
 	return &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerDisconnected, Message: "the caller took no more of the answer", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
 }
 
-// relayUnbuffered relays the buffered data and then the rest as it arrives.
-func (r *forwardRun) relayUnbuffered(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse, head quetzalroad.ResponseHead, buffered []byte) error {
-	if err := r.write(head, buffered); err != nil {
-		return err
-	}
+// relayUnbuffered relays the rest of a response as it arrives.
+func (r *forwardRun) relayUnbuffered(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse, head quetzalroad.ResponseHead) error {
 	for {
 		chunk, err := response.Next()
 		r.attempt.countChunk(chunk)
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -48,10 +48,12 @@
 	RetryPolicy       quetzalroad.RetryPolicy
 	Quarantine        quetzalroad.Quarantine
 	Throttler         quetzalroad.Throttler
-	ChatClient        quetzalroad.ChatClient
-	ServiceClient     quetzalroad.ServiceClient
-	Dispatcher        quetzalroad.Dispatcher
-	Drainer           quetzalroad.Drainer
+	// BufferBudget is nil if there is no bound.
+	BufferBudget  quetzalroad.BufferBudget
+	ChatClient    quetzalroad.ChatClient
+	ServiceClient quetzalroad.ServiceClient
+	Dispatcher    quetzalroad.Dispatcher
+	Drainer       quetzalroad.Drainer
 	// DrainMarker is nil if the state can't be marked.
 	DrainMarker   quetzalroad.DrainMarker
 	PeerTransport quetzalroad.PeerTransport
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -38,6 +38,7 @@
 	SlotSpiller         Slot = "spill"
 	SlotRetryPolicy     Slot = "retry"
 	SlotQuarantine      Slot = "quarantine"
+	SlotBufferBudget    Slot = "buffers"
 	SlotChatClient      Slot = "engines"
 	SlotServiceClient   Slot = "services"
 	SlotUpstreamCodec   Slot = "upstream-fields"
@@ -77,6 +78,7 @@
 	{slot: SlotSpiller, doc: "Spillover of requests to other data centres if there is no free capacity."},
 	{slot: SlotRetryPolicy, doc: "Retries and hedged attempts."},
 	{slot: SlotQuarantine, doc: "Prompt segments that crash upstreams, and the refusal of requests with them."},
+	{slot: SlotBufferBudget, doc: "The memory of buffered responses."},
 	{slot: SlotChatClient, doc: "The client for model engines.", optional: true},
 	{slot: SlotServiceClient, doc: "The client for plain services.", optional: true},
 	{slot: SlotUpstreamCodec, doc: "The header fields between the router and upstreams of forwarded requests.", optional: true},
--- a/proofs/prover/streambytes_test.go
+++ b/proofs/prover/streambytes_test.go
@@ -75,6 +75,10 @@
 	// respond returns the bytes of a response, from the number of requests before it and the event to resume after.
 	// It is set before each request.
 	respond func(before int, request *http.Request, resumeAfter int) string
+	// hold keeps connections open after the response until it is closed; nil closes them at once.
+	hold chan struct{}
+	// repeated follows each response without end; empty for nothing.
+	repeated string
 }
 
 func newStreamFixture(t *testing.T) *streamFixture {
@@ -135,14 +139,21 @@
 		return
 	}
 	resumeAfter, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	// The node may have closed the connection.
-	_, _ = io.WriteString(c, x.respond(int(x.received.Add(1))-1, request, resumeAfter))
+	response := strings.NewReader(x.respond(int(x.received.Add(1))-1, request, resumeAfter))
+	// Small parts, so that this side keeps no copy of a large response. The node may have closed the connection.
+	_, _ = io.CopyBuffer(struct{ io.Writer }{c}, struct{ io.Reader }{response}, make([]byte, 1<<10))
+	for x.repeated != "" {
+		if _, err := io.WriteString(c, x.repeated); err != nil {
+			return
+		}
+	}
+	if x.hold != nil {
+		<-x.hold
+	}
 }
 
-// forward sends a request for a stream and returns what the caller got, and the refusal, if any.
-func (x *streamFixture) forward(t *testing.T, resumable bool, lastEventID int64) (string, *quetzalroad.Refusal) {
-	t.Helper()
-	x.received.Store(0)
+// newStreamRequest returns a request for a stream.
+func newStreamRequest(resumable bool, lastEventID int64) *quetzalroad.ForwardRequest {
 	f := &quetzalroad.ForwardRequest{CallerRequestID: "caller-1", Method: http.MethodPost, RequestTarget: "/x/", Host: "h", Header: http.Header{"Request-Attempt-Id": {"caller-1"}}, LastEventID: lastEventID}
 	f.ID, f.Arrived = "caller-1", time.Now()
 	f.Route = quetzalroad.Route{
@@ -150,9 +161,16 @@
 		Profile: quetzalroad.Profile{Name: "route", Class: "class", FirstTokenTarget: time.Second, Timeout: 5 * time.Second, Interactive: true, Idempotent: resumable},
 	}
 	f.Profile, f.Idempotent = f.Route.Profile, resumable
+	return f
+}
+
+// forward sends a request for a stream and returns what the caller got, and the refusal, if any.
+func (x *streamFixture) forward(t *testing.T, resumable bool, lastEventID int64) (string, *quetzalroad.Refusal) {
+	t.Helper()
+	x.received.Store(0)
 	sink := new(faker.ForwardSink)
 	var refusal *quetzalroad.Refusal
-	if err := x.node.Forwarder.Forward(t.Context(), f, sink); err != nil && !errors.As(err, &refusal) {
+	if err := x.node.Forwarder.Forward(t.Context(), newStreamRequest(resumable, lastEventID), sink); err != nil && !errors.As(err, &refusal) {
 		t.Fatal(err)
 	}
 	return string(sink.Body), refusal
--- a/refusal.go
+++ b/refusal.go
@@ -138,6 +138,7 @@
 	RetryMalformedResponse  RetryReason = "malformed-answer"
 	RetryMismatchedResponse RetryReason = "foreign-answer"
 	RetryInstanceReplaced   RetryReason = "instance-replaced"
+	RetryBuffersFull        RetryReason = "buffers-full"
 )
 
 // RejectedError reports that the upstream rejected the request itself as invalid. Retrying does
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -31,6 +31,7 @@
 // Client implements quetzalroad.ForwardClient.
 type Client struct {
 	codec                    quetzalroad.UpstreamCodec
+	bufferBudget             quetzalroad.BufferBudget
 	dialTimeout              time.Duration
 	ackTimeout               time.Duration
 	idleTimeout              time.Duration
@@ -60,6 +61,7 @@
 		return errors.New("plug-in relayer requires the slot upstream-fields")
 	}
 	c.codec = n.UpstreamCodec
+	c.bufferBudget = n.BufferBudget
 	n.ForwardClient = c
 	n.UpstreamChecker = c
 	return nil
--- a/upstreams/forwardclient/events.go
+++ b/upstreams/forwardclient/events.go
@@ -7,10 +7,15 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 )
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 256 << 10
+const (
+	// minBufferBytes is the size with which the buffer begins.
+	minBufferBytes = 1 << 10
+	// maxEventBytes limits the size of one event.
+	maxEventBytes = 256 << 10
+)
 
 // eventReader splits a stream into complete events, each of which ends with an empty line. It drops further empty
 // lines and the byte order mark.
@@ -27,6 +32,8 @@
 	// begun is set once a block was returned or dropped.
 	begun   bool
 	readErr error
+	// reservation is for the buffer.
+	reservation bufferer.Reservation
 }
 
 var errEventTooLong = errors.New("event exceeds the size limit")
@@ -110,8 +117,12 @@
 	return 0
 }
 
-// fill reads more of src into the buffer, growing it up to maxEventBytes.
+// fill reads more of src into the buffer, growing it up to maxEventBytes. It drops a buffer that grew for an event
+// which was returned.
 func (r *eventReader) fill() error {
+	if r.start == r.end && len(r.buffer) > bufferer.FreeBytes {
+		r.release()
+	}
 	if r.start > 0 {
 		copy(r.buffer, r.buffer[r.start:r.end])
 		r.end -= r.start
@@ -122,9 +133,28 @@
 		if len(r.buffer) >= maxEventBytes {
 			return errEventTooLong
 		}
-		r.buffer = append(r.buffer, make([]byte, max(1024, len(r.buffer)))...)
+		if err := r.grow(); err != nil {
+			return err
+		}
 	}
 	n, err := r.src.Read(r.buffer[r.end:])
 	r.end += n
 	return err
 }
+
+func (r *eventReader) grow() error {
+	size := max(minBufferBytes, 2*len(r.buffer))
+	if !r.reservation.Resize(size) {
+		return quetzalroad.ErrBuffersFull
+	}
+	grown := make([]byte, size)
+	copy(grown, r.buffer)
+	r.buffer = grown
+	return nil
+}
+
+// release drops the buffer and returns what it held of the budget.
+func (r *eventReader) release() {
+	r.buffer, r.start, r.end, r.scanned = nil, 0, 0, 0
+	r.reservation.Release()
+}
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/headerfilter"
 )
 
@@ -182,7 +183,7 @@
 	}
 	x.head.Unframed = x.isUnframed()
 	if x.head.EventStream {
-		x.events = &eventReader{src: x.response.Body, codec: x.client.codec, strict: x.attempt.Request.Route.Streaming}
+		x.events = &eventReader{src: x.response.Body, codec: x.client.codec, strict: x.attempt.Request.Route.Streaming, reservation: bufferer.Reservation{Budget: x.client.bufferBudget}}
 	}
 	return nil
 }
@@ -280,6 +281,9 @@
 		return
 	}
 	x.closed = true
+	if x.events != nil {
+		x.events.release()
+	}
 	pc := x.conn
 	reusable := x.stopAbort() && x.complete && x.sent.Load() && !x.response.Close && pc.reader.Buffered() == 0
 	if !reusable || pc.SetDeadline(time.Time{}) != nil {
@@ -303,6 +307,8 @@
 func retryReason(err error) quetzalroad.RetryReason {
 	var netErr interface{ Timeout() bool }
 	switch {
+	case errors.Is(err, quetzalroad.ErrBuffersFull):
+		return quetzalroad.RetryBuffersFull
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return quetzalroad.RetryReadTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
