Bound the memory of all responses of services together

What callers saw: some dozen responses of services without end took more memory than a small node has; its process would end with all requests. Cause: a body was bounded by max-answer-bytes, 8 MiB, and nothing bounded their sum. Change: the service client reads bodies within the node's budget for buffers, and a response holds its share until it was sent to the caller. One that needs more than is left ends its attempt as buffers-full, which is no fault of the upstream.

--- a/decisions/dispatcher/call.go
+++ b/decisions/dispatcher/call.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/quetzalroad/quetzalroad"
 )
 
@@ -115,7 +117,8 @@
 	d.node.LoadTracker.BeginAttempt(u.Name, start)
 	response, err := d.node.ServiceClient.Call(ctx, u, c)
 	now := time.Now()
-	d.node.LoadTracker.EndAttempt(u.Name, now, err != nil && ctx.Err() == nil)
+	upstreamFailed := err != nil && ctx.Err() == nil && !errors.Is(err, quetzalroad.ErrBuffersFull)
+	d.node.LoadTracker.EndAttempt(u.Name, now, upstreamFailed)
 	if err != nil {
 		return nil, err
 	}
--- a/request.go
+++ b/request.go
@@ -102,6 +102,8 @@
 	Header http.Header
 	// Body is the whole body.
 	Body []byte
+	// Release returns what Body holds of the BufferBudget, and is called once it was sent; nil if it holds nothing.
+	Release func()
 }
 
 // Outcome reports to the caller whether its request was run.
--- a/servers/callerserver/service.go
+++ b/servers/callerserver/service.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Release != nil {
+		defer response.Release()
+	}
 	header := x.writer.Header()
 	for field, values := range response.Header {
 		header[field] = values
--- a/support/bufferer/reservation.go
+++ b/support/bufferer/reservation.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"math"
 
 	"github.com/cockroachdb/errors"
 
@@ -49,11 +50,16 @@
 
 // Append appends data to the response's only buffer, unless the budget doesn't allow the buffer to grow.
 func (r *Reservation) Append(buffer, data []byte) ([]byte, bool) {
+	return r.appendWithin(buffer, data, math.MaxInt)
+}
+
+// appendWithin is Append with a bound on the size to which the buffer grows ahead of its need.
+func (r *Reservation) appendWithin(buffer, data []byte, maxBytes int) ([]byte, bool) {
 	needed := len(buffer) + len(data)
 	if needed <= cap(buffer) {
 		return append(buffer, data...), true
 	}
-	size := max(needed, 2*cap(buffer), minBufferBytes)
+	size := max(needed, min(2*cap(buffer), maxBytes), minBufferBytes)
 	if !r.Resize(size) {
 		return buffer, false
 	}
@@ -75,7 +81,7 @@
 		if len(buffer)+n > maxBytes {
 			return nil, ErrTooLong
 		}
-		grown, ok := r.Append(buffer, chunk[:n])
+		grown, ok := r.appendWithin(buffer, chunk[:n], maxBytes)
 		if !ok {
 			return nil, quetzalroad.ErrBuffersFull
 		}
--- a/upstreams/serviceconnector/connector.go
+++ b/upstreams/serviceconnector/connector.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/headerfilter"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
@@ -33,6 +33,7 @@
 	untimedClient    httpclient.Client
 	maxResponseBytes int
 	recorder         quetzalroad.Recorder
+	bufferBudget     quetzalroad.BufferBudget
 }
 
 // Declare implements kernel.Component.
@@ -48,6 +49,7 @@
 	c.untimedClient.DialTimeout = c.client.DialTimeout
 	c.untimedClient.Open()
 	c.recorder = n.Recorder
+	c.bufferBudget = n.BufferBudget
 	n.ServiceClient = c
 	n.AddTask("close service connections", func(ctx context.Context) error {
 		<-ctx.Done()
@@ -120,14 +122,23 @@
 	if serviceRequest.Idempotent && (response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) {
 		return nil, &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %s", response.Status)}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(c.maxResponseBytes)+1))
+	reservation := &bufferer.Reservation{Budget: c.bufferBudget}
+	body, err := reservation.ReadAll(response.Body, c.maxResponseBytes)
 	if err != nil {
-		return nil, c.attemptError(u, e, err)
+		reservation.Release()
+		return nil, c.bodyError(u, e, err)
 	}
-	if len(body) > c.maxResponseBytes {
-		return nil, &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Newf("response body exceeds %d bytes", c.maxResponseBytes)}
+	return &quetzalroad.ServiceResponse{Status: response.StatusCode, Header: ForwardableHeader(response.Header), Body: body, Release: reservation.Release}, nil
+}
+
+func (c *Connector) bodyError(u quetzalroad.UpstreamName, e *httpclient.Exchange, err error) *quetzalroad.AttemptError {
+	switch {
+	case errors.Is(err, quetzalroad.ErrBuffersFull):
+		return &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryBuffersFull, Cause: err}
+	case errors.Is(err, bufferer.ErrTooLong):
+		return &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.Wrapf(err, "response body of more than %d bytes", c.maxResponseBytes)}
 	}
-	return &quetzalroad.ServiceResponse{Status: response.StatusCode, Header: ForwardableHeader(response.Header), Body: body}, nil
+	return c.attemptError(u, e, err)
 }
 
 // FetchLoadReport implements quetzalroad.ServiceClient.
