Bound the text of a completion by the budget for buffers

What callers saw: an engine that sends text without end had the node keep all of it until the request's time was up, for its resumption and, if it isn't streamed, for the response. Cause: nothing bounded the text of a completion. Change: beyond 16 KiB, a text takes from the node's budget for buffers twice its length. What needs more than is left ends the attempt as buffers-full. Open: the arguments of tool calls in a completion that isn't streamed are no text and are not counted.

--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 )
 
 // errPreempted is the error of an attempt that was preempted by a higher tier.
@@ -24,6 +25,8 @@
 	// deliveredText is the text written to the sink so far, deliveredTokens its number of tokens.
 	deliveredText   strings.Builder
 	deliveredTokens int
+	// textReservation is for the text, here and where the sink collects it.
+	textReservation bufferer.Reservation
 	// generatedTokens counts the tokens of all attempts; wastedTokens counts those that were not
 	// written to the sink, or all of them if the request fails.
 	generatedTokens int
@@ -32,6 +35,13 @@
 	finished bool
 }
 
+const (
+	// textCopies is how often the text of a completion may be in memory.
+	textCopies = 2
+	// freeTextBytes is the length of a text up to which it takes nothing from the budget for buffers.
+	freeTextBytes = 16 << 10
+)
+
 // Chat implements quetzalroad.Dispatcher.
 func (d *Dispatcher) Chat(ctx context.Context, c *quetzalroad.ChatRequest, sink quetzalroad.ChatSink) error {
 	defer d.trackRequest()()
@@ -44,7 +54,8 @@
 	if err != nil {
 		return err
 	}
-	run := &chatRun{dispatcher: d, chat: c, sink: sink, reservation: held}
+	run := &chatRun{dispatcher: d, chat: c, sink: sink, reservation: held, textReservation: bufferer.Reservation{Budget: d.node.BufferBudget, Free: textCopies * freeTextBytes}}
+	defer run.textReservation.Release()
 	err = run.runAttempts(ctx)
 	held.release(run.deliveredTokens)
 	if err != nil {
@@ -174,7 +185,7 @@
 		if errors.Is(result.err, io.EOF) {
 			result.err = errors.New("the stream ended without a finish reason")
 		}
-		a.upstreamFailed = true
+		a.upstreamFailed = !errors.Is(result.err, quetzalroad.ErrBuffersFull)
 		return false, asAttemptError(a.upstream.Name, result.err)
 	}
 	e := result.event
@@ -184,6 +195,9 @@
 	r.generatedTokens += e.Tokens
 	r.recordTiming(a, e)
 	r.history.mayHaveRun = r.history.mayHaveRun || e.Tokens > 0
+	if !r.textReservation.Resize(textCopies * (r.deliveredText.Len() + len(e.Text))) {
+		return false, &quetzalroad.AttemptError{Upstream: a.upstream.Name, RetryReason: quetzalroad.RetryBuffersFull, Cause: quetzalroad.ErrBuffersFull}
+	}
 	if err := r.sink.Write(e); err != nil {
 		return false, &quetzalroad.Refusal{Reason: quetzalroad.ReasonCallerDisconnected, Message: "the caller left", Outcome: quetzalroad.OutcomeUnknown, Cause: err}
 	}
--- a/support/bufferer/reservation.go
+++ b/support/bufferer/reservation.go
@@ -24,13 +24,19 @@
 type Reservation struct {
 	// Budget is that of the node. A nil one has no bound.
 	Budget quetzalroad.BufferBudget
-	// held is what was acquired: the size of the buffers beyond FreeBytes.
+	// Free is the size up to which nothing is taken from the budget; zero means FreeBytes.
+	Free int
+	// held is what was acquired: the size of the buffers beyond Free.
 	held int
 }
 
 // Resize sets the size of the buffers and reports whether the budget allows it. If not, the size stays.
 func (r *Reservation) Resize(bytes int) bool {
-	held := max(0, bytes-FreeBytes)
+	free := r.Free
+	if free == 0 {
+		free = FreeBytes
+	}
+	held := max(0, bytes-free)
 	switch {
 	case r.Budget == nil || held == r.held:
 		return true
