Read no large event ahead of the caller

What callers saw: nothing yet. An engine that sends large events, up to 1 MiB, faster than a caller takes them had the node hold 19 of them for each request. Cause: an attempt reads 16 results ahead of the sink, whatever their size. Change: after an event of more than 1 KiB, an attempt reads on only once the sink has taken it. Measured, TestLargeEventsAreNotReadAhead: 19 events of 100 KiB read while the caller took one or two, at most 3 now; small ones are read ahead as before.

--- a/decisions/dispatcher/attempt.go
+++ b/decisions/dispatcher/attempt.go
@@ -7,13 +7,19 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// resultBufferSize is how many results an attempt may read ahead of the sink.
-const resultBufferSize = 16
+const (
+	// resultBufferSize is how many results an attempt may read ahead of the sink.
+	resultBufferSize = 16
+	// largeEventBytes is the size beyond which an event is not read ahead.
+	largeEventBytes = 1 << 10
+)
 
 // streamResult is an event or error read from an attempt's stream.
 type streamResult struct {
 	event quetzalroad.ChatEvent
 	err   error
+	// handled is closed once the sink has taken a large event; nil for others.
+	handled chan struct{}
 }
 
 // chatAttempt is one attempt on one upstream. A separate goroutine reads the stream, so that the run
@@ -60,7 +66,11 @@
 	}
 	for {
 		event, err := stream.Next()
-		if !a.send(ctx, streamResult{event: event, err: err}) || err != nil {
+		result := streamResult{event: event, err: err}
+		if len(event.Chunk)+len(event.Text) > largeEventBytes {
+			result.handled = make(chan struct{})
+		}
+		if !a.send(ctx, result) || err != nil {
 			break
 		}
 	}
@@ -69,9 +79,18 @@
 	}
 }
 
+// send passes a result on, and waits until it is handled if it is large. It reports whether the attempt goes on.
 func (a *chatAttempt) send(ctx context.Context, result streamResult) bool {
 	select {
 	case a.results <- result:
+	case <-ctx.Done():
+		return false
+	}
+	if result.handled == nil {
+		return true
+	}
+	select {
+	case <-result.handled:
 		return true
 	case <-ctx.Done():
 		return false
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -174,6 +174,9 @@
 
 // handleResult processes one stream result and reports whether the response is complete.
 func (r *chatRun) handleResult(ctx context.Context, a *chatAttempt, result streamResult) (bool, error) {
+	if result.handled != nil {
+		defer close(result.handled)
+	}
 	if result.err != nil && r.finished {
 		return true, nil
 	}
