Bound the memory of events from engines together

What callers saw: some hundred events of engines without end took more memory than a small node has. Cause: an event was bounded by 1 MiB, and nothing bounded their sum. Change: the engine client reserves four times the longest event of a stream from the node's budget for buffers until the stream is closed; a small one takes nothing. An event is bounded by 256 KiB, as on forwarded routes, and an error's body by 16 KiB in place of 64 KiB.

--- a/upstreams/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -20,6 +20,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
@@ -33,17 +34,20 @@
 
 const (
 	// maxEventBytes limits the size of one event of a completion.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
+	// eventCopies is how often an event is in memory while it is decoded.
+	eventCopies = 4
 	// maxErrorBytes limits how much is read of an error response's body.
-	maxErrorBytes = 64 << 10
+	maxErrorBytes = 16 << 10
 	// doneData is the data of the event that ends a completion.
 	doneData = "[DONE]"
 )
 
 // Connector implements quetzalroad.ChatClient.
 type Connector struct {
-	client   httpclient.Client
-	recorder quetzalroad.Recorder
+	client       httpclient.Client
+	recorder     quetzalroad.Recorder
+	bufferBudget quetzalroad.BufferBudget
 }
 
 // Declare implements kernel.Component.
@@ -56,6 +60,7 @@
 func (c *Connector) Build(n *kernel.Node) error {
 	c.client.Open()
 	c.recorder = n.Recorder
+	c.bufferBudget = n.BufferBudget
 	n.ChatClient = c
 	n.AddTask("close engine connections", func(ctx context.Context) error {
 		<-ctx.Done()
@@ -103,6 +108,9 @@
 
 func (c *Connector) attemptError(u quetzalroad.UpstreamName, e *httpclient.Exchange, err error) *quetzalroad.AttemptError {
 	failure := httpclient.NewAttemptError(u, e, err)
+	if errors.Is(err, quetzalroad.ErrBuffersFull) {
+		failure.RetryReason = quetzalroad.RetryBuffersFull
+	}
 	if failure.RetryReason == quetzalroad.RetryReadTimeout {
 		c.client.CloseIdleConnections()
 	}
@@ -131,13 +139,15 @@
 	connector *Connector
 	upstream  quetzalroad.UpstreamName
 	exchange  *httpclient.Exchange
+	body      *bufferer.BlockReader
 	next      func() (sse.Event, error, bool)
 	stop      func()
 }
 
 func newStream(c *Connector, u quetzalroad.UpstreamName, e *httpclient.Exchange) *stream {
-	s := &stream{connector: c, upstream: u, exchange: e}
-	s.next, s.stop = iter.Pull2(sse.Read(e.Response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	body := &bufferer.BlockReader{Src: e.Response.Body, Copies: eventCopies, Reservation: bufferer.Reservation{Budget: c.bufferBudget}}
+	s := &stream{connector: c, upstream: u, exchange: e, body: body}
+	s.next, s.stop = iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
 	return s
 }
 
@@ -168,6 +178,7 @@
 func (s *stream) Close() error {
 	s.exchange.Close()
 	s.stop()
+	s.body.Reservation.Release()
 	return nil
 }
 
