Bound the memory of messages from other nodes together

What a node did: sixteen peers that sent messages without end, as callers or in their answers, took more memory than a small node has. Cause: each connection buffered a message up to 64 MiB, several times over, and nothing bounded their sum. Change: a connection reserves four times its longest message from a budget of 24 MiB for all connections of a transport, and is closed if the budget is used up.

--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -16,10 +16,12 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 )
 
 // maxMessageBytes limits the size of a message; snapshots are the largest.
-const maxMessageBytes = 64 << 20
+const maxMessageBytes = maxBufferedBytes / messageCopies
 
 // Manager dials, serves and closes connections. Set its exported fields before first use.
 type Manager struct {
@@ -31,6 +33,10 @@
 	// IdleTimeout is the time after which a connection without messages is closed.
 	IdleTimeout time.Duration
 
+	// budget is for the messages of all connections. budgetOnce sets its size.
+	budget     bufferer.Budget
+	budgetOnce sync.Once
+
 	mu sync.Mutex
 	// conns holds at most one open connection per peer; guarded by mu.
 	conns map[netip.AddrPort]*peerConn
@@ -43,6 +49,12 @@
 	conn *drpcconn.Conn
 }
 
+// meter has a new connection reserve memory for its messages.
+func (m *Manager) meter(conn net.Conn) net.Conn {
+	m.budgetOnce.Do(func() { m.budget.MaxBytes = maxBufferedBytes })
+	return newMeteredConn(conn, &m.budget)
+}
+
 func (m *Manager) drpcOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		InactivityTimeout: m.IdleTimeout,
@@ -69,7 +81,7 @@
 			}
 			return err
 		}
-		connections.Go(func() { m.serveConn(ctx, rpc, conn) })
+		connections.Go(func() { m.serveConn(ctx, rpc, m.meter(conn)) })
 	}
 }
 
@@ -165,6 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = m.meter(conn)
 	if m.Key != "" {
 		if err := dialerHandshake(conn, []byte(m.Key), m.DialTimeout); err != nil {
 			return nil, errors.CombineErrors(err, conn.Close())
