Bound the memory of all responses of the log together

What a node did: with the log sending bytes without end to four readers, the heap grew beyond a small node's memory. And sound records that are larger than a response may be were never read: the response was cut off in silence, failed to decode, and the same read was made again. Cause: each response was read up to 64 MiB, and nothing bounded their sum. Change: a response of at most 12 MiB, within a budget of 24 MiB for all of the log's; after one that is longer, the read asks for an eighth of the records, down to one.

--- a/state/logclient/client.go
+++ b/state/logclient/client.go
@@ -13,7 +13,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +24,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
@@ -39,8 +39,11 @@
 const (
 	// maxReadRecords is the maximum number of records requested by one read.
 	maxReadRecords = 500
-	// maxResponseBytes is the number of bytes at which a response body is cut off.
-	maxResponseBytes = 64 << 20
+	// limitDivisor reduces the number of records after a read whose response was too long.
+	limitDivisor = 8
+	// maxResponseBytes limits the size of a response body, and maxBufferedBytes the memory of all that are being read.
+	maxResponseBytes = 12 << 20
+	maxBufferedBytes = 24 << 20
 	// readTimeoutMargin is the timeout of a read in addition to its wait.
 	readTimeoutMargin = time.Second
 )
@@ -52,6 +55,7 @@
 	recorder    quetzalroad.Recorder
 	http        http.Client
 	transport   *http.Transport
+	budget      bufferer.Budget
 }
 
 // Declare implements kernel.Component.
@@ -66,6 +70,7 @@
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	c.transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpclient.MaxResponseHeadBytes}
 	c.http.Transport = c.transport
+	c.budget.MaxBytes = maxBufferedBytes
 	n.Log = c
 	return nil
 }
@@ -99,14 +104,20 @@
 	return quetzalroad.Offset(response.Offset), nil
 }
 
-// Read implements quetzalroad.Log.
+// Read implements quetzalroad.Log. If the records don't fit into one response, it asks for fewer.
 func (c *Client) Read(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.Record, quetzalroad.StreamBounds, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
-	query := "?from=" + strconv.FormatInt(int64(from), 10) + "&wait=" + wait.String() + "&limit=" + strconv.Itoa(maxReadRecords)
 	var response readResponse
-	if err := c.do(ctx, http.MethodGet, c.url(s, query), nil, &response); err != nil {
-		return nil, quetzalroad.StreamBounds{}, err
+	for limit := maxReadRecords; ; limit = max(1, limit/limitDivisor) {
+		query := "?from=" + strconv.FormatInt(int64(from), 10) + "&wait=" + wait.String() + "&limit=" + strconv.Itoa(limit)
+		err := c.do(ctx, http.MethodGet, c.url(s, query), nil, &response)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, bufferer.ErrTooLong) || limit == 1 {
+			return nil, quetzalroad.StreamBounds{}, err
+		}
 	}
 	records := make([]quetzalroad.Record, len(response.Records))
 	for i, r := range response.Records {
@@ -130,7 +141,9 @@
 		return err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	reservation := bufferer.Reservation{Budget: &c.budget}
+	defer reservation.Release()
+	data, err := reservation.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
