Read no more than 4 MiB of a list of VMs

What a node did: it read a list without end up to 16 MiB, which allocated 36 MB each time, and cut a longer one off in silence. Change: a list of more than 4 MiB, some 25,000 VMs, is an error.

--- a/state/vmclient/client.go
+++ b/state/vmclient/client.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +21,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
@@ -33,8 +33,8 @@
 	})
 }
 
-// maxResponseBytes is the number of bytes at which a response body is cut off.
-const maxResponseBytes = 16 << 20
+// maxResponseBytes limits the size of a response body.
+const maxResponseBytes = 4 << 20
 
 // Client implements quetzalroad.VMList over HTTP. It polls the list and marks
 // upstreams whose VMs the platform reports as leaving.
@@ -103,7 +103,7 @@
 		c.recorder.CountReceived(quetzalroad.ControlVMs, len(etag))
 		return cachedVMs, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := new(bufferer.Reservation).ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
