Allocate request bodies as they arrive

What callers could do: 200 that announce a body of 4 MiB, the default bound, and send a byte of it had the node allocate 803 MB. Cause: the buffer was allocated by the announced length. Change: no more than 16 KiB is allocated ahead; the buffer grows with what arrives. Open: bodies that do arrive are bounded each, and in time by body-timeout, but not all together.

--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -1,8 +1,8 @@
 package forwardserver
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -125,6 +125,9 @@
 	return nil
 }
 
+// maxPreallocatedBytes is how much of an announced body is allocated before it arrives, as a caller may not send it.
+const maxPreallocatedBytes = 16 << 10
+
 // readBody reads the whole body, so that a retry can send it again.
 func (x *exchange) readBody() error {
 	limit := x.server.defaultMaxBodyBytes
@@ -141,14 +144,12 @@
 	if err := x.controller.SetReadDeadline(time.Now().Add(x.server.bodyTimeout)); err != nil {
 		return err
 	}
-	body := http.MaxBytesReader(x.writer, x.request.Body, int64(limit))
-	var err error
-	if n := x.request.ContentLength; n > 0 {
-		x.forwardRequest.Body = make([]byte, n)
-		_, err = io.ReadFull(body, x.forwardRequest.Body)
-	} else {
-		x.forwardRequest.Body, err = io.ReadAll(body)
+	var body bytes.Buffer
+	if announced := x.request.ContentLength; announced > 0 {
+		body.Grow(int(min(announced, maxPreallocatedBytes)) + bytes.MinRead)
 	}
+	_, err := body.ReadFrom(http.MaxBytesReader(x.writer, x.request.Body, int64(limit)))
+	x.forwardRequest.Body = body.Bytes()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
