--- a/proofs/prover/endlessservice_test.go
+++ b/proofs/prover/endlessservice_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"io"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/quetzalroad/quetzalroad/decisions/bufferlimiter"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/recorder"
 	"github.com/quetzalroad/quetzalroad/upstreams/serviceconnector"
 )
 
@@ -57,7 +59,7 @@
 // buildComponents builds components with their default settings, each with those before it.
 func buildComponents(t *testing.T, components ...kernel.Component) {
 	t.Helper()
-	node := &kernel.Node{Logger: slog.New(slog.DiscardHandler)}
+	node := &kernel.Node{Logger: slog.New(slog.DiscardHandler), Vars: new(expvar.Map)}
 	for _, c := range components {
 		c.Declare(new(configloader.Section))
 		if err := c.Build(node); err != nil {
@@ -101,3 +103,35 @@
 		}
 	})
 }
+
+// What surrounds a body is bounded, too: each call ends long before its time is up.
+func TestEndlessFramingEndsTheCall(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ head, text string }{
+		"bytes that are no response": {"", "x"},
+		"header line":                {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"header lines":               {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational responses":    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"chunk size":                 {chunked, "0"},
+		"chunk extension":            {chunked + "1;", "x"},
+		"chunks with extensions":     {chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		"trailer":                    {chunked + "0\r\n", "A: b\r\n"},
+		"body":                       {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"body, length a lie":         {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startEndlessServer(t, c.head, c.text, 1<<40)
+			connector := new(serviceconnector.Connector)
+			buildComponents(t, new(recorder.Recorder), new(bufferlimiter.Limiter), connector)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			request := &quetzalroad.ServiceRequest{Method: http.MethodGet, Path: "/"}
+			if _, err := connector.Call(ctx, u, request); err == nil || ctx.Err() != nil {
+				t.Errorf("call: error %v, context %v", err, ctx.Err())
+			}
+			if _, err := connector.FetchLoadReport(ctx, u); err == nil || ctx.Err() != nil {
+				t.Errorf("load report: error %v, context %v", err, ctx.Err())
+			}
+		})
+	}
+}
--- a/upstreams/forwardclient/bounds_test.go
+++ b/upstreams/forwardclient/bounds_test.go
@@ -66,6 +66,34 @@
 	}
 }
 
+// What surrounds the chunks of a response's own body is bounded as well.
+func TestEndlessFramingEndsTheAttempt(t *testing.T) {
+	for name, endless := range map[string]struct{ begin, repeated string }{
+		"chunk size":             {"", "0"},
+		"chunk extension":        {"1;", "a"},
+		"chunks with extensions": {"", "1;" + strings.Repeat("a", 1000) + "\r\na\r\n"},
+		"trailer":                {"0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, u := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err == nil {
+					writeString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+endless.begin)
+					writeWithoutEnd(c, endless.repeated)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			response, err := newClient(t).Send(ctx, newAttempt(u, "1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := readBody(response); err == nil || ctx.Err() != nil {
+				t.Errorf("%d bytes, error %v, context %v", len(body), err, ctx.Err())
+			}
+		})
+	}
+}
+
 // The statement that the request was not run holds whatever follows it, and is passed on at once.
 func TestEndlessBodyOfNotRunResponseIsNotAwaited(t *testing.T) {
 	for name, pause := range map[string]time.Duration{"fast": 0, "a byte now and then": 5 * time.Millisecond} {
