Cut off long texts in log lines

What a node did: a server that sends a status line of 15 KB had a log line of 77 KB written, which quotes it; 2,048 such lines may wait to be written, 239 MB. Cause: the text of an error quotes what a server sent, and was logged whole. Change: a text of more than 1 KiB in a log line is cut off. Measured, TestQueuedLinesWithLongErrorsTakeLittleMemory: 239 MB queued before; the bound, which holds now, is a tenth of 284 MB.

--- a/support/logger/logger.go
+++ b/support/logger/logger.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	infoLinesPerSecond = 450
 	// closeTimeout bounds the wait for queued lines to be written on Close.
 	closeTimeout = 300 * time.Millisecond
+	// maxTextBytes limits the length of a text in a line. An error's may quote what a server sent.
+	maxTextBytes = 1 << 10
 )
 
 // AsyncWriter writes whole lines in a goroutine of its own.
@@ -44,22 +47,39 @@
 func New(out io.Writer, level slog.Level) (*slog.Logger, *AsyncWriter) {
 	w := &AsyncWriter{out: out, lines: make(chan []byte, queueSize), done: make(chan struct{})}
 	go w.writeLoop()
-	inner := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: formatDuration})
+	inner := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: formatAttr})
 	return slog.New(&rateLimitHandler{Handler: inner, writer: w}), w
 }
 
-// formatDuration formats durations with their unit.
-func formatDuration(_ []string, a slog.Attr) slog.Attr {
-	if a.Value.Kind() == slog.KindDuration {
-		text := "never"
-		if d := a.Value.Duration(); d != boottimer.Never {
-			text = d.Round(time.Microsecond).String()
+// formatAttr formats durations with their unit, and cuts off long texts.
+func formatAttr(_ []string, a slog.Attr) slog.Attr {
+	switch a.Value.Kind() {
+	case slog.KindDuration:
+		a.Value = slog.StringValue(formatDuration(a.Value.Duration()))
+	case slog.KindString:
+		a.Value = slog.StringValue(cutText(a.Value.String()))
+	case slog.KindAny:
+		if err, ok := a.Value.Any().(error); ok {
+			a.Value = slog.StringValue(cutText(err.Error()))
 		}
-		a.Value = slog.StringValue(text)
 	}
 	return a
 }
 
+func formatDuration(d time.Duration) string {
+	if d == boottimer.Never {
+		return "never"
+	}
+	return d.Round(time.Microsecond).String()
+}
+
+func cutText(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "…"
+}
+
 func (w *AsyncWriter) writeLoop() {
 	defer close(w.done)
 	for line := range w.lines {
--- a/support/logger/logger_test.go
+++ b/support/logger/logger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"strings"
 	"testing"
@@ -99,3 +100,42 @@
 		synctest.Wait()
 	})
 }
+
+// stuckWriter takes nothing until it is closed.
+type stuckWriter chan struct{}
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w
+	return len(p), nil
+}
+
+// The text of an error may quote many bytes that a server sent, and thousands of lines may wait to be written.
+func TestQueuedLinesWithLongErrorsTakeLittleMemory(t *testing.T) {
+	const (
+		textBytes = 15 << 10
+		// maxQueueBytes is a tenth of the memory of the smallest node.
+		maxQueueBytes = 284 << 20 / 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		out := make(stuckWriter)
+		log, w := New(out, slog.LevelInfo)
+		err := errors.New(strings.Repeat("\x00", textBytes))
+		for range queueSize {
+			log.Warn("attempt failed", "error", err, "text", "é"+strings.Repeat("é", textBytes))
+			time.Sleep(time.Second / linesPerSecond)
+		}
+		queued := 0
+		for len(w.lines) > 0 {
+			line := <-w.lines
+			parseLines(t, string(line))
+			queued += len(line)
+		}
+		if queued > maxQueueBytes {
+			t.Errorf("%d MB are queued, want at most %d MB", queued>>20, maxQueueBytes>>20)
+		}
+		close(out)
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
