--- a/proofs/prover/streambytes_test.go
+++ b/proofs/prover/streambytes_test.go
@@ -99,6 +99,10 @@
 	// respond returns the bytes of a response, from the number of requests before it and the event to resume after.
 	// It is set before each request.
 	respond func(before int, request *http.Request, resumeAfter int) string
+	// hold keeps connections open after the response until it is closed; nil closes them at once.
+	hold chan struct{}
+	// repeated follows each response without end; empty for nothing.
+	repeated string
 }
 
 func newStreamFixture(t *testing.T) *streamFixture {
@@ -168,8 +172,17 @@
 		return
 	}
 	resumeAfter, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	// The node may have closed the connection.
-	_, _ = io.WriteString(c, x.respond(int(x.received.Add(1))-1, request, resumeAfter))
+	response := strings.NewReader(x.respond(int(x.received.Add(1))-1, request, resumeAfter))
+	// Small parts, so that this side keeps no copy of a large response. The node may have closed the connection.
+	_, _ = io.CopyBuffer(struct{ io.Writer }{c}, struct{ io.Reader }{response}, make([]byte, 1<<10))
+	for x.repeated != "" {
+		if _, err := io.WriteString(c, x.repeated); err != nil {
+			return
+		}
+	}
+	if x.hold != nil {
+		<-x.hold
+	}
 }
 
 // forward sends a request for a stream and returns what the caller got, and the refusal, if any.
