--- a/decisions/dispatcher/buffers_test.go
+++ b/decisions/dispatcher/buffers_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -11,11 +13,19 @@
 	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
-// emptyBudget is a budget of which nothing is left.
-type emptyBudget struct{}
+// countingBudget is a budget with a number of bytes left. Only one request uses it at a time.
+type countingBudget struct{ left, taken int }
 
-func (emptyBudget) Acquire(int) bool { return false }
-func (emptyBudget) Release(int)      {}
+func (b *countingBudget) Acquire(n int) bool {
+	if n > b.left {
+		return false
+	}
+	b.left -= n
+	b.taken += n
+	return true
+}
+
+func (b *countingBudget) Release(n int) { b.left += n }
 
 // When many endless responses have used up the budget, small responses are still held until they are complete, and
 // large ones reach their callers whole.
@@ -34,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
-				x.node.BufferBudget = emptyBudget{}
+				x.node.BufferBudget = new(countingBudget)
 				x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
 					response := &faker.ScriptedResponse{Interrupted: c.interrupted && len(x.Sent()) == 1}
 					for range c.chunks {
@@ -54,3 +64,36 @@
 		})
 	}
 }
+
+// A budget of which requests keep a part is used up some day.
+func TestRequestsReturnTheBufferBudgetThatTheyTook(t *testing.T) {
+	const budgetBytes = 1 << 20
+	chunk := quetzalroad.BodyChunk{Data: bytes.Repeat([]byte("x"), 16<<10)}
+	for name, c := range map[string]struct {
+		chunks      int
+		interrupted bool
+	}{"whole": {4, false}, "broken off": {4, true}, "relayed unbuffered": {40, false}, "broken off then": {40, true}} {
+		t.Run(name, func(t *testing.T) {
+			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
+				budget := &countingBudget{left: budgetBytes}
+				x.node.BufferBudget = budget
+				x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+					return &faker.ScriptedResponse{Interrupted: c.interrupted, Chunks: slices.Repeat([]quetzalroad.BodyChunk{chunk}, c.chunks)}, nil
+				}
+				if _, refusal := x.forward(t.Context(), newForwardRequest("safe")); (refusal != nil) != c.interrupted {
+					t.Errorf("refusal %v", refusal)
+				}
+				if budget.left != budgetBytes || budget.taken == 0 {
+					t.Errorf("%d bytes left of %d, %d taken", budget.left, budgetBytes, budget.taken)
+				}
+			})
+		})
+	}
+	t.Run("completion", func(t *testing.T) {
+		budget := &countingBudget{left: budgetBytes}
+		engine := &scriptedEngine{event: quetzalroad.ChatEvent{Text: string(chunk.Data), Tokens: 1}, events: 8, budget: budget}
+		if err := runChat(t, engine, new(slowSink), time.Hour); err != nil || budget.left != budgetBytes || budget.taken == 0 {
+			t.Errorf("%d bytes left of %d, %d taken; error %v", budget.left, budgetBytes, budget.taken, err)
+		}
+	})
+}
--- a/decisions/dispatcher/endlesschat_test.go
+++ b/decisions/dispatcher/endlesschat_test.go
@@ -23,6 +23,8 @@
 	events int
 	// stalls keeps a stream open after its events.
 	stalls bool
+	// budget is that of the node; nil leaves the default.
+	budget quetzalroad.BufferBudget
 	// read counts the events that were read of all streams.
 	read int
 }
@@ -31,6 +33,9 @@
 
 func (e *scriptedEngine) Build(n *kernel.Node) error {
 	n.ChatClient = e
+	if e.budget != nil {
+		n.BufferBudget = e.budget
+	}
 	return nil
 }
 
--- a/peers/connmanager/bounds_test.go
+++ b/peers/connmanager/bounds_test.go
@@ -32,6 +32,16 @@
 	<-ctx.Done()
 }
 
+// awaitWholeBudget fails the test if closed connections keep a part of the budget.
+func awaitWholeBudget(t *testing.T, m *Manager) {
+	t.Helper()
+	for giveUp := time.Now().Add(10 * time.Second); !m.budget.Acquire(maxBufferedBytes); time.Sleep(time.Millisecond) {
+		if time.Now().After(giveUp) {
+			t.Fatal("closed connections hold a part of the budget")
+		}
+	}
+}
+
 // Several peers that sent messages without end, as callers or in their answers, used up the memory of a node.
 func TestEndlessMessagesDoNotUseUpTheMemory(t *testing.T) {
 	const (
@@ -95,6 +105,8 @@
 				time.Sleep(5 * time.Millisecond)
 				peak = max(peak, heap())
 			}
+			manager.closeAll()
+			awaitWholeBudget(t, manager)
 			used := int64(peak) - int64(before)
 			t.Logf("%d MB at the peak", used>>20)
 			if used > maxPeerHeapBytes {
