Check each byte of a stream in the soak, and resume broken ones

Cause: the soak's check of order read whole events only. Garbage at the end of a stream that broke off, an id without its field and one with a sign passed, comments didn't, and no caller resumed a stream itself. Change: a stream consists of the exact events, comments aside; what follows the last one has to begin the next. Callers of resumable routes resume a stream that broke off with Last-Event-Id, and its events have to follow those that the caller has, so that the joined stream is checked. Tests: TestCheckReportsWhatIsNoEventOfAStream, TestCallersResumeStreamsThatBrokeOff.

--- a/cmd/quetzalemu/requester/requester.go
+++ b/cmd/quetzalemu/requester/requester.go
@@ -30,6 +30,8 @@
 	PromptPrefix string
 	// Events is the number of events to request from a stream; zero sends a plain request.
 	Events int
+	// LastEventID is the id of the event after which the caller resumes a stream; zero if it begins one.
+	LastEventID int
 	// Timeout is how long the caller waits for the response.
 	Timeout time.Duration
 }
@@ -103,6 +105,9 @@
 		}
 		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 3000,%d\r\nPrompt-Prefix: %s\r\n", request.Events, prefix)
 	}
+	if request.LastEventID > 0 {
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", request.LastEventID)
+	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(request.Body), request.Body)
 	return b.Bytes()
 }
@@ -144,20 +149,38 @@
 	c.conn, c.reader = nil, nil
 }
 
-// EventIDs returns the ids of the complete events in a stream, and the text after the last one.
+// EventIDs returns the ids of the complete events in a stream, and the text after the last one. It leaves out
+// comments, which are no events.
 func EventIDs(body string) (ids []int, rest string, err error) {
-	rest = body
+	rest = withoutComments(body)
 	for {
+		rest = strings.TrimLeft(rest, "\n")
 		event, after, found := strings.Cut(rest, "\n\n")
 		if !found {
 			return ids, rest, nil
 		}
-		first, data, _ := strings.Cut(event, "\n")
-		id, err := strconv.Atoi(strings.TrimPrefix(first, "id: "))
-		if err != nil || data != fmt.Sprintf("data: piece %d", id) {
+		idLine, _, _ := strings.Cut(event, "\n")
+		id, err := strconv.Atoi(strings.TrimPrefix(idLine, "id: "))
+		if err != nil || event+"\n\n" != EncodeEvent(id) {
 			return ids, rest, errors.Newf("malformed event %q", event)
 		}
 		ids = append(ids, id)
 		rest = after
 	}
 }
+
+// EncodeEvent returns the event with an id in every stream.
+func EncodeEvent(id int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+}
+
+// withoutComments returns a stream without the lines that are comments.
+func withoutComments(body string) string {
+	var b strings.Builder
+	for line := range strings.Lines(body) {
+		if !strings.HasPrefix(line, ":") {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
--- a/cmd/quetzalsoak/checker/checker_test.go
+++ b/cmd/quetzalsoak/checker/checker_test.go
@@ -28,6 +28,40 @@
 	e.Events, e.Response.Body, e.Complete, e.Class = events, body, complete, Class{Name: "draft", Retryable: true}
 }
 
+func TestCheckReportsWhatIsNoEventOfAStream(t *testing.T) {
+	const one, two, three = "id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n", "id: 3\ndata: piece 3\n\n"
+	for _, test := range []struct {
+		name, rule, body string
+		resumedAfter     int
+		complete         bool
+	}{
+		{"all events", "", one + two + three, 0, true},
+		{"comments among all events", "", ": begin\n\n" + one + ": x\n\n" + two + ": x\n" + three + ": end\n", 0, true},
+		{"a comment in place of an event", "order", one + ": x\n\n" + three, 0, true},
+		{"comments alone", "order", ": x\n\n: x\n\n", 0, true},
+		{"an event without an id", "order", one + "data: piece 2\n\n", 0, false},
+		{"an id without its field", "order", one + "2\ndata: piece 2\n\n", 0, false},
+		{"an id with a sign", "order", "id: +1\ndata: piece 1\n\n", 0, false},
+		{"text before the first event", "order", "service unavailable\n\n" + one, 0, false},
+		{"text at the end of a broken stream", "order", one + "service unav", 0, false},
+		{"text after all events", "order", one + two + three + "service unavailable", 0, true},
+		{"the beginning of another event at the end", "order", one + "id: 3", 0, false},
+		{"the rest of a stream", "", two + three, 1, true},
+		{"a part of the rest of a stream", "", two + "id: 3\nda", 1, false},
+		{"nothing after all events", "", "", 3, true},
+		{"an event that the caller has", "order", one + two + three, 1, true},
+		{"a gap after the caller's last event", "order", three, 1, true},
+		{"a rest that ended too early", "order", two, 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			checkViolations(t, test.rule, func(_ *Checker, e *Exchange, _ *Arrival) {
+				setStream(e, test.body, 3, test.complete)
+				e.LastEventID = test.resumedAfter
+			})
+		})
+	}
+}
+
 func TestCheckReportsEachViolation(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/cmd/quetzalsoak/checker/rules.go
+++ b/cmd/quetzalsoak/checker/rules.go
@@ -109,22 +109,27 @@
 	}
 }
 
-// checkStream checks that the events of a stream are in order without gaps, and
-// that a stream that ended normally has all of them.
+// checkStream checks that the events of a stream follow the last one that the caller had, in order without gaps and
+// with nothing else between or after them, and that a stream that ended normally has all of them.
 func checkStream(e Exchange, report reportFunc) {
 	ids, rest, err := requester.EventIDs(e.Response.Body)
 	if err != nil {
-		report("order", e.ID, "%v", err)
+		report("order", e.ID, "%v after %d events, resumed after %d", err, len(ids), e.LastEventID)
 		return
 	}
-	for i, id := range ids {
-		if id != i+1 {
-			report("order", e.ID, "event %d at position %d", id, i+1)
+	last := e.LastEventID
+	for _, id := range ids {
+		if id != last+1 {
+			report("order", e.ID, "event %d after event %d", id, last)
 			return
 		}
+		last = id
 	}
-	if e.Complete && (len(ids) != e.Events || rest != "") {
-		report("order", e.ID, "stream ended normally after %d of %d events, with trailing data %q", len(ids), e.Events, rest)
+	switch {
+	case e.Complete && (last != e.Events || rest != ""):
+		report("order", e.ID, "stream ended normally after event %d of %d, with trailing data %q", last, e.Events, rest)
+	case !strings.HasPrefix(requester.EncodeEvent(last+1), rest):
+		report("order", e.ID, "stream broke off after event %d in %q, which begins no event", last, rest)
 	}
 }
 
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -54,8 +55,12 @@
 	nodeIndex := callerIndex % len(l.Nodes)
 	caller := requester.Caller{Address: l.Nodes[nodeIndex].CallerAddress}
 	defer caller.Close()
+	var last checker.Exchange
 	for ctx.Err() == nil {
-		exchange := l.newExchange(random, nodeIndex)
+		exchange, resumes := l.resumeStream(last, nodeIndex)
+		if !resumes {
+			exchange = l.newExchange(random, nodeIndex)
+		}
 		response, err := caller.Do(exchange.Request)
 		if err != nil {
 			time.Sleep(reconnectDelay)
@@ -67,6 +72,7 @@
 		exchange.Response = response
 		exchange.KeyRevokedAt = l.KeyRevokedAt(exchange.APIKey)
 		l.Checker.RecordExchange(exchange)
+		last = exchange
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanPause)))
 	}
 }
@@ -82,12 +88,28 @@
 	return first
 }
 
+// resumeStream returns a request to a node for the rest of a stream that broke off, or false if there is none.
+func (l *loadGenerator) resumeStream(last checker.Exchange, nodeIndex int) (checker.Exchange, bool) {
+	if !last.Class.Retryable || last.Events == 0 || last.Complete || last.Status != http.StatusOK {
+		return checker.Exchange{}, false
+	}
+	ids, _, err := requester.EventIDs(last.Response.Body)
+	if err != nil || len(ids) == 0 {
+		return checker.Exchange{}, false
+	}
+	resumed := checker.Exchange{Request: last.Request, Class: last.Class, Node: nodeIndex, Team: last.Team}
+	resumed.ID, resumed.LastEventID = l.newID(), ids[len(ids)-1]
+	return resumed, true
+}
+
+func (l *loadGenerator) newID() string { return fmt.Sprintf("r%d", l.requestCount.Add(1)) }
+
 // newExchange returns a random request to a node.
 func (l *loadGenerator) newExchange(random *rand.Rand, nodeIndex int) checker.Exchange {
 	class := deployer.Classes[random.IntN(len(deployer.Classes))]
 	key := l.PickKey(random.IntN(1 << 20))
 	request := requester.Request{
-		ID: fmt.Sprintf("r%d", l.requestCount.Add(1)), Method: class.Method, Path: "/" + class.Name + "/", Host: deployer.Host, APIKey: key,
+		ID: l.newID(), Method: class.Method, Path: "/" + class.Name + "/", Host: deployer.Host, APIKey: key,
 		Events: class.EventCount, Timeout: class.Timeout + callerTimeoutMargin,
 	}
 	if class.Name == "booking" {
--- a/cmd/quetzalsoak/runner/runner.go
+++ b/cmd/quetzalsoak/runner/runner.go
@@ -107,6 +107,8 @@
 type seedResult struct {
 	plotter.Run
 	servedCount int
+	// resumedCount is how many of the requests resumed a stream that had broken off.
+	resumedCount int
 }
 
 // runSeed runs one seed, prints its result, and returns the violations. It keeps the logs only if there are any.
@@ -135,7 +137,7 @@
 
 func printResult(o options, r seedResult, directory string) error {
 	servedPercent := 100 * float64(r.servedCount) / float64(max(1, len(r.Exchanges)))
-	if _, err := fmt.Fprintf(o.streams.Out, "seed %d: %d faults, %d requests, %.1f%% served, %d violations\n", r.Seed, len(r.Faults), len(r.Exchanges), servedPercent, len(r.Violations)); err != nil {
+	if _, err := fmt.Fprintf(o.streams.Out, "seed %d: %d faults, %d requests, %d resumed, %.1f%% served, %d violations\n", r.Seed, len(r.Faults), len(r.Exchanges), r.resumedCount, servedPercent, len(r.Violations)); err != nil {
 		return err
 	}
 	if len(r.Violations) == 0 {
@@ -195,11 +197,23 @@
 	group.Wait()
 	r.Exchanges = d.Checker.Exchanges()
 	r.servedCount = checkRecovery(d.Checker, r.Exchanges, faultsEnded.Add(recoveryTimeout))
+	r.resumedCount = countResumed(r.Exchanges)
 	checkLogs(d)
 	r.Violations = d.Checker.Check()
 	return r, ctx.Err()
 }
 
+// countResumed returns how many requests resumed a stream.
+func countResumed(exchanges []checker.Exchange) int {
+	resumed := 0
+	for _, e := range exchanges {
+		if e.LastEventID > 0 {
+			resumed++
+		}
+	}
+	return resumed
+}
+
 // checkRecovery checks that requests are served again after the recovery, and
 // returns how many were served in the whole run.
 func checkRecovery(c *checker.Checker, exchanges []checker.Exchange, recoveredBy time.Time) int {
--- a/cmd/quetzalsoak/runner/runner_test.go
+++ b/cmd/quetzalsoak/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/checker"
 	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
@@ -46,6 +51,32 @@
 	}
 }
 
+func TestCallersResumeStreamsThatBrokeOff(t *testing.T) {
+	const events = "id: 4\ndata: piece 4\n\n: comment\n\nid: 5\ndata: piece 5\n\nid: 6\nda"
+	broken := checker.Exchange{
+		Request: requester.Request{ID: "r0", Events: 20, LastEventID: 3}, Response: requester.Response{Status: http.StatusOK, Body: events},
+		Class: checker.Class{Name: "draft", Retryable: true}, Node: 1, Team: "team",
+	}
+	resumed, ok := new(loadGenerator).resumeStream(broken, 2)
+	want := checker.Exchange{Request: requester.Request{ID: "r1", Events: 20, LastEventID: 5}, Class: broken.Class, Node: 2, Team: "team"}
+	if diff := cmp.Diff(want, resumed); !ok || diff != "" {
+		t.Errorf("resumed: %v (-want +got):\n%s", ok, diff)
+	}
+	for name, modify := range map[string]func(e *checker.Exchange){
+		"complete":       func(e *checker.Exchange) { e.Complete = true },
+		"refused":        func(e *checker.Exchange) { e.Status = http.StatusServiceUnavailable },
+		"not resumable":  func(e *checker.Exchange) { e.Class.Retryable = false },
+		"without events": func(e *checker.Exchange) { e.Response.Body = "id: 4\nda" },
+		"garbled":        func(e *checker.Exchange) { e.Response.Body += "x\n\n" },
+	} {
+		other := broken
+		modify(&other)
+		if _, ok := new(loadGenerator).resumeStream(other, 2); ok {
+			t.Errorf("%s: the stream is resumed", name)
+		}
+	}
+}
+
 // TestFailedSeedsHaveACause checks that each line of seeds.txt is a seed followed
 // by the cause of its failure, as DEVELOPERS.md requires.
 func TestFailedSeedsHaveACause(t *testing.T) {
