Let the stand-in of a server garble its responses

Change: a fault of the stand-in. It draws each response from a seed: bytes that are no event (28 forms), at each place of a stream, framed by a length, by chunks or not at all, with the type of event streams, another or none; a comment now and then, which replaces no event; heads that are none; plain responses that their framing shows to be garbled, or with bytes after them. Nothing is drawn that could pass for the true response. Tests: garbled responses repeat by seed, all forms are drawn, and each shows that it is garbled (5000 draws).

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -24,6 +24,9 @@
 	MismatchResponses bool
 	// Endless makes the server repeat a part of each response without end.
 	Endless EndlessPart
+	// Garble makes the server send bytes that are no response, or no event of the stream, in place of its responses
+	// or among their events.
+	Garble GarbleSeed
 	// RejectAll makes the server reject every request and mark it as not executed.
 	RejectAll bool
 	// RetryAfter is how long the server asks a node whose request it rejects to send it nothing; zero for no
@@ -80,13 +83,15 @@
 	cancelledStreams int
 	deadlyPhase      DeadlyPhase
 	lastHeader       http.Header
+	// garbledCount is the number of responses that were garbled since the faults were set.
+	garbledCount uint64
 }
 
 // SetFaults replaces the injected faults.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	s.faults, s.garbledCount = f, 0
 }
 
 // ExecutionCounts returns how often each request was executed, by request id.
@@ -219,6 +224,9 @@
 	case faults.Endless != "":
 		s.writeEndless(w, faults.Endless, id)
 		return
+	case faults.Garble != 0:
+		s.writeGarbled(w, r, id, body, faults.Garble)
+		return
 	case faults.MismatchResponses:
 		s.writeMismatchedResponse(w, r, id, completeBody(r, body))
 		return
