--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -122,6 +122,17 @@
 	deadlyPrefix string
 }
 
+// ServersOfStreams returns the servers that respond with streams, or the others.
+func (d *Deployment) ServersOfStreams(streams bool) []*Server {
+	var servers []*Server
+	for _, s := range d.Servers {
+		if (s.Service == EngineService) == streams {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // Options configure a deployment.
 type Options struct {
 	// NodeProgram is the path of the node's executable, and SettingsTemplate that of its settings template.
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -65,16 +65,9 @@
 		i.disruptLink(ctx, f, server.Proxy)
 	case scheduler.StoreBusy, scheduler.StoreUnresponsive, scheduler.StoreCompaction, scheduler.StoreRestore:
 		i.injectStoreFault(ctx, f)
-	case scheduler.ServerLosesResponses, scheduler.ServerInterruptsStreams, scheduler.ServerRespondsTwice, scheduler.ServerFull:
-		i.recordDisruption(allNodes, f, now.Add(f.Duration))
-		server.SetFaults(serverFaults[f.Kind])
-		i.sleep(ctx, f.Duration)
-		server.SetFaults(backendserver.Faults{})
-	case scheduler.ServerSendsEndlessBytes:
-		i.recordDisruption(allNodes, f, now.Add(f.Duration))
-		server.SetFaults(backendserver.Faults{Endless: backendserver.EndlessParts[f.Target%len(backendserver.EndlessParts)]})
-		i.sleep(ctx, f.Duration)
-		server.SetFaults(backendserver.Faults{})
+	case scheduler.ServerLosesResponses, scheduler.ServerInterruptsStreams, scheduler.ServerRespondsTwice, scheduler.ServerFull,
+		scheduler.ServerSendsEndlessBytes, scheduler.ServerGarblesStreams, scheduler.ServerGarblesResponses:
+		i.injectServerFault(ctx, f)
 	case scheduler.ServerDrain:
 		i.DrainServer(ctx, server, f.Duration)
 	case scheduler.ServerCrash:
@@ -97,6 +90,24 @@
 	}
 }
 
+// injectServerFault makes a server respond wrongly, or not at all, which affects all nodes.
+func (i *injector) injectServerFault(ctx context.Context, f scheduler.Fault) {
+	servers, faults := i.Servers, serverFaults[f.Kind]
+	switch f.Kind {
+	case scheduler.ServerSendsEndlessBytes:
+		faults.Endless = backendserver.EndlessParts[f.Target%len(backendserver.EndlessParts)]
+	case scheduler.ServerGarblesStreams, scheduler.ServerGarblesResponses:
+		servers = i.ServersOfStreams(f.Kind == scheduler.ServerGarblesStreams)
+		// A seed of zero garbles nothing.
+		faults.Garble = backendserver.GarbleSeed(f.Target + 1)
+	}
+	server := servers[f.Target%len(servers)]
+	i.recordDisruption(allNodes, f, time.Now().Add(f.Duration))
+	server.SetFaults(faults)
+	i.sleep(ctx, f.Duration)
+	server.SetFaults(backendserver.Faults{})
+}
+
 // injectStoreFault injects one fault of the store, which affects all nodes.
 func (i *injector) injectStoreFault(ctx context.Context, f scheduler.Fault) {
 	if f.Kind == scheduler.StoreCompaction {
--- a/cmd/quetzalsoak/runner/runner_test.go
+++ b/cmd/quetzalsoak/runner/runner_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalemu/requester"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/checker"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalsoak/scheduler"
 	"github.com/quetzalroad/quetzalroad/support/commander"
 )
 
@@ -36,10 +38,16 @@
 	}
 }
 
+// shortSeed is the seed of the short soak, whose schedule has servers that garble streams.
+const shortSeed = 1
+
 func TestShortSoakHasNoViolations(t *testing.T) {
 	var out strings.Builder
 	o := shortOptions(t, &out)
-	violations, err := runSeed(t.Context(), o, 1)
+	if !slices.ContainsFunc(scheduler.Generate(shortSeed, o.faultPeriod), func(f scheduler.Fault) bool { return f.Kind == scheduler.ServerGarblesStreams }) {
+		t.Errorf("seed %d has no %s", shortSeed, scheduler.ServerGarblesStreams)
+	}
+	violations, err := runSeed(t.Context(), o, shortSeed)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -51,6 +51,9 @@
 	ServerAsksForPause   Kind = "server-asks-for-a-pause"
 	DeadlyRequests       Kind = "deadly-requests"
 	LastKeyWithdrawal    Kind = "last-key-taken"
+
+	ServerGarblesStreams   Kind = "server-garbles-streams"
+	ServerGarblesResponses Kind = "server-garbles-answers"
 )
 
 // plannedKinds lists the operations that operators plan, which must not cause any request to fail.
@@ -59,7 +62,7 @@
 // laterPlannedKinds are planned, too, and laterKinds are not. Each has a random sequence of its own.
 var (
 	laterPlannedKinds = []Kind{ServerAnnouncesDrain, LastKeyWithdrawal}
-	laterKinds        = []Kind{ServerAsksForPause, DeadlyRequests}
+	laterKinds        = []Kind{ServerAsksForPause, DeadlyRequests, ServerGarblesStreams, ServerGarblesResponses}
 )
 
 // Kinds lists all kinds of faults.
