--- a/cmd/quetzalemu/backendserver/garbled.go
+++ b/cmd/quetzalemu/backendserver/garbled.go
@@ -79,19 +79,15 @@
 	chunked := x.head("Transfer-Encoding: chunked\r\n")
 	withLength := x.head(fmt.Sprintf("Content-Length: %d\r\n", len(body)))
 	half := body[:len(body)/2]
-	switch x.random.IntN(6) {
-	case 0:
-		return []string{chunked + garbledChunkHeader + body}
-	case 1:
-		return []string{chunked + encodeChunk(half), garbledChunkHeader + body[len(half):]}
-	case 2:
-		return []string{chunked + fmt.Sprintf("-%x\r\n%s\r\n0\r\n\r\n", len(body), body)}
-	case 3:
-		return []string{withLength + half}
-	case 4:
-		return []string{withLength + body, "service unavailable\r\n\r\n"}
+	forms := [][]string{
+		{chunked + garbledChunkHeader + body},
+		{chunked + encodeChunk(half), garbledChunkHeader + body[len(half):]},
+		{chunked + fmt.Sprintf("-%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		{withLength + half},
+		{withLength + body, "service unavailable\r\n\r\n"},
+		{withLength + body, withLength + body},
 	}
-	return []string{withLength + body, withLength + body}
+	return forms[x.random.IntN(len(forms))]
 }
 
 // encodeChunk encodes data as one chunk.
