--- a/cmd/quetzalsoak/scheduler/scheduler_test.go
+++ b/cmd/quetzalsoak/scheduler/scheduler_test.go
@@ -1,6 +1,10 @@
 package scheduler
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +20,24 @@
 	}
 }
 
+// kindsSinceDigest are the kinds that were added since the digest of schedules was made.
+var kindsSinceDigest = []Kind{ServerGarblesStreams, ServerGarblesResponses}
+
+func TestNewKindsLeaveSchedulesOfExistingSeedsAsTheyAre(t *testing.T) {
+	digest := sha256.New()
+	for seed := range uint64(300) {
+		for _, f := range Generate(seed, 20*time.Second) {
+			if !slices.Contains(kindsSinceDigest, f.Kind) {
+				fmt.Fprintln(digest, seed, f)
+			}
+		}
+	}
+	const want = "01b78458e846f2b83d838a8d49a7e683ad927ffddf82d7b7a977e20c287accf3"
+	if diff := cmp.Diff(want, hex.EncodeToString(digest.Sum(nil))); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestAllKindsOccurAndOverlap(t *testing.T) {
 	counts := make(map[Kind]int)
 	overlaps, plannedOnly := 0, 0
