--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -24,6 +24,9 @@
 	MismatchResponses bool
 	// Endless makes the server repeat a part of each response without end.
 	Endless EndlessPart
+	// Garble makes the server send bytes that are no response, or no event of the stream, in place of its responses
+	// or among their events.
+	Garble GarbleSeed
 	// RejectAll makes the server reject every request and mark it as not executed.
 	RejectAll bool
 	// RetryAfter is how long the server asks a node whose request it rejects to send it nothing; zero for no
@@ -80,13 +83,15 @@
 	cancelledStreams int
 	deadlyPhase      DeadlyPhase
 	lastHeader       http.Header
+	// garbledCount is the number of responses that were garbled since the faults were set.
+	garbledCount uint64
 }
 
 // SetFaults replaces the injected faults.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	s.faults, s.garbledCount = f, 0
 }
 
 // ExecutionCounts returns how often each request was executed, by request id.
@@ -219,6 +224,9 @@
 	case faults.Endless != "":
 		s.writeEndless(w, faults.Endless, id)
 		return
+	case faults.Garble != 0:
+		s.writeGarbled(w, r, id, body, faults.Garble)
+		return
 	case faults.MismatchResponses:
 		s.writeMismatchedResponse(w, r, id, completeBody(r, body))
 		return
@@ -232,21 +240,30 @@
 	}
 	time.Sleep(s.ProcessingTime)
 	// The caller may have disconnected.
-	_, _ = w.Write(append([]byte("ran "+r.Method+" "+r.RequestURI+" "), body...))
+	_, _ = io.WriteString(w, plainBody(r, body))
+}
+
+// plainBody returns the response body of a plain request.
+func plainBody(r *http.Request, requestBody []byte) string {
+	return "ran " + r.Method + " " + r.RequestURI + " " + string(requestBody)
 }
 
-// completeBody returns the complete response body: all remaining events of a stream, or the request
-// body of a plain request.
-func completeBody(r *http.Request, body []byte) []byte {
+// completeBody returns the complete response body: all remaining events of a stream, or that of a plain request.
+func completeBody(r *http.Request, requestBody []byte) string {
 	if r.Header.Get("Model") == "" {
-		return body
+		return plainBody(r, requestBody)
 	}
+	return strings.Join(remainingEvents(r), "")
+}
+
+// remainingEvents returns the events that a request for a stream asks for.
+func remainingEvents(r *http.Request) []string {
 	_, eventCount, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
 	total, _ := strconv.Atoi(eventCount)
 	resumeAfter, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	var events []byte
+	var events []string
 	for i := resumeAfter + 1; i <= total; i++ {
-		events = fmt.Appendf(events, "id: %d\ndata: piece %d\n\n", i, i)
+		events = append(events, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
 	}
 	return events
 }
@@ -254,7 +271,7 @@
 // writeMismatchedResponse sends a response to another request, then the response to this one,
 // which announces that the server closes the connection: a request sent on a connection that
 // closes without notice would be reset.
-func (s *Server) writeMismatchedResponse(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+func (s *Server) writeMismatchedResponse(w http.ResponseWriter, r *http.Request, id, body string) {
 	contentType := "text/plain"
 	if r.Header.Get("Model") != "" {
 		contentType = "text/event-stream"
