--- a/proofs/prover/streamforms_test.go
+++ b/proofs/prover/streamforms_test.go
@@ -12,7 +12,7 @@
 		"length": "Content-Length: 10\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "neither": "",
 	} {
 		x.respond = func(_ int, r *http.Request, _ int) string {
-			return "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: " + r.Header.Get("Request-Attempt-Id") + "\r\n" + sealLine + "Content-Type: text/event-stream\r\n" + field + "\r\n"
+			return "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Attempt-Id: " + r.Header.Get("Request-Attempt-Id") + "\r\n" + sealLine + "Content-Type: text/event-stream\r\n" + field + "\r\n"
 		}
 		f := newStreamRequest(false, 0)
 		f.Method = http.MethodHead
