Fail a completion at bytes that are no event

What callers saw: a completion with a hole in its text that ended as complete, where an engine had sent garbage in place of a chunk; also cut responses where it stood elsewhere. Cause: sse.Read skips any line and block that it doesn't know. Class: a value that can't be decoded passes for an absent one. Chunks have no numbers, so the dispatcher can't see the hole. Change: engineconnector reads its streams with a reader of its own. Each line is a comment, a field of the format or an error; an event that has an id or a type but no data is one, too, and so is one of the type error. The attempt fails as a malformed-answer. Comments and empty lines are dropped as they arrive and count against no limit. As on the forwarded road, the declared type decides nothing: the body of each success is read as an event stream.

--- a/proofs/faker/deployment.go
+++ b/proofs/faker/deployment.go
@@ -20,6 +20,9 @@
 	VMList        VMList
 	ChatClient    ChatClient
 	ServiceClient ServiceClient
+	// UseChatAPI has the nodes send chats to the addresses of their engines, with the client that the program has
+	// registered, instead of ChatClient.
+	UseChatAPI bool
 	// Logger is the nodes' logger; nil discards all log lines.
 	Logger *slog.Logger
 
@@ -37,13 +40,16 @@
 func (d *Deployment) AddNode(name quetzalroad.NodeName, dataCentre quetzalroad.DataCentre, region quetzalroad.Region, settings string) (*kernel.Node, error) {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), basePort+d.nextPortOffset)
 	d.nextPortOffset++
-	config := kernel.NewConfig(
-		kernel.Override{Slot: kernel.SlotLog, Component: d.Log.Client(name)},
-		kernel.Override{Slot: kernel.SlotVMList, Component: &d.VMList},
-		kernel.Override{Slot: kernel.SlotPeerTransport, Component: d.Network.NewTransport(address, name, dataCentre)},
-		kernel.Override{Slot: kernel.SlotChatClient, Component: &d.ChatClient},
-		kernel.Override{Slot: kernel.SlotServiceClient, Component: &d.ServiceClient},
-	)
+	overrides := []kernel.Override{
+		{Slot: kernel.SlotLog, Component: d.Log.Client(name)},
+		{Slot: kernel.SlotVMList, Component: &d.VMList},
+		{Slot: kernel.SlotPeerTransport, Component: d.Network.NewTransport(address, name, dataCentre)},
+		{Slot: kernel.SlotServiceClient, Component: &d.ServiceClient},
+	}
+	if !d.UseChatAPI {
+		overrides = append(overrides, kernel.Override{Slot: kernel.SlotChatClient, Component: &d.ChatClient})
+	}
+	config := kernel.NewConfig(overrides...)
 	text := fmt.Sprintf(`{"node": {"name": %q, "data-centre": %q, "region": %q, "balancer-lag": "1s"}, %s}`, name, dataCentre, region, settings)
 	if err := config.Load(string(name), []byte(text)); err != nil {
 		return nil, err
--- a/upstreams/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -9,13 +9,11 @@
 import (
 	"context"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tmaxmax/go-sse"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
@@ -32,8 +30,6 @@
 }
 
 const (
-	// maxEventBytes limits the size of one event of a completion.
-	maxEventBytes = 1 << 20
 	// maxErrorBytes limits how much is read of an error response's body.
 	maxErrorBytes = 64 << 10
 	// doneData is the data of the event that ends a completion.
@@ -79,7 +75,7 @@
 		defer exchange.Close()
 		return nil, statusError(u.Name, exchange)
 	}
-	return newStream(c, u.Name, exchange), nil
+	return &stream{connector: c, upstream: u.Name, exchange: exchange, events: newEventReader(exchange.Response.Body)}, nil
 }
 
 func newRequest(u quetzalroad.Upstream, chat *quetzalroad.ChatRequest, resume *quetzalroad.ResumePoint) (*http.Request, error) {
@@ -131,43 +127,40 @@
 	connector *Connector
 	upstream  quetzalroad.UpstreamName
 	exchange  *httpclient.Exchange
-	next      func() (sse.Event, error, bool)
-	stop      func()
-}
-
-func newStream(c *Connector, u quetzalroad.UpstreamName, e *httpclient.Exchange) *stream {
-	s := &stream{connector: c, upstream: u, exchange: e}
-	s.next, s.stop = iter.Pull2(sse.Read(e.Response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
-	return s
+	events    *eventReader
 }
 
 // Next implements quetzalroad.ChatStream.
 func (s *stream) Next() (quetzalroad.ChatEvent, error) {
-	event, err, ok := s.next()
-	if !ok {
-		return quetzalroad.ChatEvent{}, s.attemptError(io.ErrUnexpectedEOF)
-	}
+	data, err := s.events.next()
 	if err != nil {
 		return quetzalroad.ChatEvent{}, s.attemptError(err)
 	}
-	if event.Data == doneData {
+	if string(data) == doneData {
 		return quetzalroad.ChatEvent{}, io.EOF
 	}
-	chunk, err := chatmapper.DecodeChunk([]byte(event.Data))
+	chunk, err := chatmapper.DecodeChunk(data)
 	if err != nil {
-		return quetzalroad.ChatEvent{}, &quetzalroad.AttemptError{Upstream: s.upstream, RetryReason: quetzalroad.RetryMalformedResponse, Cause: err}
+		return quetzalroad.ChatEvent{}, s.malformedError(err)
 	}
 	return chunk, nil
 }
 
+func (s *stream) malformedError(cause error) error {
+	return &quetzalroad.AttemptError{Upstream: s.upstream, RetryReason: quetzalroad.RetryMalformedResponse, Cause: cause}
+}
+
 func (s *stream) attemptError(err error) error {
+	var malformed *malformedEventError
+	if errors.As(err, &malformed) {
+		return s.malformedError(malformed)
+	}
 	return s.connector.attemptError(s.upstream, s.exchange, err)
 }
 
 // Close implements quetzalroad.ChatStream.
 func (s *stream) Close() error {
 	s.exchange.Close()
-	s.stop()
 	return nil
 }
 
