Read no value of a chunk whose type is wrong, and end with the last choice

What callers saw: chunks without a text where another one was due, pieces that they couldn't decode, and completions that ended as complete too early: with a chunk that holds a whole message in place of a delta, or, of several choices, with the first one's finish reason. Cause: DecodeChunk read its fields with gjson, which gives a value of another type as an empty one. Class: a value that can't be decoded passes for an absent one. The finish reason of any choice ended the response. Change: ChunkDecoder has a table of the known fields of a chunk, their types and nesting. A field may be absent or null; one of another type, or that stands there twice, is an error, as are a choice without a delta, one that was not requested, and text of a choice that has its finish reason. The event has a finish reason once all choices that were requested have one. Unknown fields pass unread. TestResponseEndsWithTheLastOfItsChoices is new. Existing tests call ChunkDecoder.Decode in place of DecodeChunk; what they check is the same.

--- a/codecs/chatmapper/chatmapper_test.go
+++ b/codecs/chatmapper/chatmapper_test.go
@@ -60,8 +60,9 @@
 		`{"id":"a","created":5,"model":"m","choices":[],"usage":{"prompt_tokens":12,"completion_tokens":3,"total_tokens":15}}`,
 	}
 	var aggregator Aggregator
+	var decoder ChunkDecoder
 	for _, c := range chunks {
-		event, err := DecodeChunk([]byte(c))
+		event, err := decoder.Decode([]byte(c))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -120,7 +121,7 @@
 	rewriter := ChunkRewriter{ID: "chatcmpl-1d98a205-5fdd-4aa8-87d2-dae736115eef"}
 	b.ReportAllocs()
 	for b.Loop() {
-		e, err := DecodeChunk(chunk)
+		e, err := new(ChunkDecoder).Decode(chunk)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -136,11 +137,31 @@
 		`{"error": {"message": "overloaded"}}`, `{"error": "overloaded"}`, `{"message": "overloaded", "code": 503}`, `{"detail": [{"msg": "overloaded"}]}`, `{"choices": null}`,
 		`"overloaded"`, `HTTP/1.1 500 Internal Server Error`, `null`, ``,
 	} {
-		if e, err := DecodeChunk([]byte(data)); err == nil {
+		if e, err := new(ChunkDecoder).Decode([]byte(data)); err == nil {
 			t.Errorf("%s was decoded as %+v", data, e)
 		}
 	}
-	if _, err := DecodeChunk([]byte(`{"choices": [], "usage": {"completion_tokens": 3}}`)); err != nil {
+	if _, err := new(ChunkDecoder).Decode([]byte(`{"choices": [], "usage": {"completion_tokens": 3}}`)); err != nil {
 		t.Errorf("the chunk with the usage: %v", err)
 	}
 }
+
+// A response with several choices ended as complete with the first of them.
+func TestResponseEndsWithTheLastOfItsChoices(t *testing.T) {
+	decoder := NewChunkDecoder([]byte(`{"n":2}`))
+	for _, c := range []struct{ chunk, reason string }{
+		{`{"choices":[{"index":1,"delta":{"content":"a"}},{"index":0,"delta":{"content":"b"},"finish_reason":"stop"}]}`, ""},
+		{`{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`, ""},
+		{`{"choices":[{"index":1,"delta":{"refusal":"c"},"finish_reason":"length"}]}`, "length"},
+		{`{"choices":[],"usage":{"completion_tokens":3}}`, ""},
+	} {
+		if e, err := decoder.Decode([]byte(c.chunk)); err != nil || e.FinishReason != c.reason {
+			t.Errorf("%s: finish reason %q, error %v; want %q", c.chunk, e.FinishReason, err, c.reason)
+		}
+	}
+	for _, chunk := range []string{`{"choices":[{"index":0,"delta":{"content":"more"}}]}`, `{"choices":[{"index":2,"delta":{}}]}`} {
+		if e, err := decoder.Decode([]byte(chunk)); err == nil {
+			t.Errorf("%s was decoded as %+v", chunk, e)
+		}
+	}
+}
--- a/codecs/chatmapper/depth_test.go
+++ b/codecs/chatmapper/depth_test.go
@@ -15,7 +15,7 @@
 	)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	if _, err := DecodeChunk([]byte(strings.Repeat("[", depth))); err == nil {
+	if _, err := new(ChunkDecoder).Decode([]byte(strings.Repeat("[", depth))); err == nil {
 		t.Error("decoded without an error")
 	}
 	runtime.ReadMemStats(&after)
@@ -26,7 +26,7 @@
 
 func TestBracketsInTextAreNoNesting(t *testing.T) {
 	text := strings.Repeat(`[{\"`, 1000)
-	event, err := DecodeChunk([]byte(`{"choices": [{"delta": {"content": "` + text + `"}}]}`))
+	event, err := new(ChunkDecoder).Decode([]byte(`{"choices": [{"delta": {"content": "` + text + `"}}]}`))
 	if err != nil || len(event.Text) != 3000 {
 		t.Errorf("%d bytes of text, error %v", len(event.Text), err)
 	}
--- a/codecs/chatmapper/response.go
+++ b/codecs/chatmapper/response.go
@@ -5,7 +5,6 @@
 	"sort"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 
@@ -62,42 +61,6 @@
 	u.TotalTokens = u.PromptTokens + u.CompletionTokens
 }
 
-// DecodeChunk decodes one chunk of an engine's streamed response. It reads only
-// the few fields that the router uses, because it runs for every token.
-func DecodeChunk(data []byte) (quetzalroad.ChatEvent, error) {
-	if isNestedDeeperThan(data, maxChunkDepth) {
-		return quetzalroad.ChatEvent{}, errors.Newf("chunk nested deeper than %d levels", maxChunkDepth)
-	}
-	if !gjson.ValidBytes(data) {
-		return quetzalroad.ChatEvent{}, errors.New("malformed chunk")
-	}
-	root := gjson.ParseBytes(data)
-	if !root.IsObject() {
-		return quetzalroad.ChatEvent{}, errors.New("malformed chunk")
-	}
-	if engineError := root.Get("error"); engineError.Exists() && engineError.Type != gjson.Null {
-		return quetzalroad.ChatEvent{}, errors.Newf("the engine reports an error: %s", engineError.Raw)
-	}
-	if !root.Get("choices").IsArray() {
-		return quetzalroad.ChatEvent{}, errors.New("chunk without choices")
-	}
-	e := quetzalroad.ChatEvent{Chunk: data, CompletionTokens: int(root.Get("usage.completion_tokens").Int())}
-	for _, choice := range root.Get("choices").Array() {
-		delta := choice.Get("delta")
-		text := delta.Get("content").String()
-		e.Text += text
-		e.FinishReason += choice.Get("finish_reason").String()
-		if text != "" || delta.Get("refusal").String() != "" || len(delta.Get("tool_calls").Array()) > 0 {
-			e.Tokens++
-		}
-	}
-	return e, nil
-}
-
-// maxChunkDepth limits the nesting of a chunk. Its validation is recursive, and a stack that grows too
-// large ends the process.
-const maxChunkDepth = 128
-
 // isNestedDeeperThan reports whether objects and arrays of a JSON text are nested deeper than a limit.
 func isNestedDeeperThan(data []byte, limit int) bool {
 	depth, inString := 0, false
--- a/proofs/prover/chatbytes_test.go
+++ b/proofs/prover/chatbytes_test.go
@@ -224,6 +224,25 @@
 	"a cut chunk":               `data: {"choices":[{"index":0,"delta":{"con` + "\n\n",
 }
 
+// noChunkData are the data of events which are JSON and no chunk of the completion.
+var noChunkData = []string{
+	`{"error":"overloaded"}`, `{}`, `[]`, `"x"`, `7`, `{"choices":{}}`, `{"choices":"x"}`,
+	`{"choices":[7]}`, `{"choices":["x"]}`, `{"choices":[null]}`, `{"choices":[[]]}`, `{"choices":[{}]}`,
+	`{"choices":[{"index":0,"delta":"x"}]}`, `{"choices":[{"index":0,"delta":7}]}`, `{"choices":[{"index":0,"delta":["x"]}]}`, `{"choices":[{"index":0,"delta":null}]}`,
+	`{"choices":[{"index":0,"text":"x"}]}`, `{"choices":[{"index":0,"message":{"content":"x"},"finish_reason":"stop"}]}`,
+	`{"choices":[{"index":0,"delta":{"content":7}}]}`, `{"choices":[{"index":0,"delta":{"content":["x"]}}]}`, `{"choices":[{"index":0,"delta":{"content":{"text":"x"}}}]}`, `{"choices":[{"index":0,"delta":{"content":false}}]}`,
+	`{"choices":[{"index":0,"delta":{"refusal":7}}]}`, `{"choices":[{"index":0,"delta":{"role":7}}]}`,
+	`{"choices":[{"index":0,"delta":{"tool_calls":"x"}}]}`, `{"choices":[{"index":0,"delta":{"tool_calls":[7]}}]}`, `{"choices":[{"index":0,"delta":{"tool_calls":[{"index":"x"}]}}]}`,
+	`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":"x"}]}}]}`, `{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":{}}}]}}]}`,
+	`{"choices":[{"index":"0","delta":{"content":"x"}}]}`, `{"choices":[{"index":-1,"delta":{"content":"x"}}]}`, `{"choices":[{"index":0.5,"delta":{"content":"x"}}]}`, `{"choices":[{"index":1,"delta":{"content":"x"}}]}`,
+	`{"choices":[{"index":0,"delta":{},"finish_reason":7}]}`, `{"choices":[{"index":0,"delta":{},"finish_reason":{}}]}`, `{"choices":[{"index":0,"delta":{},"finish_reason":true}]}`,
+	`{"choices":[{"index":0,"delta":{},"logprobs":"x"}]}`,
+	`{"choices":[],"usage":"x"}`, `{"choices":[],"usage":7}`, `{"choices":[],"usage":{"completion_tokens":"x"}}`, `{"choices":[],"usage":{"completion_tokens":-4}}`, `{"choices":[],"usage":{"prompt_tokens":1.5}}`,
+	`{"choices":[],"created":"x"}`, `{"choices":[],"id":7}`, `{"choices":[],"model":[]}`,
+	`{"choices":[{"index":0,"delta":{"content":""}}],"choices":[{"index":0,"delta":{"content":"x"}}]}`,
+	`{"choices":[{"index":0,"delta":{"content":"","content":"x"}}]}`,
+}
+
 // chatPlaces are the bodies with garbage at each place, from the number of pieces that the caller has.
 var chatPlaces = map[string]func(garbage string, from int) string{
 	"in place of all events": func(garbage string, _ int) string { return garbage },
@@ -288,11 +307,16 @@
 	return ""
 }
 
-// chatCases returns the cases of a place.
+// chatCases returns the cases of a place. The type and the framing make no difference to data that are JSON.
 func chatCases(place string) map[chatCase]string {
 	cases := make(map[chatCase]string)
 	for _, caller := range []chatCase{{Resumable: true, Streamed: true}, {Streamed: true}, {Resumed: true, Resumable: true, Streamed: true}, {Resumable: true}} {
 		caller.Place = place
+		for _, data := range noChunkData {
+			c := caller
+			c.Name, c.ContentType, c.Framing = data, "text/event-stream", framingChunks
+			cases[c] = "data: " + data + "\n\n"
+		}
 		for name, text := range noChunks {
 			for _, contentType := range []string{"text/event-stream", "text/html", ""} {
 				for _, f := range framings {
--- a/upstreams/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -75,7 +75,10 @@
 		defer exchange.Close()
 		return nil, statusError(u.Name, exchange)
 	}
-	return &stream{connector: c, upstream: u.Name, exchange: exchange, events: newEventReader(exchange.Response.Body)}, nil
+	return &stream{
+		connector: c, upstream: u.Name, exchange: exchange,
+		events: newEventReader(exchange.Response.Body), decoder: chatmapper.NewChunkDecoder(chat.Body),
+	}, nil
 }
 
 func newRequest(u quetzalroad.Upstream, chat *quetzalroad.ChatRequest, resume *quetzalroad.ResumePoint) (*http.Request, error) {
@@ -128,6 +131,7 @@
 	upstream  quetzalroad.UpstreamName
 	exchange  *httpclient.Exchange
 	events    *eventReader
+	decoder   *chatmapper.ChunkDecoder
 }
 
 // Next implements quetzalroad.ChatStream.
@@ -139,7 +143,7 @@
 	if string(data) == doneData {
 		return quetzalroad.ChatEvent{}, io.EOF
 	}
-	chunk, err := chatmapper.DecodeChunk(data)
+	chunk, err := s.decoder.Decode(data)
 	if err != nil {
 		return quetzalroad.ChatEvent{}, s.malformedError(err)
 	}
