--- a/proofs/prover/chatbytes_test.go
+++ b/proofs/chatprover/chatbytes_test.go
@@ -1,4 +1,6 @@
-package prover
+// Package chatprover tests chats over real sockets, from the caller to the bytes that an engine sends. It is apart from
+// prover, whose nodes run in virtual time and must not listen.
+package chatprover
 
 import (
 	"bufio"
@@ -9,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -50,6 +53,36 @@
 	doneEvent  = "data: [DONE]\n\n"
 )
 
+// framing is how the end of a body is marked.
+type framing string
+
+const (
+	framingLength   framing = "length"
+	framingChunks   framing = "chunks"
+	framingUnframed framing = "unframed"
+)
+
+var framings = []framing{framingLength, framingChunks, framingUnframed}
+
+// encodeResponse returns a response of an engine.
+func encodeResponse(contentType string, f framing, body string) string {
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	if contentType != "" {
+		head += "Content-Type: " + contentType + "\r\n"
+	}
+	switch f {
+	case framingLength:
+		return head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	case framingChunks:
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+		if body != "" {
+			head += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		return head + "0\r\n\r\n"
+	}
+	return head + "\r\n" + body
+}
+
 // chatBytesFixture is a node before engines on loopback that send whatever bytes a script returns.
 type chatBytesFixture struct {
 	faker.Deployment
@@ -65,8 +98,7 @@
 	t.Helper()
 	x := &chatBytesFixture{Deployment: faker.Deployment{UseChatAPI: true}}
 	t.Cleanup(x.stop)
-	profile := chatProfile()
-	profile.Timeout = 5 * time.Second
+	profile := &quetzalroad.Profile{Name: "chat", Class: "chat", Tier: 1, FirstTokenTarget: time.Second, Timeout: 5 * time.Second, Idempotent: true, Interactive: true}
 	objects := []quetzalroad.Object{
 		{Profile: profile},
 		{Team: &quetzalroad.Team{Name: "team", DefaultProfile: "chat", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("secret")}}},
@@ -282,11 +314,11 @@
 	return func(before, resumeAt int) string {
 		switch {
 		case c.Resumed && before == 0:
-			return encodeResponse("", "text/event-stream", framingUnframed, completionChunks(0, 1))
+			return encodeResponse("text/event-stream", framingUnframed, completionChunks(0, 1))
 		case before == 0 || (c.Resumed && before == 1):
-			return encodeResponse("", c.ContentType, c.Framing, chatPlaces[c.Place](garbage, resumeAt))
+			return encodeResponse(c.ContentType, c.Framing, chatPlaces[c.Place](garbage, resumeAt))
 		}
-		return encodeResponse("", "text/event-stream", framingChunks, completionChunks(resumeAt, completionLength)+usageChunk+doneEvent)
+		return encodeResponse("text/event-stream", framingChunks, completionChunks(resumeAt, completionLength)+usageChunk+doneEvent)
 	}
 }
 
@@ -383,7 +415,7 @@
 		for _, contentType := range []string{"text/event-stream", "Text/Event-Stream; charset=utf-8", "text/plain", ""} {
 			for _, f := range framings {
 				for _, streamed := range []bool{true, false} {
-					x.respond = func(int, int) string { return encodeResponse("", contentType, f, body) }
+					x.respond = func(int, int) string { return encodeResponse(contentType, f, body) }
 					got, complete := x.chat(t, streamed, false)
 					if want := completionText(0, completionLength); got != want || !complete || x.received.Load() != 1 {
 						t.Errorf("%s, type %q, %s, streamed %v: %q, complete %v, %d attempts", name, contentType, f, streamed, got, complete, x.received.Load())
