Count and log each failed attempt of a chat, also without a retry

What operators saw: no counter and no log line for a chat that broke off and can't be resumed, for one whose stream broke off after the finish reason, or for a hedged attempt that failed while the other one ran; an end marker without a finish reason counted as a lost connection. A chat whose hedged attempt failed after it may have run could be refused as not-run. A chat whose engine never ends its stream after the finish reason was refused with a timeout at its deadline, though it was complete. Cause: chatRun.prepareRetry, handleResult and settleRace dropped these errors. Change: each of them calls logFailure, unless the request's context has ended; the reason of an early end marker is malformed-answer; a lost race may have run; a finished response is complete at the deadline. A refusal is no longer replaced by 'the answer broke off' where the chat can't be resumed. Measured: TestEachMalformedCompletionIsCounted failed before (1 failure counted of 2 at its second case) and passes. The hedge and the deadline have no test of their own yet.

--- a/decisions/dispatcher/attempt.go
+++ b/decisions/dispatcher/attempt.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/quetzalroad/quetzalroad"
 )
 
@@ -78,6 +81,14 @@
 	}
 }
 
+// failure returns the error of an attempt whose stream ended with err before the response was complete.
+func (a *chatAttempt) failure(err error) *quetzalroad.AttemptError {
+	if errors.Is(err, io.EOF) {
+		return &quetzalroad.AttemptError{Upstream: a.upstream.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: errors.New("the stream ended without a finish reason")}
+	}
+	return asAttemptError(a.upstream.Name, err)
+}
+
 // stop cancels an attempt, waits until its stream is closed and reports its end to the load tracker.
 func (a *chatAttempt) stop() {
 	a.cancel()
@@ -176,9 +187,7 @@
 // attempt, if any. If the result is an error, the other attempt continues alone instead.
 func (r *chatRun) settleRace(ctx context.Context, a *chatAttempt, result streamResult, other *chatAttempt) (*chatAttempt, error) {
 	if result.err != nil && other != nil {
-		a.upstreamFailed = true
-		a.stop()
-		r.history.failedUpstreams = append(r.history.failedUpstreams, a.upstream.Name)
+		r.loseRace(ctx, a, result.err)
 		return other, nil
 	}
 	if other != nil {
@@ -192,6 +201,18 @@
 	return a, nil
 }
 
+// loseRace ends an attempt that failed while another one runs.
+func (r *chatRun) loseRace(ctx context.Context, a *chatAttempt, err error) {
+	a.upstreamFailed = true
+	a.stop()
+	failure := a.failure(err)
+	r.history.failedUpstreams = append(r.history.failedUpstreams, a.upstream.Name)
+	r.history.mayHaveRun = r.history.mayHaveRun || !failure.NotRun
+	if ctx.Err() == nil {
+		r.dispatcher.logFailure(&r.chat.Request, failure)
+	}
+}
+
 // recordWaste counts the unread tokens of a cancelled attempt as wasted.
 func (r *chatRun) recordWaste(a *chatAttempt) {
 	tokens := a.drainResults()
--- a/decisions/dispatcher/chat.go
+++ b/decisions/dispatcher/chat.go
@@ -99,7 +99,9 @@
 // prepareRetry decides whether to retry after a failed attempt. A response that has started is
 // continued only if it can be resumed from its text.
 func (r *chatRun) prepareRetry(ctx context.Context, failure *quetzalroad.AttemptError) error {
-	if r.deliveredTokens > 0 && !r.chat.Resumable {
+	var refusal *quetzalroad.Refusal
+	if r.deliveredTokens > 0 && !r.chat.Resumable && !errors.As(failure.Cause, &refusal) {
+		r.dispatcher.logFailure(&r.chat.Request, failure)
 		r.history.mayHaveRun = true
 		return &quetzalroad.Refusal{Reason: quetzalroad.ReasonStreamInterrupted, Message: "the answer broke off and can't be resumed", Outcome: quetzalroad.OutcomeUnknown, Cause: failure}
 	}
@@ -155,6 +157,9 @@
 			}
 			preempted = nil
 		case <-ctx.Done():
+			if r.finished {
+				return nil
+			}
 			r.history.mayHaveRun = true
 			return r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 		}
@@ -164,6 +169,7 @@
 // handleResult processes one stream result and reports whether the response is complete.
 func (r *chatRun) handleResult(ctx context.Context, a *chatAttempt, result streamResult) (bool, error) {
 	if result.err != nil && r.finished {
+		r.noteFailedEnd(ctx, a, result.err)
 		return true, nil
 	}
 	if result.err != nil && ctx.Err() != nil {
@@ -171,11 +177,8 @@
 		return false, r.dispatcher.contextRefusal(ctx, quetzalroad.OutcomeUnknown)
 	}
 	if result.err != nil {
-		if errors.Is(result.err, io.EOF) {
-			result.err = errors.New("the stream ended without a finish reason")
-		}
 		a.upstreamFailed = true
-		return false, asAttemptError(a.upstream.Name, result.err)
+		return false, a.failure(result.err)
 	}
 	e := result.event
 	if e.CompletionTokens > 0 {
@@ -196,6 +199,15 @@
 	return false, nil
 }
 
+// noteFailedEnd counts and logs a stream that broke off after the finish reason. The response is complete.
+func (r *chatRun) noteFailedEnd(ctx context.Context, a *chatAttempt, err error) {
+	if errors.Is(err, io.EOF) || ctx.Err() != nil {
+		return
+	}
+	a.upstreamFailed = true
+	r.dispatcher.logFailure(&r.chat.Request, asAttemptError(a.upstream.Name, err))
+}
+
 // recordTiming records the latency of a token for the upstream's load estimate and, for the first
 // token of the response, whether it met the first-token target.
 func (r *chatRun) recordTiming(a *chatAttempt, e quetzalroad.ChatEvent) {
--- a/proofs/chatprover/chatbytes_test.go
+++ b/proofs/chatprover/chatbytes_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/proofs/faker"
@@ -425,3 +427,26 @@
 		}
 	}
 }
+
+// Failures of a chat that was not retried, and those after its finish reason, were neither counted nor logged.
+func TestEachMalformedCompletionIsCounted(t *testing.T) {
+	x := newChatBytesFixture(t)
+	for i, c := range []chatCase{
+		{Place: "between two chunks", Resumable: true},
+		{Place: "between two chunks", Streamed: true},
+		{Place: "in place of the end marker", Resumable: true},
+		{Place: "in place of all chunks", Name: "the end marker", Resumable: true},
+	} {
+		if c.Name == "" {
+			c.Name = "text"
+		}
+		c.ContentType, c.Framing = "text/event-stream", framingChunks
+		if problem := c.check(t, x, noChunks[c.Name]); problem != "" {
+			t.Errorf("%+v: %s", c, problem)
+		}
+		want := fmt.Sprintf(`{"%s": %d}`, quetzalroad.RetryMalformedResponse, i+1)
+		if diff := cmp.Diff(want, x.node.Vars.Get("failed-attempts").String()); diff != "" {
+			t.Fatalf("%+v (-want +got):\n%s", c, diff)
+		}
+	}
+}
