--- a/upstreams/engineconnector/connector.go
+++ b/upstreams/engineconnector/connector.go
@@ -9,13 +9,11 @@
 import (
 	"context"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tmaxmax/go-sse"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/chatmapper"
@@ -33,8 +31,6 @@
 }
 
 const (
-	// maxEventBytes limits the size of one event of a completion.
-	maxEventBytes = 256 << 10
 	// eventCopies is how often an event is in memory while it is decoded.
 	eventCopies = 4
 	// maxErrorBytes limits how much is read of an error response's body.
@@ -84,7 +80,7 @@
 		defer exchange.Close()
 		return nil, statusError(u.Name, exchange)
 	}
-	return newStream(c, u.Name, exchange), nil
+	return newStream(c, u.Name, chat, exchange), nil
 }
 
 func newRequest(u quetzalroad.Upstream, chat *quetzalroad.ChatRequest, resume *quetzalroad.ResumePoint) (*http.Request, error) {
@@ -140,44 +136,46 @@
 	upstream  quetzalroad.UpstreamName
 	exchange  *httpclient.Exchange
 	body      *bufferer.BlockReader
-	next      func() (sse.Event, error, bool)
-	stop      func()
+	events    *eventReader
+	decoder   *chatmapper.ChunkDecoder
 }
 
-func newStream(c *Connector, u quetzalroad.UpstreamName, e *httpclient.Exchange) *stream {
+func newStream(c *Connector, u quetzalroad.UpstreamName, chat *quetzalroad.ChatRequest, e *httpclient.Exchange) *stream {
 	body := &bufferer.BlockReader{Src: e.Response.Body, Copies: eventCopies, Reservation: bufferer.Reservation{Budget: c.bufferBudget}}
-	s := &stream{connector: c, upstream: u, exchange: e, body: body}
-	s.next, s.stop = iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
-	return s
+	return &stream{connector: c, upstream: u, exchange: e, body: body, events: newEventReader(body), decoder: chatmapper.NewChunkDecoder(chat.Body)}
 }
 
 // Next implements quetzalroad.ChatStream.
 func (s *stream) Next() (quetzalroad.ChatEvent, error) {
-	event, err, ok := s.next()
-	if !ok {
-		return quetzalroad.ChatEvent{}, s.attemptError(io.ErrUnexpectedEOF)
-	}
+	data, err := s.events.next()
 	if err != nil {
 		return quetzalroad.ChatEvent{}, s.attemptError(err)
 	}
-	if event.Data == doneData {
+	if string(data) == doneData {
 		return quetzalroad.ChatEvent{}, io.EOF
 	}
-	chunk, err := chatmapper.DecodeChunk([]byte(event.Data))
+	chunk, err := s.decoder.Decode(data)
 	if err != nil {
-		return quetzalroad.ChatEvent{}, &quetzalroad.AttemptError{Upstream: s.upstream, RetryReason: quetzalroad.RetryMalformedResponse, Cause: err}
+		return quetzalroad.ChatEvent{}, s.malformedError(err)
 	}
 	return chunk, nil
 }
 
+func (s *stream) malformedError(cause error) error {
+	return &quetzalroad.AttemptError{Upstream: s.upstream, RetryReason: quetzalroad.RetryMalformedResponse, Cause: cause}
+}
+
 func (s *stream) attemptError(err error) error {
+	var malformed *malformedEventError
+	if errors.As(err, &malformed) {
+		return s.malformedError(malformed)
+	}
 	return s.connector.attemptError(s.upstream, s.exchange, err)
 }
 
 // Close implements quetzalroad.ChatStream.
 func (s *stream) Close() error {
 	s.exchange.Close()
-	s.stop()
 	s.body.Reservation.Release()
 	return nil
 }
