--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -169,7 +169,7 @@
 	return r.write(head, comment.Data)
 }
 
-// checkStreamEnd returns an error if the stream may have broken off, or if it is shorter than what the caller has of it.
+// checkStreamEnd returns an error if the stream may have broken off, or is shorter than what the caller has of it.
 func (r *forwardRun) checkStreamEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
 	if last := r.attempt.lastEventID; last > 0 && last < r.lastEventID {
 		return malformedEventError(u, errors.Newf("the response ends with event %d, and the caller has event %d", last, r.lastEventID))
--- a/peers/connmanager/meteredconn.go
+++ b/peers/connmanager/meteredconn.go
@@ -31,7 +31,8 @@
 	return &meteredConn{Conn: conn, reservation: bufferer.Reservation{Budget: budget}}
 }
 
-// Read implements net.Conn. It returns quetzalroad.ErrBuffersFull, which ends the connection, if the budget is used up.
+// Read implements net.Conn. If the budget is used up, it returns quetzalroad.ErrBuffersFull, which ends the
+// connection.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.reserve(n) {
--- a/state/logclient/client_test.go
+++ b/state/logclient/client_test.go
@@ -30,7 +30,8 @@
 	return c
 }
 
-// Such a log would count as read to its end, or as one that lost its records; a record without data as an invalid one.
+// Such a log would count as read to its end, or as one that lost its records; a record without data as an
+// invalid one.
 func TestUnreadableResponseOfTheLogIsNoEmptyLog(t *testing.T) {
 	for _, body := range []string{
 		"", "null", "{}", "[]", `{"error":"overloaded"}`, `{"earliest":0,"records":[]}`, `{"next":9,"records":[]}`, `{"earliest":null,"next":9}`,
