Agree on the interfaces of leases, usage reports and orders

Cause: the duties that one node performs at a time are built side by side. No plug-in fills the slots yet; all of them are optional.

--- a/kernel/node.go
+++ b/kernel/node.go
@@ -61,16 +61,24 @@
 
 	KeyedLog    quetzalroad.KeyedLog
 	KeyedWriter quetzalroad.KeyedWriter
+	// ConditionalWriter is nil if the log has no conditional writes.
+	ConditionalWriter quetzalroad.ConditionalWriter
 	// LogEpochs is nil if the node has no keyed log.
-	LogEpochs     quetzalroad.EpochTracker
-	ReadTransport quetzalroad.ReadTransport
-	StateCodec    quetzalroad.StateCodec
-	RouteTable    quetzalroad.RouteTable
-	Freshness     quetzalroad.Freshness
-	CallerCodec   quetzalroad.CallerCodec
-	UpstreamCodec quetzalroad.UpstreamCodec
-	ForwardClient quetzalroad.ForwardClient
-	Forwarder     quetzalroad.Forwarder
+	LogEpochs quetzalroad.EpochTracker
+	// Leaser is nil if the node has no duties, PlatformClient if it sends the platform no commands, UsageMeter if
+	// usage isn't counted, and Activity if no activity is exchanged.
+	Leaser         quetzalroad.Leaser
+	PlatformClient quetzalroad.PlatformClient
+	UsageMeter     quetzalroad.UsageMeter
+	Activity       quetzalroad.ActivityExchange
+	ReadTransport  quetzalroad.ReadTransport
+	StateCodec     quetzalroad.StateCodec
+	RouteTable     quetzalroad.RouteTable
+	Freshness      quetzalroad.Freshness
+	CallerCodec    quetzalroad.CallerCodec
+	UpstreamCodec  quetzalroad.UpstreamCodec
+	ForwardClient  quetzalroad.ForwardClient
+	Forwarder      quetzalroad.Forwarder
 	// UpstreamChecker is nil if the forward client can't check upstreams.
 	UpstreamChecker quetzalroad.UpstreamChecker
 	// Fleet is nil if the node knows no others.
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -23,6 +23,10 @@
 	SlotVMList          Slot = "vm-list"
 	SlotKeyedLog        Slot = "keyed-log"
 	SlotLogEpochs       Slot = "log-epochs"
+	SlotLeaser          Slot = "leases"
+	SlotPlatformClient  Slot = "platform-commands"
+	SlotActivity        Slot = "activity"
+	SlotUsage           Slot = "usage"
 	SlotStateCodec      Slot = "entries"
 	SlotReadTransport   Slot = "read-transport"
 	SlotLogSharing      Slot = "log-sharing"
@@ -43,6 +47,7 @@
 	SlotServiceClient   Slot = "services"
 	SlotUpstreamCodec   Slot = "upstream-fields"
 	SlotForwardClient   Slot = "forwards"
+	SlotScaling         Slot = "scaling"
 	SlotDispatcher      Slot = "dispatcher"
 	SlotPeerTransport   Slot = "peer-transport"
 	SlotPeers           Slot = "peers"
@@ -63,6 +68,10 @@
 	{slot: SlotVMList, doc: "The platform's list of VMs, which lags behind reality.", optional: true},
 	{slot: SlotKeyedLog, doc: "Reading of the platform's log streams that retain only the latest record of each key.", optional: true},
 	{slot: SlotLogEpochs, doc: "Recognition of a platform's log that was restored from an older copy."},
+	{slot: SlotLeaser, doc: "The lease whose holder performs the duties of one node at a time.", optional: true},
+	{slot: SlotPlatformClient, doc: "The client for commands to the platform that only the holder of the lease sends.", optional: true},
+	{slot: SlotActivity, doc: "Exchange of what all nodes recently did, through the platform's log.", optional: true},
+	{slot: SlotUsage, doc: "Counting the requests of teams and reporting them to the platform.", optional: true},
 	{slot: SlotStateCodec, doc: "Decoding of what operators and upstreams publish on the platform.", optional: true},
 	{slot: SlotReadTransport, doc: "The connections for reading the platform's log through other nodes.", optional: true},
 	{slot: SlotLogSharing, doc: "Selection of the nodes that read the platform's log on behalf of others.", optional: true},
@@ -83,6 +92,7 @@
 	{slot: SlotServiceClient, doc: "The client for plain services.", optional: true},
 	{slot: SlotUpstreamCodec, doc: "The header fields between the router and upstreams of forwarded requests.", optional: true},
 	{slot: SlotForwardClient, doc: "The client for forwarding requests without interpreting their bodies.", optional: true},
+	{slot: SlotScaling, doc: "Orders for upstreams, as demand changes.", optional: true},
 	{slot: SlotDispatcher, doc: "Handling of requests from admission to the response."},
 	{slot: SlotPeerTransport, doc: "The connections between nodes.", optional: true},
 	{slot: SlotPeers, doc: "Heartbeats and membership of other nodes.", optional: true},
