Decode how services scale and which upstreams are spot ones

The platform publishes how the upstreams of a service can be ordered, and upstreams register whether they may be reclaimed and when.

--- a/route.go
+++ b/route.go
@@ -70,6 +70,8 @@
 	StartedAt time.Time
 	// Sequence increases with each record of an instance.
 	Sequence int64
+	// LeavesAt is when a spot upstream will be reclaimed; zero if not published.
+	LeavesAt time.Time
 }
 
 // RouteTable looks up routes and the limits on callers.
--- a/state.go
+++ b/state.go
@@ -85,6 +85,8 @@
 	MaxConnectionsPerUpstream int
 	// KVCacheTokens is the KV cache size of one engine, in tokens; zero if unknown.
 	KVCacheTokens int
+	// Scaling is nil if the service isn't scaled. It is shared and must not be modified.
+	Scaling *Scaling
 	// Revision is set by the state machine.
 	Revision Revision
 }
@@ -110,6 +112,8 @@
 	ChecksFencing bool
 	// Draining reports whether it is excluded from new work.
 	Draining bool
+	// Spot reports whether the platform may reclaim it.
+	Spot bool
 	// Revision is set by the state machine.
 	Revision Revision
 }
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	second, err := d.codec.DecodeRegistration(b)
-	return err == nil && first.Upstream == second.Upstream && first.StartedAt.Equal(second.StartedAt)
+	return err == nil && first.Upstream == second.Upstream && first.StartedAt.Equal(second.StartedAt) && first.LeavesAt.Equal(second.LeavesAt)
 }
 
 // ReadLatest implements quetzalroad.KeyedLog. A starting node reads the log itself,
