--- a/scaling.go
+++ b/scaling.go
@@ -15,6 +15,13 @@
 	Prices []DataCentrePrice
 }
 
+// OrderInForce is an order as the holder of the lease saves it for the next one.
+type OrderInForce struct {
+	UpstreamOrder
+	// Confirmed reports whether the platform is known to have accepted it.
+	Confirmed bool
+}
+
 // DataCentrePrice is the price of an upstream's second in a data centre.
 type DataCentrePrice struct {
 	DataCentre DataCentre
