Select the scaler in the node's settings where the control API exists

The renderer repeated the body of a section for each key of an object, also where the body uses no key, so that a section on the object of the control API was rendered twice. Tested with the template rendered both ways.

--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -14,6 +14,7 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/limiter/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/predictor"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
+	_ "github.com/quetzalroad/quetzalroad/decisions/scaler"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
 	_ "github.com/quetzalroad/quetzalroad/peers/readconnector"
 	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
@@ -42,12 +43,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, enforced := range []bool{true, false} {
+	for _, variant := range []struct{ enforced, cloud bool }{{true, true}, {false, false}} {
 		var fields map[string]any
 		if err := json.Unmarshal([]byte(machineFields), &fields); err != nil {
 			t.Fatal(err)
 		}
-		fields["bounds"].(map[string]any)["enforceRevocation"] = enforced
+		fields["bounds"].(map[string]any)["enforceRevocation"] = variant.enforced
+		if variant.cloud {
+			fields["cloud"] = map[string]any{"address": "10.200.1.8:8750", "dutyPerS": 50.0}
+		}
 		settings, err := renderer.Render(string(template), fields)
 		if err != nil {
 			t.Error(err)
--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -18,6 +18,7 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/quarantiner/bypasser"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/repeater"
+	_ "github.com/quetzalroad/quetzalroad/decisions/scaler"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/offloader"
 	_ "github.com/quetzalroad/quetzalroad/decisions/throttler"
--- a/support/renderer/renderer.go
+++ b/support/renderer/renderer.go
@@ -1,7 +1,7 @@
 // Package renderer renders settings templates. It supports the syntax that the
 // deployment's template uses: values, values as JSON, sections rendered if a value
-// is set and not false, inverted sections, and sections repeated for each key of an
-// object. Tests and the soak test use it to configure nodes.
+// is set and not false, inverted sections, and sections that use keys, which are
+// repeated for each key of an object. Tests and the soak test use it to configure nodes.
 package renderer
 
 import (
@@ -19,6 +19,9 @@
 	valuePattern   = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
 )
 
+// keyPlaceholder stands for the key in a section that is repeated.
+const keyPlaceholder = "{{@}}"
+
 // Render renders a template with fields as decoded from JSON. The error names
 // fields without a value and sections with a mismatched end.
 func Render(template string, fields map[string]any) (string, error) {
@@ -50,7 +53,7 @@
 		return ""
 	}
 	object, ok := v.(map[string]any)
-	if !ok {
+	if !ok || !strings.Contains(body, keyPlaceholder) {
 		return body
 	}
 	var keys []string
@@ -64,7 +67,7 @@
 		if i == len(keys)-1 {
 			comma = ""
 		}
-		rendered.WriteString(strings.NewReplacer("{{@}}", key, "{{.}}", formatValue(object[key]), "{{,}}", comma).Replace(body))
+		rendered.WriteString(strings.NewReplacer(keyPlaceholder, key, "{{.}}", formatValue(object[key]), "{{,}}", comma).Replace(body))
 	}
 	return rendered.String()
 }
