Give up nothing further until the platform accepts an order

While the control API was down, the plan went on in steps, and all of them were sent at once on its return: 17 of 37 upstreams within 4 s in the new test, where a fifth is the bound. Orders that aren't accepted were also taken for upstreams that are missing, and more were ordered elsewhere.

--- a/decisions/scaler/orders.go
+++ b/decisions/scaler/orders.go
@@ -31,8 +31,13 @@
 	entries []entry
 }
 
-// put adds an order, and replaces an earlier one of the subject.
+// put adds an order, and replaces an earlier one of the subject. What that would have replaced is still in force.
 func (q *queue) put(e entry) {
+	for _, earlier := range q.entries {
+		if earlier.subject == e.subject {
+			e.previous = earlier.previous
+		}
+	}
 	q.remove(e.subject)
 	q.entries = append(q.entries, e)
 }
@@ -45,6 +50,17 @@
 	return slices.ContainsFunc(q.entries, func(e entry) bool { return e.subject == s })
 }
 
+// groups lists those of a service that have an order.
+func (q *queue) groups(s quetzalroad.ServiceName) map[planner.Group]bool {
+	groups := make(map[planner.Group]bool)
+	for _, e := range q.entries {
+		if e.service == s {
+			groups[e.Group] = true
+		}
+	}
+	return groups
+}
+
 // next returns the order to send now: one that adds upstreams if there is any.
 func (q *queue) next(held map[quetzalroad.ServiceName]bool) (entry, bool) {
 	for _, e := range q.entries {
@@ -109,7 +125,7 @@
 	switch {
 	case err == nil:
 		t.failed = 0
-		t.accept(e)
+		t.accept(now, e)
 		logger.Info("ordered upstreams")
 	case errors.Is(err, quetzalroad.ErrLeaseEnded):
 		// Nothing was sent. The lease may be renewed by the next decision.
@@ -138,8 +154,11 @@
 	return t.scaler.client.OrderUpstreams(ctx, fence, order, func() error { return t.lease.Check(timeout) })
 }
 
-func (t *term) accept(e entry) {
+func (t *term) accept(now time.Time, e entry) {
 	t.queue.remove(e.subject)
+	if state, ok := t.states[e.service]; ok {
+		t.states[e.service] = state.MarkAccepted(e.Group, now)
+	}
 	t.accepted[e.subject] = e.count
 	t.scaler.setOrdered(e.subject, e.count)
 }
--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -45,6 +45,8 @@
 	booting int
 	// blocked reports whether none can be added now.
 	blocked bool
+	// pending reports whether the platform may not have accepted the order yet.
+	pending bool
 	// before is the count of the order in force before this plan.
 	before int
 	reason Reason
@@ -95,11 +97,15 @@
 	for _, price := range pl.in.Scaling.Prices {
 		for _, spot := range []bool{true, false} {
 			key := Group{DataCentre: price.DataCentre, Spot: spot}
-			g := &group{Group: key, GroupState: pl.state.Groups[key], price: price.Price, ready: ready[key], draining: draining[key]}
+			g := &group{Group: key, GroupState: pl.state.Groups[key], price: price.Price, ready: ready[key], draining: draining[key], pending: pl.in.Pending[key]}
 			pl.observeGroup(g)
 			pl.groups = append(pl.groups, g)
 		}
 	}
+	if slices.ContainsFunc(pl.groups, func(g *group) bool { return g.pending }) {
+		// Reductions that the platform accepts late would otherwise add up to a large step.
+		pl.state.reducedAt = pl.in.Now
+	}
 	if d := pl.in.Demand; d != nil {
 		pl.state.load = pl.state.load.add(pl.in.Now, *d, pl.policy.PeakHold)
 		pl.observePressure()
@@ -127,13 +133,13 @@
 
 // isOverdue reports whether the upstreams of an order should be registered, or gone, by now.
 func (pl *plan) isOverdue(g *group) bool {
-	return pl.in.Now.Sub(g.OrderedAt) >= pl.in.Scaling.BootTime+pl.policy.BootMargin
+	return !g.pending && pl.in.Now.Sub(g.OrderedAt) >= pl.in.Scaling.BootTime+pl.policy.BootMargin
 }
 
 // isRepeatDue reports whether an order that had no effect should be repeated. The wait grows with each repetition.
 func (pl *plan) isRepeatDue(g *group) bool {
 	doublings := min(max(g.Repeats-1, 0), maxDoublings)
-	return pl.in.Now.Sub(g.OrderedAt) >= (pl.in.Scaling.BootTime+pl.policy.BootMargin)<<doublings
+	return !g.pending && pl.in.Now.Sub(g.OrderedAt) >= (pl.in.Scaling.BootTime+pl.policy.BootMargin)<<doublings
 }
 
 // observePressure adds capacity while requests are late or refused although all ordered upstreams serve.
@@ -213,8 +219,16 @@
 		pl.raiseForLoad()
 	}
 	for _, price := range pl.in.Scaling.Prices {
-		inDataCentre := func(g *group) bool { return g.DataCentre == price.DataCentre }
-		for pl.ordered(price.DataCentre) < pl.in.Scaling.Minimum && (pl.addOne(true, ReasonMinimum, inDataCentre) || pl.addOne(false, ReasonMinimum, inDataCentre)) {
+		pl.raiseToMinimum(price.DataCentre)
+	}
+}
+
+// raiseToMinimum orders what a data centre lacks of its minimum, as spot upstreams where they are available.
+func (pl *plan) raiseToMinimum(d quetzalroad.DataCentre) {
+	inDataCentre := func(g *group) bool { return g.DataCentre == d }
+	for pl.ordered(d) < pl.in.Scaling.Minimum {
+		if !pl.addOne(true, ReasonMinimum, inDataCentre) && !pl.addOne(false, ReasonMinimum, inDataCentre) {
+			return
 		}
 	}
 }
@@ -232,7 +246,10 @@
 		// Where no spot upstreams are available, others take their place.
 		pl.addAll(total-pl.sum(all, (*group).expected), false, ReasonLoad)
 	}
-	for pl.surviving() < pl.needs.Surviving && pl.addOne(false, ReasonBase, others) {
+	for pl.surviving() < pl.needs.Surviving {
+		if !pl.addOne(false, ReasonBase, others) {
+			break
+		}
 	}
 	surplus := pl.sum(others, (*group).usable) - base
 	if spot := pl.sum(spots, (*group).expected); pl.exceedsDeadBand(surplus, base+surplus) && pl.isShort(spot, total-base) {
--- a/decisions/scaler/planner/planner.go
+++ b/decisions/scaler/planner/planner.go
@@ -63,12 +63,14 @@
 	Upstreams []quetzalroad.Upstream
 	// Demand is nil if no recent one is known.
 	Demand *Demand
+	// Pending are the groups whose last order the platform isn't known to have accepted.
+	Pending map[Group]bool
 }
 
 // GroupState is the order in force for a group.
 type GroupState struct {
 	Ordered int
-	// OrderedAt is when the order was last made or repeated.
+	// OrderedAt is when the order was last made, repeated or accepted.
 	OrderedAt time.Time
 	// Repeats counts the repetitions without success.
 	Repeats int
@@ -114,6 +116,15 @@
 	return s
 }
 
+// MarkAccepted returns the state after the platform accepted the order in force for a group.
+func (s State) MarkAccepted(g Group, now time.Time) State {
+	s.Groups = maps.Clone(s.Groups)
+	group := s.Groups[g]
+	group.OrderedAt = now
+	s.Groups[g] = group
+	return s
+}
+
 // MarkUnavailable returns the state after the platform had no upstreams of a group. The count is that of the last
 // order that it accepted.
 func (s State) MarkUnavailable(g Group, count int, until time.Time) State {
--- a/decisions/scaler/scaler_test.go
+++ b/decisions/scaler/scaler_test.go
@@ -219,6 +219,34 @@
 				t.Errorf("no upstreams given up after the return: %v", p.present)
 			}
 		},
+		"control API down between two reductions": func(t *testing.T, p *platform) {
+			begin := time.Now()
+			const down, back = 16 * time.Second, 50 * time.Second
+			p.respond = func(context.Context, quetzalroad.UpstreamOrder) error {
+				if at := time.Since(begin); at >= down && at < back {
+					return errDown
+				}
+				return nil
+			}
+			p.perform(t, settled)
+			left := len(p.UpstreamsOf("s"))
+			// given counts the upstreams given up in a span of time.
+			given := func(from, to time.Duration) (sum int) {
+				for _, c := range p.calls {
+					if at := c.at.Sub(begin); reduces(c) && at >= from && at < to {
+						sum += c.present - c.Count
+					}
+				}
+				return sum
+			}
+			all := given(back, settled)
+			for _, c := range p.calls {
+				from := c.at.Sub(begin)
+				if n := given(from, from+4*time.Second); from >= back && (all == 0 || n > (left+all)/5) {
+					t.Errorf("%d of %d upstreams given up in 4 s from %s on", n, left+all, from)
+				}
+			}
+		},
 		"control API slow": func(t *testing.T, p *platform) {
 			p.respond = func(ctx context.Context, _ quetzalroad.UpstreamOrder) error { <-ctx.Done(); return ctx.Err() }
 			p.perform(t, settled)
