Extend the interfaces of usage reports by what they lacked

Cause: the publisher needs the counts of the nodes it reads for and its own part in shared reads, the dispatcher a place to report demand to, and a duty has to know whether a failed command may still be on its way.

--- a/kernel/node.go
+++ b/kernel/node.go
@@ -71,14 +71,17 @@
 	PlatformClient quetzalroad.PlatformClient
 	UsageMeter     quetzalroad.UsageMeter
 	Activity       quetzalroad.ActivityExchange
-	ReadTransport  quetzalroad.ReadTransport
-	StateCodec     quetzalroad.StateCodec
-	RouteTable     quetzalroad.RouteTable
-	Freshness      quetzalroad.Freshness
-	CallerCodec    quetzalroad.CallerCodec
-	UpstreamCodec  quetzalroad.UpstreamCodec
-	ForwardClient  quetzalroad.ForwardClient
-	Forwarder      quetzalroad.Forwarder
+	// DemandMeter is nil if demand isn't measured, and LogSharing if each node reads the log itself.
+	DemandMeter   quetzalroad.DemandMeter
+	LogSharing    quetzalroad.LogSharing
+	ReadTransport quetzalroad.ReadTransport
+	StateCodec    quetzalroad.StateCodec
+	RouteTable    quetzalroad.RouteTable
+	Freshness     quetzalroad.Freshness
+	CallerCodec   quetzalroad.CallerCodec
+	UpstreamCodec quetzalroad.UpstreamCodec
+	ForwardClient quetzalroad.ForwardClient
+	Forwarder     quetzalroad.Forwarder
 	// UpstreamChecker is nil if the forward client can't check upstreams.
 	UpstreamChecker quetzalroad.UpstreamChecker
 	// Fleet is nil if the node knows no others.
--- a/sharing.go
+++ b/sharing.go
@@ -49,6 +49,18 @@
 	// that evidence, or nil if the other node is known to have it.
 	EvidenceDigest uint64
 	Evidence       *LossEvidence
+	// Usage is what the sender itself counted in recent windows, without what the other node is known to have.
+	Usage []NodeUsage
+	// Demand is the recent demand at the sender.
+	Demand []ServiceActivity
+}
+
+// LogSharing is a node's part in shared reads of the log.
+type LogSharing interface {
+	// HasReader reports whether another node reads the log for this one, and collects its observations.
+	HasReader() bool
+	// CollectedObservations returns the sum of the observations of this node and of those that it reads the log for.
+	CollectedObservations(now time.Time) Observations
 }
 
 // UpstreamObservation is what nodes have recently seen of an upstream.
--- a/usage.go
+++ b/usage.go
@@ -31,10 +31,13 @@
 type UsageMeter interface {
 	// CountRun counts a request of a team that an upstream has begun to run, once for each request.
 	CountRun(now time.Time, team TeamName)
-	// LocalUsage lists what this node counted in the recent windows.
+	// LocalUsage lists what this node counted in the recent windows, sorted by window and team.
 	LocalUsage(now time.Time) []NodeUsage
 	// UpdatePeerUsage records what other nodes counted.
 	UpdatePeerUsage(now time.Time, usage []NodeUsage)
+	// KnownUsage lists what this node and the others counted in the recent windows, sorted by node, incarnation,
+	// window and team.
+	KnownUsage(now time.Time) []NodeUsage
 }
 
 // UsageReport is the number of requests of each team in one window.
@@ -56,6 +59,25 @@
 	Late, Refused float64
 }
 
+// UsageState is what the holder of the lease saves of its usage reports.
+type UsageState struct {
+	// DecidedThrough is the last window that was decided or skipped; those before it were, too.
+	DecidedThrough UsageWindow
+	// Pending are the decided reports that the platform may not have yet, in order of their windows.
+	Pending []UsageReport
+}
+
+// DemandMeter measures the demand for services at this node.
+type DemandMeter interface {
+	// BeginRequest and EndRequest enclose the time in which a caller waits for a request to a service.
+	BeginRequest(now time.Time, s ServiceName)
+	EndRequest(now time.Time, s ServiceName)
+	// CountLate counts a request whose first token was late.
+	CountLate(now time.Time, s ServiceName)
+	// CountRefused counts a request that was refused for lack of capacity.
+	CountRefused(now time.Time, s ServiceName)
+}
+
 // ActivityReport is what a node publishes about itself and the nodes that it reads the log for.
 type ActivityReport struct {
 	// Node is the publisher, and DataCentre where these nodes run.
@@ -98,8 +120,15 @@
 // ErrUnavailable reports that the platform has no upstreams of the ordered kind at the moment.
 var ErrUnavailable = errors.New("the platform has no such upstreams at the moment")
 
-// PlatformClient sends commands that only the holder of the lease may send. An error other than ErrUnavailable
-// leaves open whether the command took effect. Before each command, and again once the connection is open, check is
+var (
+	// ErrNotSent reports that no part of a command was sent.
+	ErrNotSent = errors.New("the command was not sent")
+	// ErrRejected reports that the platform answered a command with a failure, so that it is no longer on its way.
+	ErrRejected = errors.New("the platform rejected the command")
+)
+
+// PlatformClient sends commands that only the holder of the lease may send. An error other than ErrUnavailable,
+// ErrNotSent and ErrRejected leaves open whether the command took effect or still will. Before each command, and again once the connection is open, check is
 // called; if it returns an error, nothing is sent.
 type PlatformClient interface {
 	ReportUsage(ctx context.Context, f Fence, r UsageReport, check func() error) error
