Count forwarded requests and measure demand in the dispatcher

Change: a request counts once for its team at the first event of a stream, or at the head of another response below status 500. Demand counts requests, those in flight, late ones and those refused for lack of capacity. Tested: each case of counting on one node with scripted upstreams, -race.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -25,6 +25,14 @@
 		return noUpstreamRefusal()
 	}
 	f.Service = service
+	d.beginDemand(f)
+	err := d.forwardToService(ctx, deadlineCtx, f, sink)
+	d.endDemand(f, err)
+	return err
+}
+
+// forwardToService runs a request until deadlineCtx ends. ctx ends when the caller disconnects.
+func (d *Dispatcher) forwardToService(ctx, deadlineCtx context.Context, f *quetzalroad.ForwardRequest, sink quetzalroad.ForwardSink) error {
 	suspects := suspectsOf(f)
 	if refusal := d.checkQuarantine(f, suspects); refusal != nil {
 		return refusal
@@ -94,6 +102,8 @@
 	longestGap time.Duration
 	// rateLimit is what the last response stated; nil if there was none, or no clear statement.
 	rateLimit *quetzalroad.RateLimit
+	// usageCounted is set once the request was counted for its team.
+	usageCounted bool
 	// attempt is the progress of the current attempt.
 	attempt attemptProgress
 }
@@ -228,6 +238,9 @@
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
+	if !head.EventStream && head.Status < http.StatusInternalServerError {
+		r.countRun(time.Now())
+	}
 	if r.responseStarted && (!head.EventStream || head.Status != r.status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d instead of the rest of the stream", head.Status)}
 	}
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -59,6 +59,7 @@
 	elapsed := now.Sub(r.request.Arrived)
 	r.timeToFirstByte = elapsed
 	d.node.Recorder.ObserveFirstToken(profile.Class, elapsed, elapsed <= profile.FirstTokenTarget)
+	r.recordLate(now, elapsed <= profile.FirstTokenTarget)
 }
 
 // write sends the head to the caller, unless already sent, and then the parts of the body.
@@ -130,6 +131,7 @@
 		}
 		r.attempt.countChunk(chunk)
 		now := time.Now()
+		r.countRun(now)
 		if lastEventAt.IsZero() {
 			r.recordFirstByte(u, now, start)
 		} else {
