Send counts and demand to readers with the observations

Change: two fields of Observations, which earlier builds ignore. Counts are sent until the reader has confirmed them, and all of them to another reader. Without the slots, no byte is added.

--- a/codecs/nodemapper/observations.go
+++ b/codecs/nodemapper/observations.go
@@ -24,6 +24,7 @@
 	for _, l := range o.Limits {
 		message.Limits = append(message.Limits, &peerwire.UpstreamLimit{Upstream: string(l.Upstream), Limited: l.Limit.IsSet, PerSecond: l.Limit.PerSecond, AgeUs: l.Age.Microseconds()})
 	}
+	message.Usage, message.Demand = encodeUsage(o.Usage), encodeDemand(o.Demand)
 	return message
 }
 
@@ -54,6 +55,7 @@
 			})
 		}
 	}
+	o.Usage, o.Demand = decodeUsage(message.GetUsage()), decodeDemand(message.GetDemand())
 	return o
 }
 
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -64,6 +64,7 @@
 	aggregator aggregator.Aggregator
 	members    members
 	evidence   evidenceSharing
+	usage      usageSharing
 	// logFailed is set while the log does not respond to this node. refresh, which is buffered, is
 	// signalled when it does again.
 	logFailed atomic.Bool
@@ -113,6 +114,7 @@
 	n.AddTask("share evidence of losses", d.shareEvidence)
 	n.AddReadiness(d)
 	n.Fleet = d
+	n.LogSharing = d
 	n.OnStop(d.deleteOwnRegistration)
 	return nil
 }
--- a/state/distributor/observations.go
+++ b/state/distributor/observations.go
@@ -7,12 +7,14 @@
 )
 
 // withObservations adds this node's observations to a read of the stream that is read most often.
-func (d *Distributor) withObservations(q quetzalroad.SharedReadRequest) quetzalroad.SharedReadRequest {
+func (d *Distributor) withObservations(reader quetzalroad.NodeName, q quetzalroad.SharedReadRequest) quetzalroad.SharedReadRequest {
 	if q.Stream != quetzalroad.LogStreamOperators {
 		return q
 	}
-	o := d.localObservations(time.Now())
+	now := time.Now()
+	o := d.localObservations(now)
 	d.attachEvidence(&o, d.evidence.readerDigest.Load())
+	d.attachActivity(&o, reader, now)
 	q.Node, q.Observations = d.self.Name, &o
 	return q
 }
@@ -36,6 +38,7 @@
 	now := time.Now()
 	d.mergeEvidence(o.Evidence)
 	o.Evidence = nil
+	d.takeActivity(from, now, &o)
 	d.aggregator.Update(from, now, o)
 	d.aggregator.Update(d.self.Name, now, d.localObservations(now))
 	sum := d.aggregator.Sum(now, from)
--- a/state/distributor/sharedread.go
+++ b/state/distributor/sharedread.go
@@ -21,7 +21,7 @@
 	var outdated []quetzalroad.NodeName
 	var lastErr error
 	for _, reader := range readers[:min(len(readers), maxReaderTries)] {
-		records, bounds, err := d.readShared(ctx, reader, d.withObservations(q))
+		records, bounds, err := d.readShared(ctx, reader, d.withObservations(reader.Name, q))
 		if err == nil || isReload(err) {
 			d.avoidOutdated(q.Stream, outdated)
 			return records, bounds, err
@@ -97,6 +97,9 @@
 	if response.Observations != nil {
 		d.applyObservations(*response.Observations)
 	}
+	if q.Observations != nil {
+		d.usage.confirm(reader.Name, q.Observations.Usage)
+	}
 	bounds := quetzalroad.StreamBounds{
 		Epoch: response.Epoch, End: response.NextRead, NextRead: response.NextRead, InheritedEnd: response.InheritedEnd, Age: response.Age, Hops: sharedReadHops,
 	}
