Render a section of an object once unless it names the keys

Cause: the platform renders {{#cloud}} once, although cloud has several fields. Change: a section repeats for the keys of an object only if it contains {{@}}. Tested: TestRender.

--- a/support/renderer/renderer.go
+++ b/support/renderer/renderer.go
@@ -1,7 +1,7 @@
 // Package renderer renders settings templates. It supports the syntax that the
 // deployment's template uses: values, values as JSON, sections rendered if a value
 // is set and not false, inverted sections, and sections repeated for each key of an
-// object. Tests and the soak test use it to configure nodes.
+// object, if they contain the key. Tests and the soak test use it to configure nodes.
 package renderer
 
 import (
@@ -50,7 +50,7 @@
 		return ""
 	}
 	object, ok := v.(map[string]any)
-	if !ok {
+	if !ok || !strings.Contains(body, "{{@}}") {
 		return body
 	}
 	var keys []string
--- a/support/renderer/renderer_test.go
+++ b/support/renderer/renderer_test.go
@@ -15,6 +15,7 @@
 		"{{#off}}yes{{/off}}{{^off}}no{{/off}}":     "no",
 		"{{#none}}yes{{/none}}{{^none}}no{{/none}}": "no",
 		"{{#zones}}{{@}}={{.}}{{,}}{{/zones}}":      "z1=r1,z2=r2",
+		"{{#zones}}yes{{/zones}}":                   "yes",
 	} {
 		if got, err := Render(template, fields); err != nil || got != want {
 			t.Errorf("%s rendered as %q, %v, want %q", template, got, err, want)
