Select usage reports where the platform has a control API

Change: the template of the settings selects platform-commands, activity and usage if the field cloud is set, and none otherwise. Tested: the template renders valid settings in both cases.

--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -15,12 +15,15 @@
 	_ "github.com/quetzalroad/quetzalroad/decisions/predictor"
 	_ "github.com/quetzalroad/quetzalroad/decisions/retrier/budgeter"
 	_ "github.com/quetzalroad/quetzalroad/decisions/spiller/disabler"
+	_ "github.com/quetzalroad/quetzalroad/decisions/usagereporter"
 	_ "github.com/quetzalroad/quetzalroad/peers/readconnector"
 	_ "github.com/quetzalroad/quetzalroad/platform/callermapper"
+	_ "github.com/quetzalroad/quetzalroad/platform/commandclient"
 	_ "github.com/quetzalroad/quetzalroad/platform/statedecoder"
 	_ "github.com/quetzalroad/quetzalroad/platform/storeclient"
 	_ "github.com/quetzalroad/quetzalroad/platform/upstreammapper"
 	_ "github.com/quetzalroad/quetzalroad/servers/forwardserver"
+	_ "github.com/quetzalroad/quetzalroad/state/activitypublisher"
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
@@ -42,12 +45,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, enforced := range []bool{true, false} {
+	for _, enabled := range []bool{true, false} {
 		var fields map[string]any
 		if err := json.Unmarshal([]byte(machineFields), &fields); err != nil {
 			t.Fatal(err)
 		}
-		fields["bounds"].(map[string]any)["enforceRevocation"] = enforced
+		bounds := fields["bounds"].(map[string]any)
+		bounds["enforceRevocation"] = enabled
+		if enabled {
+			fields["cloud"] = map[string]any{"address": "10.200.1.8:8750", "dutyPerS": 50.0}
+			bounds["usageWindowS"], bounds["usageLateS"] = 5.0, 10.0
+		}
 		settings, err := renderer.Render(string(template), fields)
 		if err != nil {
 			t.Error(err)
