Write to the log's streams on condition of their end

Cause: a lease in the log needs writes of which only one of two concurrent ones succeeds. Tested: the tests of the touched packages with the race detector.

--- a/cmd/quetzalemu/storeserver/store.go
+++ b/cmd/quetzalemu/storeserver/store.go
@@ -7,7 +7,6 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -104,8 +103,13 @@
 	s.topicLocked(topicName).append(r)
 }
 
+// endOffset returns the offset of the next append.
+func (t *topic) endOffset() uint64 {
+	return t.firstOffset + uint64(len(t.records))
+}
+
 func (t *topic) append(r record) {
-	offset := t.firstOffset + uint64(len(t.records))
+	offset := t.endOffset()
 	t.records = append(t.records, r)
 	if r.value == "" {
 		delete(t.latest, r.key)
@@ -187,38 +191,6 @@
 	}
 }
 
-// maxAppendBytes limits the total size of the records in one append request.
-const maxAppendBytes = 2 << 20
-
-// handleAppend appends length-prefixed records. It rejects appends to the topics that only
-// operators and servers write.
-func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request, topicName string) {
-	if topicName == operatorTopic || topicName == serverTopic {
-		writeJSON(w, http.StatusForbidden, map[string]any{"error": "the topic is not the system's"})
-		return
-	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAppendBytes))
-	if err != nil {
-		writeJSON(w, http.StatusBadRequest, map[string]any{"error": err.Error()})
-		return
-	}
-	for len(data) >= 4 {
-		length := binary.BigEndian.Uint32(data)
-		rest := data[4:]
-		if length == 0 || uint64(length) > uint64(len(rest)) || int(rest[0]) >= int(length) {
-			writeJSON(w, http.StatusBadRequest, map[string]any{"error": "a record is cut"})
-			return
-		}
-		keyEnd := 1 + int(rest[0])
-		s.Append(topicName, string(rest[1:keyEnd]), string(rest[keyEnd:length]))
-		data = rest[length:]
-	}
-	s.mu.Lock()
-	endOffset := s.topicLocked(topicName).firstOffset + uint64(len(s.topicLocked(topicName).records))
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"offset": endOffset - 1, "endOffset": endOffset})
-}
-
 // maxPageItems limits the records in a page of handleLatest.
 const maxPageItems = 500
 
@@ -242,7 +214,7 @@
 			"key": key, "value": base64.StdEncoding.EncodeToString([]byte(t.latest[key].value)), "offset": t.latest[key].offset,
 		})
 	}
-	endOffset := t.firstOffset + uint64(len(t.records))
+	endOffset := t.endOffset()
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": hasMore, "endOffset": endOffset})
 }
@@ -269,7 +241,7 @@
 	for {
 		s.mu.Lock()
 		t := s.topicLocked(topicName)
-		firstOffset, endOffset := t.firstOffset, t.firstOffset+uint64(len(t.records))
+		firstOffset, endOffset := t.firstOffset, t.endOffset()
 		w.Header().Set(epochHeader, strconv.Itoa(1+s.restores))
 		var records []record
 		if from >= firstOffset && from < endOffset {
--- a/proofs/faker/keyedlog.go
+++ b/proofs/faker/keyedlog.go
@@ -36,6 +36,11 @@
 	earliest quetzalroad.Offset
 }
 
+// endLocked returns the offset of the next append.
+func (s *keyedStream) endLocked() quetzalroad.Offset {
+	return s.earliest + quetzalroad.Offset(len(s.records))
+}
+
 // ErrUnavailable is returned by a log that is unavailable.
 var ErrUnavailable = errors.New("log is unavailable")
 
@@ -46,6 +51,7 @@
 func (l *KeyedLog) Build(n *kernel.Node) error {
 	n.KeyedLog = l
 	n.KeyedWriter = l
+	n.ConditionalWriter = l
 	n.StateCodec = l
 	return nil
 }
@@ -73,7 +79,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stream := l.streamLocked(s)
-	r := quetzalroad.KeyedRecord{Key: key, Offset: stream.earliest + quetzalroad.Offset(len(stream.records))}
+	r := quetzalroad.KeyedRecord{Key: key, Offset: stream.endLocked()}
 	if value != nil {
 		l.values = append(l.values, value)
 		r.Value = []byte(strconv.Itoa(len(l.values) - 1))
@@ -87,13 +93,33 @@
 	err = l.serve(ctx, func() bool {
 		epoch = l.epochLocked()
 		stream := l.streamLocked(s)
-		stream.records = append(stream.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: stream.earliest + quetzalroad.Offset(len(stream.records))})
+		stream.records = append(stream.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: stream.endLocked()})
 		l.notifyLocked()
 		return true
 	})
 	return epoch, err
 }
 
+// PutKeyedAt implements quetzalroad.ConditionalWriter.
+func (l *KeyedLog) PutKeyedAt(ctx context.Context, s quetzalroad.LogStream, key string, value []byte, end quetzalroad.Offset) (position quetzalroad.Position, err error) {
+	conflict := false
+	err = l.serve(ctx, func() bool {
+		stream := l.streamLocked(s)
+		position = quetzalroad.Position{Epoch: l.epochLocked(), Offset: stream.endLocked()}
+		conflict = position.Offset != end
+		if !conflict {
+			stream.records = append(stream.records, quetzalroad.KeyedRecord{Key: key, Value: value, Offset: end})
+			position.Offset++
+			l.notifyLocked()
+		}
+		return true
+	})
+	if err == nil && conflict {
+		err = quetzalroad.ErrConflict
+	}
+	return position, err
+}
+
 // SetUnavailable makes every call fail, or work again.
 func (l *KeyedLog) SetUnavailable(unavailable bool) {
 	l.mu.Lock()
@@ -226,7 +252,7 @@
 		combined := keyedStream{records: append([]quetzalroad.KeyedRecord(nil), l.streamLocked("newest/"+s).records...)}
 		combined.records = append(combined.records, stream.records...)
 		records = latestByKey(&combined)
-		end := stream.earliest + quetzalroad.Offset(len(stream.records))
+		end := stream.endLocked()
 		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), End: end, NextRead: end, Hops: 1}
 		return true
 	})
@@ -240,7 +266,7 @@
 	trimmed := false
 	read := func() bool {
 		stream := l.streamLocked(s)
-		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), Earliest: stream.earliest, End: stream.earliest + quetzalroad.Offset(len(stream.records)), NextRead: from.Offset, Hops: 1}
+		bounds = quetzalroad.StreamBounds{Epoch: l.epochLocked(), Earliest: stream.earliest, End: stream.endLocked(), NextRead: from.Offset, Hops: 1}
 		trimmed = from.Offset < stream.earliest || from.Offset > bounds.End
 		if trimmed || from.Offset >= bounds.End {
 			return trimmed || waitCtx.Err() != nil
--- a/state/epochtracker/epochtracker.go
+++ b/state/epochtracker/epochtracker.go
@@ -39,21 +39,25 @@
 		n.Log = t
 	}
 	if n.KeyedLog != nil {
-		t := &keyedLogTracker{log: n.KeyedLog, writer: n.KeyedWriter}
+		t := &keyedLogTracker{log: n.KeyedLog, writer: n.KeyedWriter, conditionalWriter: n.ConditionalWriter}
 		t.publish(n)
 		n.KeyedLog = t
 		if t.writer != nil {
 			n.KeyedWriter = t
 		}
+		if t.conditionalWriter != nil {
+			n.ConditionalWriter = t
+		}
 	}
 	return nil
 }
 
-// keyedLogTracker is a keyed log and its writer.
+// keyedLogTracker is a keyed log and its writers.
 type keyedLogTracker struct {
 	observer
-	log    quetzalroad.KeyedLog
-	writer quetzalroad.KeyedWriter
+	log               quetzalroad.KeyedLog
+	writer            quetzalroad.KeyedWriter
+	conditionalWriter quetzalroad.ConditionalWriter
 }
 
 // ReadLatest implements quetzalroad.KeyedLog.
@@ -94,3 +98,17 @@
 	}
 	return epoch, t.observe(epoch, sentAt)
 }
+
+// PutKeyedAt implements quetzalroad.ConditionalWriter. After ErrOutdatedEpoch the record is lost. The epoch is also
+// noted if the condition didn't hold.
+func (t *keyedLogTracker) PutKeyedAt(ctx context.Context, s quetzalroad.LogStream, key string, value []byte, end quetzalroad.Offset) (quetzalroad.Position, error) {
+	sentAt := boottimer.Now()
+	position, err := t.conditionalWriter.PutKeyedAt(ctx, s, key, value, end)
+	if err != nil && !errors.Is(err, quetzalroad.ErrConflict) {
+		return quetzalroad.Position{}, err
+	}
+	if outdatedErr := t.observe(position.Epoch, sentAt); outdatedErr != nil {
+		return quetzalroad.Position{}, outdatedErr
+	}
+	return position, err
+}
--- a/state/epochtracker/epochtracker_test.go
+++ b/state/epochtracker/epochtracker_test.go
@@ -106,8 +106,12 @@
 	return l.epoch, l.err
 }
 
+func (l *stubLog) PutKeyedAt(context.Context, quetzalroad.LogStream, string, []byte, quetzalroad.Offset) (quetzalroad.Position, error) {
+	return quetzalroad.Position{Epoch: l.epoch}, l.err
+}
+
 func newTracker(log *stubLog) *keyedLogTracker {
-	return &keyedLogTracker{observer: observer{logger: slog.New(slog.DiscardHandler)}, log: log, writer: log}
+	return &keyedLogTracker{observer: observer{logger: slog.New(slog.DiscardHandler)}, log: log, writer: log, conditionalWriter: log}
 }
 
 func TestPositionOfAnotherEpochIsRefusedWithAndWithoutTrimmedRecords(t *testing.T) {
@@ -138,3 +142,23 @@
 		t.Errorf("error %v, want ErrOutdatedEpoch", err)
 	}
 }
+
+// The holder of a lease would act on it until its next read, though the record of the lease is lost.
+func TestConditionalWriteTellsTheEpochWhetherOrNotItWasMade(t *testing.T) {
+	for name, writeErr := range map[string]error{"made": nil, "conflict": quetzalroad.ErrConflict} {
+		t.Run(name, func(t *testing.T) {
+			log := &stubLog{epoch: 2, err: writeErr}
+			tracker := newTracker(log)
+			if _, err := tracker.PutKeyedAt(t.Context(), quetzalroad.LogStreamLeases, "k", nil, 0); !errors.Is(err, writeErr) {
+				t.Errorf("error %v, want %v", err, writeErr)
+			}
+			if got := tracker.Epoch(); got != 2 {
+				t.Errorf("epoch %d, want 2", got)
+			}
+			log.epoch = 1
+			if _, err := tracker.PutKeyedAt(t.Context(), quetzalroad.LogStreamLeases, "k", nil, 0); !errors.Is(err, quetzalroad.ErrOutdatedEpoch) {
+				t.Errorf("error %v, want ErrOutdatedEpoch", err)
+			}
+		})
+	}
+}
