Rank the nodes of all data centres, and announce the begin of a planned stop

Cause: a few nodes watch a lease, and all have to agree on which; a holder that stops hands over at once. Change: Fleet.RankedNodes in the distributor, and Node.StopBegun.

--- a/decisions/quarantiner/quarantiner_test.go
+++ b/decisions/quarantiner/quarantiner_test.go
@@ -22,6 +22,8 @@
 
 func (f fleet) Nodes() []quetzalroad.NodeName { return f }
 
+func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+
 func newQuarantiner(t *testing.T, name quetzalroad.NodeName, nodes ...quetzalroad.NodeName) *Quarantiner {
 	t.Helper()
 	q := new(Quarantiner)
--- a/decisions/throttler/throttler_test.go
+++ b/decisions/throttler/throttler_test.go
@@ -20,6 +20,8 @@
 
 func (f fleet) Nodes() []quetzalroad.NodeName { return f }
 
+func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+
 func newFleet(t *testing.T, count int) []*Throttler {
 	t.Helper()
 	var names fleet
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -97,7 +97,9 @@
 
 	tomb     tomb.Tomb
 	stopping atomic.Bool
-	stopOnce sync.Once
+	// stopBegun is closed when a planned stop begins. It is allocated by Build.
+	stopBegun chan struct{}
+	stopOnce  sync.Once
 	// closingTo is when the work in flight has to end, once a stopping node no longer expects requests; nil
 	// before.
 	closingTo atomic.Pointer[time.Time]
@@ -155,6 +157,11 @@
 	return n.stopping.Load()
 }
 
+// StopBegun returns a channel that is closed when a planned stop begins.
+func (n *Node) StopBegun() <-chan struct{} {
+	return n.stopBegun
+}
+
 // InFlight returns the amount of work in flight.
 func (n *Node) InFlight() int {
 	total := 0
@@ -263,6 +270,7 @@
 		balancerLag: cfg.balancerLag,
 		stopTimeout: cfg.stopTimeout,
 	}
+	n.stopBegun = make(chan struct{})
 	n.ending, n.endingNow = context.WithCancelCause(context.Background())
 	for _, s := range slotSpecs {
 		selector := cfg.selectors[s.slot]
--- a/kernel/stop.go
+++ b/kernel/stop.go
@@ -16,6 +16,9 @@
 
 func (n *Node) stop(ctx context.Context) {
 	n.stopping.Store(true)
+	if n.stopBegun != nil {
+		close(n.stopBegun)
+	}
 	if n.stopTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, n.stopTimeout)
--- a/quarantine.go
+++ b/quarantine.go
@@ -124,4 +124,8 @@
 type Fleet interface {
 	// Nodes returns the names of all known nodes of all data centres, including this one.
 	Nodes() []NodeName
+	// RankedNodes returns the same names in an order on which all nodes with the same list agree: by descending
+	// capacity, then by the hash of the name. It is empty before the list has been read. The slice is shared and
+	// must not be modified.
+	RankedNodes() []NodeName
 }
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -155,6 +155,13 @@
 	return d.members.nodes
 }
 
+// RankedNodes implements quetzalroad.Fleet.
+func (d *Distributor) RankedNodes() []quetzalroad.NodeName {
+	d.members.mu.Lock()
+	defer d.members.mu.Unlock()
+	return d.members.rankedNodes
+}
+
 var errNodesUnknown = errors.New("the list of nodes has not been read yet")
 
 // Ready implements quetzalroad.Readiness. With the list of nodes come the requests that must not reach
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -29,6 +29,9 @@
 	// nodes holds the names of all nodes of all data centres, this one included; guarded by mu. The
 	// slice is never modified once it is set.
 	nodes []quetzalroad.NodeName
+	// rankedNodes holds the same names in the order of compareNodes; guarded by mu. The slice is never modified once
+	// it is set.
+	rankedNodes []quetzalroad.NodeName
 	// registrations are the last ones that could be decoded, of all nodes, without their evidence; guarded by mu.
 	// The slice is never modified once it is set.
 	registrations []quetzalroad.NodeRegistration
@@ -89,10 +92,21 @@
 	}
 }
 
-func (m *members) setNodes(nodes []quetzalroad.NodeName) {
+// setNodes sets the nodes of all data centres, this one included.
+func (m *members) setNodes(registrations []quetzalroad.NodeRegistration) {
+	nodes := namesOf(registrations)
+	ranked := namesOf(slices.SortedFunc(slices.Values(registrations), compareNodes))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nodes = nodes
+	m.nodes, m.rankedNodes = nodes, ranked
+}
+
+func namesOf(registrations []quetzalroad.NodeRegistration) []quetzalroad.NodeName {
+	names := make([]quetzalroad.NodeName, len(registrations))
+	for i, r := range registrations {
+		names[i] = r.Name
+	}
+	return names
 }
 
 // setRegistrations keeps registrations for when a node's next one can't be decoded.
--- a/state/distributor/members_test.go
+++ b/state/distributor/members_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/quetzalroad/quetzalroad"
 )
 
@@ -149,3 +151,29 @@
 		t.Error("a node reads the log after its promotion has ended")
 	}
 }
+
+// Nodes that rank the fleet in different orders would all keep away from a free lease, or all claim it at once.
+func TestNodesOfAllDataCentresAgreeOnTheRanks(t *testing.T) {
+	all := nodes(30)
+	for i := range all {
+		all[i].DataCentre = quetzalroad.DataCentre(fmt.Sprint(i % 3))
+	}
+	all[7].ReadCapacity, all[9].ReadCapacity = 200, 100
+	var want []quetzalroad.NodeName
+	for i, self := range all {
+		var m members
+		m.setNodes(append([]quetzalroad.NodeRegistration{self}, without(all, i)...))
+		if want == nil {
+			want = m.rankedNodes
+		}
+		if diff := cmp.Diff(want, m.rankedNodes); diff != "" {
+			t.Fatalf("ranks of %s (-want +got):\n%s", self.Name, diff)
+		}
+		if m.nodes[0] != self.Name {
+			t.Errorf("%s lists %s first", self.Name, m.nodes[0])
+		}
+	}
+	if len(want) != len(all) || want[0] != all[7].Name || want[1] != all[9].Name {
+		t.Errorf("%d nodes, the first are %v", len(want), want[:2])
+	}
+}
--- a/state/distributor/registrations.go
+++ b/state/distributor/registrations.go
@@ -163,12 +163,12 @@
 	registrations = append(registrations, d.members.lastRegistrations(undecodable)...)
 	d.members.setRegistrations(registrations)
 	var others []quetzalroad.NodeRegistration
-	nodes := []quetzalroad.NodeName{d.self.Name}
+	nodes := []quetzalroad.NodeRegistration{d.self}
 	for _, registration := range registrations {
 		if registration.Name == d.self.Name || !registration.IsNode() || !writtenWithin(registration, d.registrationTTL) {
 			continue
 		}
-		nodes = append(nodes, registration.Name)
+		nodes = append(nodes, registration)
 		if registration.DataCentre == d.self.DataCentre {
 			others = append(others, registration)
 		}
