Grant a lease in the log to one node at a time

Cause: some work may only be performed by one node at a time, and the platform sees by a fencing token which is the current one.

--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -22,6 +23,7 @@
 	_ "github.com/quetzalroad/quetzalroad/platform/upstreammapper"
 	_ "github.com/quetzalroad/quetzalroad/servers/forwardserver"
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
+	_ "github.com/quetzalroad/quetzalroad/state/leaser"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
 	_ "github.com/quetzalroad/quetzalroad/support/recorder"
@@ -42,12 +44,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, enforced := range []bool{true, false} {
+	for _, enabled := range []bool{true, false} {
 		var fields map[string]any
 		if err := json.Unmarshal([]byte(machineFields), &fields); err != nil {
 			t.Fatal(err)
 		}
-		fields["bounds"].(map[string]any)["enforceRevocation"] = enforced
+		fields["bounds"].(map[string]any)["enforceRevocation"] = enabled
+		if enabled {
+			fields["bounds"].(map[string]any)["leaseMs"] = 3000.0
+			fields["cloud"] = map[string]any{"address": "10.200.1.8:8743", "dutyPerS": 50.0}
+		}
 		settings, err := renderer.Render(string(template), fields)
 		if err != nil {
 			t.Error(err)
@@ -55,5 +61,8 @@
 		if err := kernel.NewConfig().Load("node.hujson", []byte(settings)); err != nil {
 			t.Errorf("%v\n%s", err, settings)
 		}
+		if got := strings.Contains(settings, `"leases": {"plugin": "log", "duration": "3000ms"}`); got != enabled {
+			t.Errorf("leases are configured: %v, want %v", got, enabled)
+		}
 	}
 }
--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -37,6 +37,7 @@
 	_ "github.com/quetzalroad/quetzalroad/state/drainer"
 	_ "github.com/quetzalroad/quetzalroad/state/epochtracker"
 	_ "github.com/quetzalroad/quetzalroad/state/follower"
+	_ "github.com/quetzalroad/quetzalroad/state/leaser"
 	_ "github.com/quetzalroad/quetzalroad/state/logclient"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/vmclient"
--- a/support/renderer/renderer.go
+++ b/support/renderer/renderer.go
@@ -1,7 +1,7 @@
 // Package renderer renders settings templates. It supports the syntax that the
 // deployment's template uses: values, values as JSON, sections rendered if a value
-// is set and not false, inverted sections, and sections repeated for each key of an
-// object. Tests and the soak test use it to configure nodes.
+// is set and not false, inverted sections, and sections that name the key or value
+// of an object's entries and are repeated for each of them. Tests and the soak test use it to configure nodes.
 package renderer
 
 import (
@@ -16,6 +16,7 @@
 
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
+	keyPattern     = regexp.MustCompile(`\{\{[@.]\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
 )
 
@@ -50,7 +51,7 @@
 		return ""
 	}
 	object, ok := v.(map[string]any)
-	if !ok {
+	if !ok || !keyPattern.MatchString(body) {
 		return body
 	}
 	var keys []string
