Test each failure of the lease by itself

Cause: the random run tells that a rule broke, not which failure broke it. Tested: state/leaser with the race detector.

--- /dev/null
+++ b/state/leaser/failures_test.go
@@ -0,0 +1,163 @@
+package leaser_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+)
+
+// runFleet runs a test on three nodes of which one has held the lease for a while.
+func runFleet(t *testing.T, lateShare float64, f func(t *testing.T, w *world, holder *process)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 0, lateShare, faults{})
+		defer w.end()
+		time.Sleep(15 * time.Second)
+		f(t, w, w.awaitHolder(t, nil, 0))
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, v := range w.violations {
+			t.Error(v)
+		}
+	})
+}
+
+// awaitHolder waits until a process other than a given one holds the lease.
+func (w *world) awaitHolder(t *testing.T, other *process, timeout time.Duration) *process {
+	t.Helper()
+	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		for _, p := range w.processes {
+			if p != other && p.holds() {
+				return p
+			}
+		}
+		if time.Since(start) > timeout {
+			t.Fatalf("no process holds the lease after %s", timeout)
+		}
+	}
+}
+
+func token(t *testing.T, p *process) quetzalroad.FencingToken {
+	t.Helper()
+	h, held := p.node.Leaser.Holder()
+	if !held {
+		t.Fatal("no holder is known")
+	}
+	return h.Token
+}
+
+// The duties would end with their holder, or start on another node while its commands may arrive.
+func TestAnotherNodeTakesOverOnceTheLeaseIsOver(t *testing.T) {
+	for name, fail := range map[string]func(p *process){
+		"killed":       func(p *process) { p.node.Kill() },
+		"frozen":       func(p *process) { p.freeze(time.Minute) },
+		"disconnected": func(p *process) { p.cut(time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 0, func(t *testing.T, w *world, holder *process) {
+				before, failedAt := token(t, holder), time.Now()
+				fail(holder)
+				next := w.awaitHolder(t, holder, takeOver+time.Second)
+				if after := time.Since(failedAt); after < takeOver-w.renewEvery {
+					t.Errorf("taken over after %s", after)
+				}
+				if got := token(t, next); got != before+1 {
+					t.Errorf("token %d after %d", got, before)
+				}
+			})
+		})
+	}
+}
+
+// Two nodes would act if one took over without the log's consent, and none if nobody tried again.
+func TestNoNodeHoldsTheLeaseWithoutTheLog(t *testing.T) {
+	for name, set := range map[string]func(w *world, failed bool){
+		"down":   func(w *world, failed bool) { w.log.SetUnavailable(failed) },
+		"silent": func(w *world, failed bool) { w.log.SetStalled(failed) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 0, func(t *testing.T, w *world, _ *process) {
+				set(w, true)
+				for range 20 {
+					time.Sleep(duration)
+					for _, p := range w.processes {
+						if p.holds() {
+							t.Errorf("%s holds the lease", p.name)
+						}
+					}
+				}
+				set(w, false)
+				w.awaitHolder(t, nil, 2*time.Second)
+			})
+		})
+	}
+}
+
+// Each lost response would cost a change of the holder, or make a holder act on a renewal that the log doesn't have.
+func TestHolderKeepsItsTokenWhenCallsAndResponsesAreLost(t *testing.T) {
+	runFleet(t, 0, func(t *testing.T, _ *world, holder *process) {
+		before := token(t, holder)
+		for range 20 {
+			holder.setLossy(1)
+			time.Sleep(1200 * time.Millisecond)
+			holder.setLossy(0)
+			time.Sleep(8 * time.Second)
+		}
+		if got := token(t, holder); got != before || holder.count("lease-losses") != "0" || holder.count("lease-renewal-failures") == "0" {
+			t.Errorf("token %d, want %d; %s losses, %s failures of renewals", got, before, holder.count("lease-losses"), holder.count("lease-renewal-failures"))
+		}
+	})
+}
+
+// A node that stops would leave the duties undone for seconds, or hand them over while a command may arrive.
+func TestStoppingHolderHandsOverUnlessACommandMayBeInFlight(t *testing.T) {
+	for name, lateShare := range map[string]float64{"confirmed": 0, "unconfirmed": 1} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, lateShare, func(t *testing.T, w *world, holder *process) {
+				before, stoppedAt := token(t, holder), time.Now()
+				go holder.node.Stop(t.Context())
+				next := w.awaitHolder(t, holder, takeOver+time.Second)
+				if after := time.Since(stoppedAt); (after > 2*time.Second) != (lateShare > 0) {
+					t.Errorf("taken over after %s", after)
+				}
+				if got := token(t, next); got != before+1 {
+					t.Errorf("token %d after %d", got, before)
+				}
+			})
+		})
+	}
+}
+
+// A restored log would issue tokens and accept states a second time. A write that was sent before the restore may be
+// stored after it, and would replace the lease that was granted since.
+func TestRestoredLogIssuesHigherTokensAndIgnoresWritesOfBefore(t *testing.T) {
+	runFleet(t, 0, func(t *testing.T, w *world, holder *process) {
+		older := w.log.Copy()
+		records, _, err := w.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
+		if err != nil || len(records) != 1 {
+			t.Fatalf("%d records, error %v", len(records), err)
+		}
+		time.Sleep(5 * time.Second)
+		before := token(t, holder)
+		w.log.Restore(older)
+		time.Sleep(2 * takeOver)
+		next := w.awaitHolder(t, nil, 0)
+		after := token(t, next)
+		if after>>32 != 2 || after <= before {
+			t.Errorf("token %d after %d", after, before)
+		}
+		_, bounds, err := w.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
+		if err == nil {
+			_, err = w.log.PutKeyedAt(t.Context(), quetzalroad.LogStreamLeases, records[0].Key, records[0].Value, bounds.End)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * takeOver)
+		if got := token(t, w.awaitHolder(t, nil, 0)); got != after {
+			t.Errorf("token %d after a late write, want %d", got, after)
+		}
+	})
+}
