--- a/state/leaser/failures_test.go
+++ b/state/leaser/failures_test.go
@@ -144,7 +144,7 @@
 		w.log.Restore(older)
 		time.Sleep(2 * takeOver)
 		next := w.awaitHolder(t, nil, 0)
-		after := token(t, next)
+		after, losses := token(t, next), next.count("lease-losses")
 		if after>>32 != 2 || after <= before {
 			t.Errorf("token %d after %d", after, before)
 		}
@@ -156,8 +156,8 @@
 			t.Fatal(err)
 		}
 		time.Sleep(2 * takeOver)
-		if got := token(t, w.awaitHolder(t, nil, 0)); got != after {
-			t.Errorf("token %d after a late write, want %d", got, after)
+		if got := token(t, next); got != after || next.count("lease-losses") != losses {
+			t.Errorf("token %d after a late write, want %d; %s losses, before %s", got, after, next.count("lease-losses"), losses)
 		}
 	})
 }
--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -47,6 +47,9 @@
 	callTimeout time.Duration
 	// incarnation tells this process from others of the same name.
 	incarnation string
+	// builtAt and builtTime are when this process began, by the boot clock and by the time of day.
+	builtAt   boottimer.Instant
+	builtTime time.Time
 
 	// The fields below belong to the task. lastRead is what the log holds by the last read or write, and firstReadAt
 	// the response to the first read that returned the same record.
@@ -91,12 +94,14 @@
 	l.policy.renewEvery = min(l.policy.renewEvery, l.policy.duration/3)
 	l.callTimeout = min(l.callTimeout, l.policy.duration/3)
 	l.incarnation = rand.Text()
+	l.builtAt, l.builtTime = boottimer.Now(), time.Now()
 	l.stopped = make(chan struct{})
 	n.Leaser = l
 	n.AddTask("hold or watch the lease", l.run)
 	n.OnStop(l.awaitStopped)
 	n.Vars.Set("lease-token", expvar.Func(func() any { return uint64(l.lastHolder().Token) }))
 	n.Vars.Set("lease-holder", expvar.Func(func() any { return string(l.lastHolder().Node) }))
+	n.Vars.Set("lease-seconds", expvar.Func(l.secondsHeld))
 	n.Vars.Set("lease-held", &l.holding)
 	n.Vars.Set("lease-claims", &l.claims)
 	n.Vars.Set("lease-losses", &l.losses)
@@ -121,6 +126,15 @@
 	return h
 }
 
+// secondsHeld returns the time since this node first saw the token of the holder; zero if there is none.
+func (l *Leaser) secondsHeld() any {
+	h, held := l.Holder()
+	if !held {
+		return 0.0
+	}
+	return time.Since(h.Since).Seconds()
+}
+
 // noteHolder notes the holder by the record of the current epoch; nil if there is none.
 func (l *Leaser) noteHolder(r *leasemapper.Record) {
 	known, held := l.Holder()
@@ -164,11 +178,12 @@
 	}
 	// By then the list of nodes has usually been read. The nodes of a fleet that starts at once don't read together.
 	delay := l.policy.renewEvery + time.Duration(randv2.Float64()*float64(l.policy.renewEvery))
-	for {
+	for first := true; ; {
 		timer := time.NewTimer(delay)
 		select {
 		case <-timer.C:
-			delay = l.watch(ctx)
+			delay = l.watch(ctx, first)
+			first = false
 		case <-l.node.StopBegun():
 			timer.Stop()
 			return nil
@@ -193,14 +208,23 @@
 	return rank, rank < l.policy.candidates
 }
 
+// epochKnownSince returns when this node first knew the log's epoch.
+func (l *Leaser) epochKnownSince() time.Time {
+	return latestTime(time.Now(), l.builtTime.Add(l.builtAt.Age())).Add(-l.epochs.Age())
+}
+
 // isOwn reports whether this process wrote a record.
 func (l *Leaser) isOwn(r *leasemapper.Record) bool {
 	return r != nil && r.Holder == l.node.Name && r.Incarnation == l.incarnation
 }
 
-// watch reads the record, and claims and holds the lease if it is free. It returns the time until the next read.
-func (l *Leaser) watch(ctx context.Context) time.Duration {
+// watch reads the record, and claims and holds the lease if it is free. It returns the time until the next read. A
+// node that reads seldom doesn't do so first when it starts, as all others may start then.
+func (l *Leaser) watch(ctx context.Context, first bool) time.Duration {
 	rank, frequent := l.rank()
+	if first && !frequent {
+		return l.policy.readInterval(rank, frequent)
+	}
 	s, err := l.read(ctx)
 	if err != nil {
 		if l.failedReads++; l.failedReads == 1 && ctx.Err() == nil {
@@ -234,7 +258,7 @@
 	if l.isOwn(s.current) {
 		record = *s.current
 	} else {
-		record = nextRecord(previous, claimant{node: l.node.Name, incarnation: l.incarnation, epoch: s.epoch, epochKnownSince: time.Now().Add(-l.epochs.Age())})
+		record = nextRecord(previous, claimant{node: l.node.Name, incarnation: l.incarnation, epoch: s.epoch, epochKnownSince: l.epochKnownSince()})
 	}
 	sentAt, err := l.write(ctx, record)
 	if err == nil && sentAt.Age() >= l.policy.duration {
--- a/state/leaser/policy.go
+++ b/state/leaser/policy.go
@@ -98,6 +98,17 @@
 	return p.candidates - 1
 }
 
+// latestTime returns the later of the time of day and of what it would be without steps since the process began. If
+// the clock was set back, states that are lost would pass for ones that were never saved.
+func latestTime(now, withoutSteps time.Time) time.Time {
+	// Round strips the monotonic readings, by which the times would be compared.
+	now, withoutSteps = now.Round(0), withoutSteps.Round(0)
+	if now.Before(withoutSteps) {
+		return withoutSteps
+	}
+	return now
+}
+
 // claimant is the node that claims the lease.
 type claimant struct {
 	node        quetzalroad.NodeName
--- a/state/leaser/policy_test.go
+++ b/state/leaser/policy_test.go
@@ -74,3 +74,14 @@
 		t.Errorf("%.1f reads a second of 300 nodes", perSecond)
 	}
 }
+
+// A report would be decided a second time if the states that hold it seemed to have been lost before it was due.
+func TestClockThatWasSetBackDoesNotHideLostStates(t *testing.T) {
+	start := time.Unix(1000, 0)
+	if got := latestTime(start.Add(-7*time.Second), start); !got.Equal(start) {
+		t.Errorf("%s, want %s", got, start)
+	}
+	if got := latestTime(start.Add(7*time.Second), start); !got.Equal(start.Add(7 * time.Second)) {
+		t.Errorf("%s, want 7 s after %s", got, start)
+	}
+}
