--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -26,6 +27,7 @@
 	_ "github.com/quetzalroad/quetzalroad/servers/forwardserver"
 	_ "github.com/quetzalroad/quetzalroad/state/activitypublisher"
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
+	_ "github.com/quetzalroad/quetzalroad/state/leaser"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
 	_ "github.com/quetzalroad/quetzalroad/support/recorder"
@@ -55,7 +57,7 @@
 		bounds["enforceRevocation"] = enabled
 		if enabled {
 			fields["cloud"] = map[string]any{"address": "10.200.1.8:8750", "dutyPerS": 50.0}
-			bounds["usageWindowS"], bounds["usageLateS"] = 5.0, 10.0
+			bounds["leaseMs"], bounds["usageWindowS"], bounds["usageLateS"] = 3000.0, 5.0, 10.0
 		}
 		settings, err := renderer.Render(string(template), fields)
 		if err != nil {
@@ -64,5 +66,8 @@
 		if err := kernel.NewConfig().Load("node.hujson", []byte(settings)); err != nil {
 			t.Errorf("%v\n%s", err, settings)
 		}
+		if got := strings.Contains(settings, `"leases": {"plugin": "log", "duration": "3000ms"}`); got != enabled {
+			t.Errorf("leases are configured: %v, want %v", got, enabled)
+		}
 	}
 }
