--- a/state/leaser/record.go
+++ b/state/leaser/record.go
@@ -47,7 +47,7 @@
 	errEpochChanged = errors.New("the log has begun a new epoch")
 	// errLate reports that a lease had ended when the log confirmed it.
 	errLate     = errors.New("the log confirmed the lease too late")
-	errNoEpoch  = errors.New("the log states no epoch that tokens can be made of")
+	errBadEpoch = errors.New("the log states an epoch that tokens can't be made of")
 	errTooLarge = errors.New("the states of the duties exceed the size limit")
 )
 
@@ -65,8 +65,8 @@
 		return sighting{}, err
 	}
 	s.epoch, s.end = bounds.Epoch, bounds.End
-	if s.epoch == 0 || s.epoch > maxEpoch {
-		return sighting{}, errNoEpoch
+	if s.epoch > maxEpoch {
+		return sighting{}, errBadEpoch
 	}
 	if s.epoch != epochBefore {
 		s.epochKnownFor = 0
