Lose fewer counts and less time after failures of usage reports

Reports were sent up to 3 s after the control API had returned. Change: small fleets publish twice as often; nobody publishes before the list of nodes is known; the backoff is at most 1 s and ends with the first success. Counts that arrive after a decision make a second decision visible in the test.

--- a/decisions/usagereporter/sender.go
+++ b/decisions/usagereporter/sender.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// minBackoff and maxBackoff bound the time between two attempts to send a report.
+	// minBackoff and maxBackoff bound the time between two attempts to send a report, before jitter. With 2 s, reports
+	// were late after a failure that ended in time.
 	minBackoff = 200 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
 )
 
 // attempt is the last failed attempt to send a report.
@@ -59,7 +60,8 @@
 		t.reported.Add(1)
 		t.logger.Info("usage reported", "window", int64(r.Window), "total", totalRequests(r), "after", t.counter.Time(time.Now()).Sub(t.ledger.end(r.Window)))
 		t.ledger.confirm(r.Window)
-		delete(t.attempts, r.Window)
+		// The platform responds again, so that the other reports need not wait.
+		clear(t.attempts)
 		return
 	}
 	t.attempts[r.Window] = t.attempts[r.Window].next()
--- a/proofs/prover/usage_test.go
+++ b/proofs/prover/usage_test.go
@@ -42,6 +42,8 @@
 	token      quetzalroad.FencingToken
 	saved      []byte
 	lostBefore time.Time
+	// saveError is the error of each attempt to save.
+	saveError error
 	// onSave and onSend are called once, after a decision was saved and before a report is sent.
 	onSave, onSend func()
 	// answer is the error of each call to the control API, and taken tells whether the API took the command before.
@@ -84,13 +86,23 @@
 func (u *usageNode) AddDuty(d quetzalroad.Duty)            { u.duty = d }
 func (*usageNode) Holder() (quetzalroad.LeaseHolder, bool) { return quetzalroad.LeaseHolder{}, false }
 func (u *usageNode) Token() quetzalroad.FencingToken       { return u.token }
-func (u *usageNode) State(quetzalroad.DutyName) []byte     { return u.fleet.saved }
-func (u *usageNode) LostBefore() time.Time                 { return u.fleet.lostBefore }
 func (*usageNode) Unconfirmed()                            {}
 func (*usageNode) OrderUpstreams(context.Context, quetzalroad.Fence, quetzalroad.UpstreamOrder, func() error) error {
 	return nil
 }
 
+func (u *usageNode) State(quetzalroad.DutyName) []byte {
+	u.fleet.mu.Lock()
+	defer u.fleet.mu.Unlock()
+	return u.fleet.saved
+}
+
+func (u *usageNode) LostBefore() time.Time {
+	u.fleet.mu.Lock()
+	defer u.fleet.mu.Unlock()
+	return u.fleet.lostBefore
+}
+
 func (u *usageNode) Check(time.Duration) error {
 	u.fleet.mu.Lock()
 	defer u.fleet.mu.Unlock()
@@ -102,6 +114,12 @@
 
 // Save saves a state, provided that the log responds.
 func (u *usageNode) Save(ctx context.Context, _ quetzalroad.DutyName, state []byte) error {
+	u.fleet.mu.Lock()
+	err := u.fleet.saveError
+	u.fleet.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	if _, err := u.fleet.log.PutKeyed(ctx, quetzalroad.LogStreamLeases, "duties", state); err != nil {
 		return err
 	}
@@ -160,13 +178,16 @@
 	}
 }
 
+func windowAt(t time.Time) quetzalroad.UsageWindow {
+	return quetzalroad.UsageWindow(t.UnixNano() / int64(usageWindow))
+}
+
 func windowEnd(w quetzalroad.UsageWindow) time.Time {
 	return time.Unix(0, int64(w+1)*int64(usageWindow))
 }
 
-// grant gives the lease to a node, whichever held it before.
+// grant gives the lease to a node. No other holds it.
 func (f *usageFleet) grant(u *usageNode) {
-	f.revoke()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.token++
@@ -175,23 +196,34 @@
 	go u.duty.Perform(ctx, u)
 }
 
+// takeOverDelay is the time from the end of a lease until another node holds it.
+const takeOverDelay = 3500 * time.Millisecond
+
+// revoke ends the lease. A few counts arrive late, so that the next holder would decide differently on the windows
+// before.
 func (f *usageFleet) revoke() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.holder != nil {
-		f.holder.end()
-		f.holder = nil
+	f.holder.end()
+	f.holder = nil
+	f.mu.Unlock()
+	now := time.Now()
+	for w := windowAt(now) - 3; w < windowAt(now); w++ {
+		for _, n := range f.nodes {
+			n.UsageMeter.UpdatePeerUsage(now, []quetzalroad.NodeUsage{{Node: "late", StartedAt: now, Window: w, Teams: []quetzalroad.TeamUsage{{Team: "team-0", Requests: 1}}}})
+		}
 	}
 }
 
-// kill kills a node, and gives its lease to the last one after the time of a take-over.
+// takeOver takes the lease from its holder and gives it to the last node.
+func (f *usageFleet) takeOver() {
+	f.revoke()
+	time.AfterFunc(takeOverDelay, func() { f.grant(f.nodes[len(f.nodes)-1]) })
+}
+
+// kill kills a node, whose lease another one takes over.
 func (f *usageFleet) kill(u *usageNode) {
-	if f.holder == u {
-		f.revoke()
-		go func() {
-			time.Sleep(3500 * time.Millisecond)
-			f.grant(f.nodes[len(f.nodes)-1])
-		}()
+	if u.Check(0) == nil {
+		f.takeOver()
 	}
 	u.killed.Store(true)
 	u.Kill()
@@ -226,7 +258,7 @@
 			}
 			team := quetzalroad.TeamName(fmt.Sprintf("team-%d", i%2))
 			u.UsageMeter.CountRun(time.Now().Add(time.Duration(u.clockStep.Load())), team)
-			w := quetzalroad.UsageWindow(time.Now().UnixNano() / int64(usageWindow))
+			w := windowAt(time.Now())
 			if f.truth[w] == nil {
 				f.truth[w] = make(map[quetzalroad.TeamName]int)
 			}
@@ -246,13 +278,20 @@
 	}{
 		"no fault": {fault: func(*usageFleet) {}},
 		"holder killed after a decision was saved": {fault: func(f *usageFleet) {
-			f.onSave = func() { f.kill(f.holder) }
+			f.setHook(&f.onSave, func() { f.kill(f.nodes[2]) })
+		}},
+		"lease lost before a decision is saved": {fault: func(f *usageFleet) {
+			f.setSaveError(errLost)
+			time.AfterFunc(2*time.Second, func() {
+				f.setSaveError(nil)
+				f.takeOver()
+			})
 		}},
 		"holder frozen before it sends": {fault: func(f *usageFleet) {
-			f.onSend = func() {
-				f.grant(f.nodes[len(f.nodes)-1])
+			f.setHook(&f.onSend, func() {
+				f.takeOver()
 				time.Sleep(8 * time.Second)
-			}
+			})
 		}},
 		"responses lost": {fault: func(f *usageFleet) {
 			f.setAnswer(errLost, true)
@@ -271,13 +310,16 @@
 			time.AfterFunc(4*time.Second, func() { f.log.SetUnavailable(false) })
 		}},
 		"store restored": {missed: 2, fault: func(f *usageFleet) {
-			copied := f.log.Copy()
-			saved := f.saved
+			f.mu.Lock()
+			copied, saved := f.log.Copy(), f.saved
+			f.mu.Unlock()
 			time.AfterFunc(6*time.Second, func() {
 				f.log.Restore(copied)
-				f.revoke()
-				f.saved, f.lostBefore = saved, time.Now()
-				time.AfterFunc(3500*time.Millisecond, func() { f.grant(f.nodes[len(f.nodes)-1]) })
+				f.takeOver()
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				// The clock of the node that stated the time was slow.
+				f.saved, f.lostBefore = saved, time.Now().Add(-7*time.Second)
 			})
 		}},
 		"reader killed in the middle of a window": {fault: func(f *usageFleet) { f.kill(f.nodes[0]) }},
@@ -286,7 +328,7 @@
 			time.AfterFunc(20*time.Second, func() { f.nodes[1].clockStep.Store(0) })
 		}},
 		"clock of the holder jumps and jumps back": {fault: func(f *usageFleet) {
-			holder := f.holder
+			holder := f.nodes[2]
 			holder.clockStep.Store(int64(-7 * time.Second))
 			time.AfterFunc(20*time.Second, func() { holder.clockStep.Store(0) })
 		}},
@@ -322,6 +364,18 @@
 	f.answer, f.taken = err, taken
 }
 
+func (f *usageFleet) setHook(hook *func(), do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*hook = do
+}
+
+func (f *usageFleet) setSaveError(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.saveError = err
+}
+
 // check compares the reports to what was run.
 func (f *usageFleet) check(t *testing.T, mayMiss int) {
 	t.Helper()
--- a/state/activitypublisher/publisher.go
+++ b/state/activitypublisher/publisher.go
@@ -49,7 +49,7 @@
 
 // Declare implements kernel.Component.
 func (p *Publisher) Declare(s *configloader.Section) {
-	s.Duration("interval", &p.interval, time.Second, 10*time.Millisecond, time.Minute, "Interval between two reports of this node while they change.")
+	s.Duration("interval", &p.interval, time.Second, 10*time.Millisecond, time.Minute, "Interval between two reports of this node while they change; half of it in fleets of up to 8 nodes.")
 	s.Duration("idle-interval", &p.idleInterval, 4*time.Second, 10*time.Millisecond, time.Minute, "Interval between two reports while nothing changes.")
 	s.Duration("read-interval", &p.reader.interval, 500*time.Millisecond, 0, time.Minute, "Minimum time between two reads of the reports of all nodes.")
 	s.Duration("call-timeout", &p.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log.")
@@ -97,11 +97,12 @@
 	var last quetzalroad.ActivityReport
 	for {
 		// Different delays keep the writes of all nodes, which the log handles one at a time, apart.
-		delay := p.interval - time.Duration(rand.Int64N(int64(p.interval/jitterShare)))
+		interval := p.currentInterval()
+		delay := interval - time.Duration(rand.Int64N(int64(interval/jitterShare)))
 		if err := sleeper.Sleep(ctx, delay); err != nil {
 			return err
 		}
-		if p.node.LogSharing != nil && p.node.LogSharing.HasReader() {
+		if !p.publishes() {
 			continue
 		}
 		report := p.report(time.Now())
@@ -114,6 +115,26 @@
 	}
 }
 
+// publishes reports whether this node reads the log. While the list of nodes is unknown, as when a whole fleet starts,
+// all nodes read it, and their writes would exceed the rate that the log allows.
+func (p *Publisher) publishes() bool {
+	if p.node.Fleet != nil && len(p.node.Fleet.Nodes()) == 0 {
+		return false
+	}
+	return p.node.LogSharing == nil || !p.node.LogSharing.HasReader()
+}
+
+// smallFleet is the number of nodes up to which reports are written twice as often. What a publisher counted since its
+// last report is lost if it dies, and with few nodes that is a large part of a window's requests.
+const smallFleet = 8
+
+func (p *Publisher) currentInterval() time.Duration {
+	if p.node.Fleet != nil && len(p.node.Fleet.Nodes()) <= smallFleet {
+		return p.interval / 2
+	}
+	return p.interval
+}
+
 // jitterShare is the part of the interval by which delays differ, as a divisor.
 const jitterShare = 8
 
