--- a/decisions/dispatcher/activity.go
+++ b/decisions/dispatcher/activity.go
@@ -9,16 +9,16 @@
 )
 
 // countRun counts a request once that an upstream has begun to run. Responses with status 5xx don't show that one
-// did, as no token precedes them. A caller that has a part of the response
-// already asks for the rest of a request that was counted before.
-func (r *forwardRun) countRun(now time.Time) {
+// did, as no token precedes them. A caller that has a part of the response already asks for the rest of a request that
+// was counted before.
+func (r *forwardRun) countRun() {
 	meter := r.dispatcher.node.UsageMeter
 	if meter == nil || r.usageCounted || r.request.Team.Name == "" {
 		return
 	}
 	r.usageCounted = true
 	if r.request.LastEventID == 0 {
-		meter.CountRun(now, r.request.Team.Name)
+		meter.CountRun(time.Now(), r.request.Team.Name)
 	}
 }
 
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -239,7 +239,7 @@
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
 	if !head.EventStream && head.Status < http.StatusInternalServerError {
-		r.countRun(time.Now())
+		r.countRun()
 	}
 	if r.responseStarted && (!head.EventStream || head.Status != r.status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d instead of the rest of the stream", head.Status)}
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -131,7 +131,7 @@
 		}
 		r.attempt.countChunk(chunk)
 		now := time.Now()
-		r.countRun(now)
+		r.countRun()
 		if lastEventAt.IsZero() {
 			r.recordFirstByte(u, now, start)
 		} else {
