Give up upstreams as soon as others serve, and take leases without epochs over

A record written in a log that states no epoch could not be decoded, so that no node took such a lease over. Epoch zero is valid in a record.

--- a/codecs/leasemapper/record.go
+++ b/codecs/leasemapper/record.go
@@ -35,7 +35,7 @@
 	Holder        string            `json:"holder"`
 	Incarnation   string            `json:"incarnation"`
 	Token         uint64            `json:"token"`
-	Epoch         uint64            `json:"epoch"`
+	Epoch         *uint64           `json:"epoch"`
 	Released      bool              `json:"released,omitempty"`
 	LostBefore    *time.Time        `json:"lost-before,omitempty"`
 	RecentHolders []string          `json:"recent-holders,omitempty"`
@@ -44,8 +44,9 @@
 
 // Encode encodes a record.
 func Encode(r Record) ([]byte, error) {
+	epoch := uint64(r.Epoch)
 	j := recordJSON{
-		Format: formatVersion, Holder: string(r.Holder), Incarnation: r.Incarnation, Token: uint64(r.Token), Epoch: uint64(r.Epoch), Released: r.Released,
+		Format: formatVersion, Holder: string(r.Holder), Incarnation: r.Incarnation, Token: uint64(r.Token), Epoch: &epoch, Released: r.Released,
 	}
 	if !r.LostBefore.IsZero() {
 		j.LostBefore = &r.LostBefore
@@ -71,11 +72,11 @@
 	switch {
 	case j.Format != formatVersion:
 		return Record{}, errors.Newf("decode lease: format %d", j.Format)
-	case j.Holder == "" || j.Incarnation == "" || j.Token == 0 || j.Epoch == 0:
+	case j.Holder == "" || j.Incarnation == "" || j.Token == 0 || j.Epoch == nil:
 		return Record{}, errors.New("decode lease: holder, incarnation, token or epoch is missing")
 	}
 	r := Record{
-		Holder: quetzalroad.NodeName(j.Holder), Incarnation: j.Incarnation, Token: quetzalroad.FencingToken(j.Token), Epoch: quetzalroad.Epoch(j.Epoch), Released: j.Released,
+		Holder: quetzalroad.NodeName(j.Holder), Incarnation: j.Incarnation, Token: quetzalroad.FencingToken(j.Token), Epoch: quetzalroad.Epoch(*j.Epoch), Released: j.Released,
 	}
 	if j.LostBefore != nil {
 		r.LostBefore = *j.LostBefore
--- a/codecs/leasemapper/record_test.go
+++ b/codecs/leasemapper/record_test.go
@@ -11,7 +11,8 @@
 
 func TestRecordRoundTrip(t *testing.T) {
 	for name, want := range map[string]Record{
-		"least": {Holder: "n", Incarnation: "i", Token: 1, Epoch: 1},
+		"least":           {Holder: "n", Incarnation: "i", Token: 1, Epoch: 1},
+		"no epoch stated": {Holder: "n", Incarnation: "i", Token: 1},
 		"all fields": {
 			Holder: "n", Incarnation: "i", Token: 1<<53 - 1, Epoch: 7, Released: true, LostBefore: time.Unix(5, 6).UTC(),
 			RecentHolders: []quetzalroad.NodeName{"a", "b"}, States: map[quetzalroad.DutyName][]byte{"usage": []byte(`{"x":1}`)},
--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -184,8 +184,7 @@
 func (pl *plan) mayReduce() bool {
 	s, now := pl.state, pl.in.Now
 	return pl.in.Demand != nil && pl.isSettled() && s.slots > 0 &&
-		!s.IsLate(pl.policy) && now.Sub(s.reducedAt) >= pl.policy.StepInterval &&
-		!slices.ContainsFunc(pl.groups, func(g *group) bool { return g.booting > 0 })
+		!s.IsLate(pl.policy) && now.Sub(s.reducedAt) >= pl.policy.StepInterval
 }
 
 // repeatOrders repeats orders whose upstreams aren't there within the boot time.
