--- a/decisions/scaler/orders.go
+++ b/decisions/scaler/orders.go
@@ -136,7 +136,9 @@
 		t.markUnavailable(now, e)
 		logger.Warn("the platform has no such upstreams", "for", t.scaler.unavailableFor)
 	default:
-		t.lease.Unconfirmed()
+		if !errors.Is(err, quetzalroad.ErrNotSent) && !errors.Is(err, quetzalroad.ErrRejected) {
+			t.lease.Unconfirmed()
+		}
 		t.scaler.failures.Add("failed", 1)
 		t.sendAt = now.Add(t.nextBackoff())
 		// Other orders may succeed in the meantime.
