Count failed runs as usage, and give up no upstreams before the load is known

The scaler gave up the base of a fleet that had just started, before its first requests. Change: a request counts at the head of any response that an upstream ran and when its connection breaks after it was sent. The test of what counts expected no run for a failed one; the platform counts it.

--- a/decisions/dispatcher/activity.go
+++ b/decisions/dispatcher/activity.go
@@ -8,9 +8,8 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// countRun counts a request once that an upstream has begun to run. Responses with status 5xx don't show that one
-// did, as no token precedes them. A caller that has a part of the response already asks for the rest of a request that
-// was counted before.
+// countRun counts a request once that an upstream has begun to run, also if it then failed. A caller that has a part
+// of the response already asks for the rest of a request that was counted before.
 func (r *forwardRun) countRun() {
 	meter := r.dispatcher.node.UsageMeter
 	if meter == nil || r.usageCounted || r.request.Team.Name == "" {
--- a/decisions/dispatcher/activity_test.go
+++ b/decisions/dispatcher/activity_test.go
@@ -45,7 +45,8 @@
 		"stream that broke off":          {kind: "chat", first: &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(1, 3), Interrupted: true}, want: 1},
 		"truncated response repeated":    {kind: "safe", first: &faker.ScriptedResponse{Chunks: []quetzalroad.BodyChunk{{Data: []byte("x")}}, Interrupted: true}, want: 1},
 		"stream without events":          {kind: "chat", first: &faker.ScriptedResponse{EventStream: true}},
-		"error of the upstream":          {kind: "once", first: &faker.ScriptedResponse{Status: http.StatusInternalServerError}},
+		"error of the upstream":          {kind: "once", first: &faker.ScriptedResponse{Status: http.StatusInternalServerError}, want: 1},
+		"response lost":                  {kind: "once", want: 1},
 		"status that denies a run":       {kind: "once", first: &faker.ScriptedResponse{Status: http.StatusServiceUnavailable}},
 		"caller that has the beginning":  {kind: "stream", prepare: func(f *quetzalroad.ForwardRequest) { f.LastEventID = 2 }, first: &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(3, 5)}},
 		"request that belongs to no one": {kind: "stream", prepare: func(f *quetzalroad.ForwardRequest) { f.Team, f.HasKey = quetzalroad.Team{}, false }, first: whole},
@@ -54,6 +55,9 @@
 			runForwardTest(t, func(t *testing.T, x *forwardFixture) {
 				m := x.attachMeter()
 				x.Script = func(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+					if len(x.Sent()) == 1 && c.first == nil {
+						return nil, connectionLostError(a)
+					}
 					if len(x.Sent()) == 1 {
 						response := *c.first
 						return &response, nil
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -226,6 +226,10 @@
 		r.recordLoad(u, failure.LoadReport)
 		r.recordRateLimit(u, failure.RateLimit)
 		r.recordAvailability(u, failure.Leaving, failure.RetryAfter)
+		if !failure.NotRun && failure.RetryReason == quetzalroad.RetryConnectionLost && ctx.Err() == nil {
+			// Most requests whose response is lost were running.
+			r.countRun()
+		}
 		return err
 	}
 	defer response.Close()
@@ -238,7 +242,7 @@
 	if impliesNotRun(head.Status) {
 		return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %d without confirmation that the request was not run", head.Status)}
 	}
-	if !head.EventStream && head.Status < http.StatusInternalServerError {
+	if !head.EventStream {
 		r.countRun()
 	}
 	if r.responseStarted && (!head.EventStream || head.Status != r.status) {
--- a/decisions/scaler/planner/load.go
+++ b/decisions/scaler/planner/load.go
@@ -34,6 +34,8 @@
 
 // loadHistory is the recent load of a service. Its slices are replaced, not modified.
 type loadHistory struct {
+	// loadedSince is when the first load was seen; zero before.
+	loadedSince time.Time
 	// samples are those within their span, peaks those within the hold time; both in order of time.
 	samples []sample
 	peaks   []peak
@@ -63,6 +65,9 @@
 // add returns the history with another sample.
 func (h loadHistory) add(now time.Time, d Demand, hold time.Duration) loadHistory {
 	load := d.load()
+	if load > 0 && h.loadedSince.IsZero() {
+		h.loadedSince = now
+	}
 	h.samples = slices.DeleteFunc(slices.Clone(h.samples), func(s sample) bool { return now.Sub(s.at) > sampleSpan })
 	h.samples = append(h.samples, sample{at: now, load: load, requests: d.Requests, late: d.Late + d.Refused})
 	h.peaks = slices.DeleteFunc(slices.Clone(h.peaks), func(p peak) bool { return now.Sub(p.since) > hold })
@@ -74,6 +79,12 @@
 	return h
 }
 
+// isKnown reports whether the load was observed for long enough for its median to be one of loads: before the first
+// requests arrive, nothing tells how many upstreams they will need.
+func (h loadHistory) isKnown(now time.Time) bool {
+	return !h.loadedSince.IsZero() && now.Sub(h.loadedSince) > sampleSpan/2
+}
+
 func (h loadHistory) median() float64 {
 	loads := make([]float64, 0, len(h.samples))
 	for _, s := range h.samples {
--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -183,7 +183,7 @@
 // mayReduce reports whether upstreams can be given up without risk.
 func (pl *plan) mayReduce() bool {
 	s, now := pl.state, pl.in.Now
-	return pl.in.Demand != nil && pl.isSettled() && s.slots > 0 &&
+	return pl.in.Demand != nil && s.load.isKnown(now) && pl.isSettled() && s.slots > 0 &&
 		!s.IsLate(pl.policy) && now.Sub(s.reducedAt) >= pl.policy.StepInterval
 }
 
--- a/decisions/scaler/planner/plan_test.go
+++ b/decisions/scaler/planner/plan_test.go
@@ -63,6 +63,7 @@
 		"others go once spot upstreams serve":            {ordered: replaceable, present: replaceable, after: time.Minute, want: map[Reason]int{ReasonReplaced: -7}},
 		"none go in the first seconds":                   {ordered: replaceable, present: replaceable, after: 5 * time.Second, want: map[Reason]int{}},
 		"more come while requests are late":              {ordered: replaceable, present: replaceable, after: time.Minute, lateShare: 0.1, want: map[Reason]int{ReasonReplacement: 3}},
+		"none go before the load was seen for a while":   {ordered: replaceable, present: replaceable, after: 4 * time.Second, want: map[Reason]int{}},
 		"none go while the demand is unknown":            {ordered: replaceable, present: replaceable, after: time.Minute, noDemand: true, want: map[Reason]int{}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -74,7 +75,11 @@
 			if !c.noDemand {
 				in.Demand = &Demand{Running: 20 * slots * policy.TargetOccupancy / policy.Burst, Requests: 100, Late: 100 * c.lateShare}
 			}
-			_, decision := policy.Plan(in, NewState(start, c.ordered.orders()))
+			state := NewState(start, c.ordered.orders())
+			if in.Demand != nil {
+				state.load = state.load.add(start, *in.Demand, policy.PeakHold)
+			}
+			_, decision := policy.Plan(in, state)
 			if diff := cmp.Diff(c.want, totals(decision)); diff != "" {
 				t.Errorf("orders (-want +got):\n%s\n%+v", diff, decision)
 			}
