Reduce beside other orders, and skip no window after a planned restart

Cause: the scaler gave up the base only in a second in which it ordered nothing, which a rising load put off by 15 s. A holder that had started within a minute of the log's first lease took its own start for the time of a restore and skipped the windows before it. Change: reductions count only upstreams that serve, so they may go with other orders. The holder's own time replaces the stated one within 10 s, as far as clocks of VMs jump.

--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -72,7 +72,7 @@
 		pl.repeatOrders()
 		pl.raise()
 	}
-	if !pl.hasChanges() && pl.mayReduce() {
+	if pl.mayReduce() {
 		pl.reduce()
 	}
 	return pl.finish()
@@ -202,11 +202,6 @@
 	}
 }
 
-// hasChanges reports whether the plan has orders so far.
-func (pl *plan) hasChanges() bool {
-	return slices.ContainsFunc(pl.groups, func(g *group) bool { return g.Ordered != g.before || g.repeat })
-}
-
 // raise orders upstreams that are missing.
 func (pl *plan) raise() {
 	for _, g := range pl.groups {
--- a/decisions/usagereporter/reporter.go
+++ b/decisions/usagereporter/reporter.go
@@ -123,7 +123,7 @@
 }
 
 // maxClockError bounds the difference between the clocks of two VMs.
-const maxClockError = time.Minute
+const maxClockError = 10 * time.Second
 
 // lostBefore returns the time before which saved decisions may be missing. The clock of the holder that stated it may
 // have been slow, whereas this node knows how long the log's epoch has lasted at least.
