Put off reductions only while others are pending

Orders that add upstreams were pending for most of a rising load and put each reduction off by the step interval; only pending reductions can add up to a large step.

--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -102,7 +102,7 @@
 			pl.groups = append(pl.groups, g)
 		}
 	}
-	if slices.ContainsFunc(pl.groups, func(g *group) bool { return g.pending }) {
+	if slices.ContainsFunc(pl.groups, func(g *group) bool { return g.pending && g.Ordered < g.ready }) {
 		// Reductions that the platform accepts late would otherwise add up to a large step.
 		pl.state.reducedAt = pl.in.Now
 	}
