--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -52,6 +52,7 @@
 		for _, g := range groups.all() {
 			compare(g.members, g.inLongPool)
 		}
+		compare(groups.changing, true)
 	}
 	return best
 }
@@ -133,12 +134,29 @@
 	if slowness >= outlierSlowness {
 		cost += outlierLoad
 	}
+	cost += c.fullness(u, e)
 	if u.Region != s.region {
 		cost += s.crossRegionLoad
 	}
 	return cost + c.unusableCost(u.Name, e)
 }
 
+// nearlyFull is the share of an upstream's maximum concurrency from which its last report counts, although it is
+// old: a request that finds no free slot waits for another one to end.
+const nearlyFull = 0.7
+
+// fullness returns the load by which an engine's last report exceeds nearlyFull. At the crest of short prompts a node
+// sends few of them to each engine, and can't tell from those that an engine is full.
+func (c *chooser) fullness(u quetzalroad.Upstream, e quetzalroad.LoadEstimate) float64 {
+	if c.request.Model == "" {
+		return 0
+	}
+	return fullnessWeight * max(0, float64(e.Occupancy)/float64(max(1, u.MaxConcurrency))-nearlyFull)
+}
+
+// fullnessWeight makes an engine with all slots taken cost as much as half a load more.
+const fullnessWeight = 2
+
 // longPromptCost returns the estimated work until a long prompt is prefilled, in prompt tokens at the
 // usual pace, plus a random amount of up to one request. Slowness counts for the queue only: tokens are
 // slow wherever long prompts are prefilled, and leaving the owner means to prefill the prefix again.
--- a/request.go
+++ b/request.go
@@ -175,6 +175,9 @@
 	FirstTokenLatency time.Duration
 	// ReportAge is the age of the upstream's last report; zero before the first.
 	ReportAge time.Duration
+	// Occupancy is the number of running and waiting requests in the last report that is not too old to tell a
+	// full upstream from others; zero if there is none. Unlike Running it is not corrected for later changes.
+	Occupancy int
 	// Suspect is set if recent attempts failed and new work should go elsewhere if possible.
 	Suspect bool
 	// Leaving is set if the upstream must not get any new work.
--- a/state/tracker/observations.go
+++ b/state/tracker/observations.go
@@ -14,7 +14,7 @@
 		sh := &t.shards[i]
 		sh.mu.Lock()
 		for u, s := range sh.states {
-			if o, ok := s.observation(now, t.reportTTL); ok {
+			if o, ok := s.observation(now, max(t.reportTTL, t.occupancyTTL)); ok {
 				o.Upstream = u
 				observations = append(observations, o)
 			}
@@ -24,13 +24,13 @@
 	return observations
 }
 
-func (s *upstreamState) observation(now time.Time, reportTTL time.Duration) (quetzalroad.UpstreamObservation, bool) {
+func (s *upstreamState) observation(now time.Time, maxAge time.Duration) (quetzalroad.UpstreamObservation, bool) {
 	var o quetzalroad.UpstreamObservation
 	if s.interTokenLatency > 0 && now.Sub(s.interTokenAt) < sentLatencyMaxAge {
 		o.InterTokenLatency = s.interTokenLatency
 	}
 	age := now.Sub(s.report.MeasuredAt)
-	hasReport := !s.reportedAt.IsZero() && !s.reportFromPeer && age < reportTTL
+	hasReport := !s.reportedAt.IsZero() && !s.reportFromPeer && age < maxAge
 	if hasReport {
 		o.Occupancy, o.ReportAge = s.report.Running+s.report.Waiting, max(age, 1)
 	}
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -126,6 +126,7 @@
 	dataCentre      quetzalroad.DataCentre
 	region          quetzalroad.Region
 	reportTTL       time.Duration
+	occupancyTTL    time.Duration
 	suspectFor      time.Duration
 	maxSuspectShare float64
 	scope           string
@@ -141,6 +142,7 @@
 // Declare implements kernel.Component.
 func (t *Tracker) Declare(s *configloader.Section) {
 	s.Duration("report-lifetime", &t.reportTTL, 15*time.Second, 100*time.Millisecond, 10*time.Minute, "Age at which a load report is no longer used.")
+	s.Duration("occupancy-lifetime", &t.occupancyTTL, 1500*time.Millisecond, 0, 10*time.Minute, "Age at which a load report no longer tells whether an upstream is full.")
 	s.Duration("suspect-for", &t.suspectFor, 2*time.Second, 10*time.Millisecond, 10*time.Minute, "How long an upstream is suspect after consecutive failures; doubled with each further one, up to eightfold.")
 	s.Duration("report-interval", &t.poller.interval, time.Second, 0, time.Minute, "Interval at which an upstream is polled for its load; zero for never.")
 	s.Duration("report-timeout", &t.poller.timeout, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a request for a load report.")
@@ -295,6 +297,9 @@
 		return quetzalroad.LoadEstimate{}
 	}
 	e := s.estimate(now, t.reportTTL)
+	if e.ReportAge < t.occupancyTTL {
+		e.Occupancy = s.report.Running + s.report.Waiting
+	}
 	e.ReportingPeers = int(t.reportingCount.Load())
 	return e
 }
