Show duties only states that a confirmed write holds

Change: what a holder finds in the log after a conflict is the base of its next write, and visible to duties once that write is confirmed. The timeout of a call is 600 ms, as two lost calls of 900 ms ended the lease.

--- a/state/leaser/grant.go
+++ b/state/leaser/grant.go
@@ -30,6 +30,9 @@
 	// The fields below are guarded by mu. record is the last one that the log confirmed, and sentAt when it was sent.
 	record leasemapper.Record
 	sentAt boottimer.Instant
+	// base is what the next write changes: record, or what the log was found to hold since. Duties don't see the
+	// latter, as another write of this process may still replace it, until the next one is confirmed.
+	base leasemapper.Record
 	// unconfirmedAt is when a duty last reported a command that may still be on its way.
 	unconfirmedAt boottimer.Instant
 	// endReason is why the lease ended; empty while it lasts.
@@ -50,7 +53,7 @@
 func newGrant(ctx context.Context, l *Leaser, r leasemapper.Record, sentAt boottimer.Instant) *grant {
 	g := &grant{
 		leaser: l, token: r.Token, epoch: r.Epoch, grantedAt: boottimer.Now(), over: make(chan struct{}), saves: make(chan saveRequest),
-		record: r, sentAt: sentAt,
+		record: r, base: r, sentAt: sentAt,
 	}
 	g.duties, g.cancelDuties = context.WithCancel(ctx)
 	g.mu.Lock()
@@ -66,12 +69,12 @@
 
 // State implements quetzalroad.Lease.
 func (g *grant) State(d quetzalroad.DutyName) []byte {
-	return g.lastRecord().States[d]
+	return g.confirmed().States[d]
 }
 
 // LostBefore implements quetzalroad.Lease.
 func (g *grant) LostBefore() time.Time {
-	return g.lastRecord().LostBefore
+	return g.confirmed().LostBefore
 }
 
 // Check implements quetzalroad.Lease.
@@ -132,17 +135,23 @@
 	return g.unconfirmedAt.Age() < g.leaser.policy.takeOverDelay()
 }
 
-func (g *grant) lastRecord() leasemapper.Record {
+func (g *grant) confirmed() leasemapper.Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.record
 }
 
-// adopt replaces the record by one that this process wrote without learning that it was stored.
+func (g *grant) nextBase() leasemapper.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.base
+}
+
+// adopt bases the next write on a record that this process wrote without learning that it was stored.
 func (g *grant) adopt(r leasemapper.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.record = r
+	g.base = r
 }
 
 // extend notes that the log confirmed a record, unless the lease ended before.
@@ -150,7 +159,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.endReason == "" && g.remainingLocked() > 0 {
-		g.record, g.sentAt = r, sentAt
+		g.record, g.base, g.sentAt = r, r, sentAt
 		g.expiry.Reset(g.remainingLocked())
 	}
 }
--- a/state/leaser/holder.go
+++ b/state/leaser/holder.go
@@ -102,7 +102,7 @@
 			g.end(reasonRestored)
 			return errEpochChanged
 		}
-		record := change(g.lastRecord())
+		record := change(g.nextBase())
 		if g.grantedAt.Age() >= l.policy.takeOverDelay() {
 			// No command of an earlier holder is recent any more.
 			record.RecentHolders = nil
--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -81,7 +81,7 @@
 	s.Duration("renew-every", &l.policy.renewEvery, time.Second, 10*time.Millisecond, time.Hour, "Interval between two renewals, and between two reads of a candidate; at most a third of the duration.")
 	s.Int("candidates", &l.policy.candidates, 3, 1, 1000, "Number of nodes that read the lease as often as the holder renews it.")
 	s.Duration("check-every", &l.policy.checkEvery, 5*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the first node that is no candidate; it grows with the rank of the others.")
-	s.Duration("call-timeout", &l.callTimeout, 900*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log; at most a third of the duration.")
+	s.Duration("call-timeout", &l.callTimeout, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log, so that the lease lasts for three attempts to renew it; at most a third of the duration.")
 }
 
 // Build implements kernel.Component.
--- a/state/leaser/policy_test.go
+++ b/state/leaser/policy_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/leasemapper"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 )
 
 var testPolicy = policy{duration: 3 * time.Second, margin: 500 * time.Millisecond, renewEvery: time.Second, checkEvery: 5 * time.Second, candidates: 3}
@@ -85,3 +86,21 @@
 		t.Errorf("%s, want 7 s after %s", got, start)
 	}
 }
+
+// A duty would send a state that was found in the log while a later write of this process may still replace it.
+func TestStateIsThatOfTheLastConfirmedWrite(t *testing.T) {
+	state := func(s string) leasemapper.Record {
+		return withState(leasemapper.Record{Holder: "a", Token: 7, Epoch: 1}, "d", []byte(s))
+	}
+	l := &Leaser{policy: testPolicy}
+	g := newGrant(t.Context(), l, state("confirmed"), boottimer.Now())
+	defer g.end(reasonKilled)
+	g.adopt(state("found"))
+	if got := string(g.State("d")); got != "confirmed" {
+		t.Errorf("state %q", got)
+	}
+	g.extend(withState(g.nextBase(), "other", nil), boottimer.Now())
+	if got := string(g.State("d")); got != "found" {
+		t.Errorf("state %q after a confirmed write", got)
+	}
+}
