--- a/state/leaser/holder.go
+++ b/state/leaser/holder.go
@@ -27,6 +27,7 @@
 
 // hold renews the lease and saves states until the lease ends, and returns once its duties have.
 func (l *Leaser) hold(ctx context.Context, g *grant) {
+	l.holding.Set(1)
 	dutiesDone := l.performDuties(g)
 	timer := time.NewTimer(l.policy.renewEvery)
 	defer timer.Stop()
@@ -53,6 +54,7 @@
 		case <-g.over:
 		}
 	}
+	l.holding.Set(0)
 	l.logEnd(g)
 	<-dutiesDone
 }
--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -240,9 +240,7 @@
 		return l.policy.readDelay(rank, frequent, wait)
 	}
 	if g := l.claim(ctx, s); g != nil {
-		l.holding.Set(1)
 		l.hold(ctx, g)
-		l.holding.Set(0)
 	}
 	return l.policy.renewEvery
 }
