Keep nodes ready between two reads of the state

A read confirms the view of the instant at which it was sent. With a wait of 1.6 s the view of a node that reads for itself got 3.2 s old between two reads, and the node reports unready from 3 s on. The wait is now at most 1.4 s where keys are revoked within 5 s: one call more in 9 s and node.

Tested by TestNodesThatReadTheLogThemselvesStayReady.

--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -357,6 +357,20 @@
 	})
 }
 
+// A node whose view is confirmed by every read must not report unready between two of them.
+func TestNodesThatReadTheLogThemselvesStayReady(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		for range 500 {
+			time.Sleep(20 * time.Millisecond)
+			for i, n := range c.nodes {
+				if err := n.Ready(); err != nil {
+					t.Fatalf("node %d: %v, with a view of age %s", i, err, n.Freshness.Age())
+				}
+			}
+		}
+	})
+}
+
 // callsDuring returns the calls of all nodes to the log while f runs.
 func (c *cluster) callsDuring(f func()) int {
 	total := func() int {
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -139,15 +139,32 @@
 	switch {
 	case w.version.Load() == 0 || !w.registrations.loaded.Load():
 		return errNoState
-	case w.revocationDeadline > 0 && w.routes.RequiresKey() && w.confirmed.age() > time.Duration(unreadyFraction*float64(w.revocationDeadline)):
+	case w.revocationDeadline > 0 && w.routes.RequiresKey() && w.confirmed.age() > w.unreadyAge():
 		return errStale
 	}
 	return nil
 }
 
+// unreadyAge is the age of the view from which on the node reports unready, if a key may be revoked.
+func (w *Watcher) unreadyAge() time.Duration {
+	return time.Duration(unreadyFraction * float64(w.revocationDeadline))
+}
+
+// pollMargin is the part of unreadyAge reserved for the delays of two reads.
+const pollMargin = 200 * time.Millisecond
+
+// pollWait returns how long a read of the published state waits for a change. A read confirms the view of the
+// instant at which it was sent, so that the view gets as old as two reads take; the node stays ready meanwhile.
+func (w *Watcher) pollWait() time.Duration {
+	if w.revocationDeadline == 0 {
+		return w.statePollWait
+	}
+	return min(w.statePollWait, max(w.unreadyAge()-pollMargin, pollMargin)/2)
+}
+
 // followState applies the published state as operators write it.
 func (w *Watcher) followState(ctx context.Context) error {
-	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamOperators, pollWait: w.statePollWait, onConfirmed: w.confirmed.advance}
+	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamOperators, pollWait: w.pollWait(), onConfirmed: w.confirmed.advance}
 	reader.apply = func(b batch) {
 		for _, r := range b.records {
 			w.applyState(r, b.epoch)
