Complete the list of nodes soon after a start

All nodes that start together register within the same instants, and the store appends one record at a time: the list read after 0.4 s lacked most of 300 nodes and was kept for 20 s, or for 20 s more after a failed read. The nodes chose different readers, half of them killed ones, asked them again every 10 s, and became unready whenever a reader missed a response.

The list is read again after delays that double until it has stopped growing, and only what changed is read. A reader that fails to respond repeatedly is avoided longer, a promoted reader reads the list at once, and a reader's read ends 0.4 s after its wait, not after that of its caller.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -65,7 +65,7 @@
 	members    members
 	evidence   evidenceSharing
 	// logFailed is set while the log does not respond to this node. refresh, which is buffered, is
-	// signalled when it does again.
+	// signalled when it does again, and when this node has to read for others.
 	logFailed atomic.Bool
 	refresh   chan struct{}
 	caches    map[quetzalroad.LogStream]*streamCache
@@ -83,7 +83,7 @@
 	s.Duration("oldest", &d.maxAge, 2*time.Second, 10*time.Millisecond, time.Hour, "Maximum age of a reader's response.")
 	s.Duration("fallback-retry", &d.fallbackRetryDelay, 2*time.Second, 0, time.Minute, "How long a node whose readers respond with an old view does not ask the log again after it failed.")
 	s.Duration("avoid-for", &d.avoidDuration, 10*time.Second, 10*time.Millisecond, time.Hour, "How long to avoid a reader that failed to respond.")
-	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes.")
+	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes from the log. A node that has a reader reads it from there four times as often.")
 	s.Duration("lifetime", &d.registrationTTL, 3*time.Minute, time.Second, 24*time.Hour, "Age at which a node's registration expires; a node rewrites its own after a third of it.")
 	s.Duration("settle", &d.settleDelay, 400*time.Millisecond, 0, time.Minute, "Delay between the first two reads of the list of nodes, as several nodes may start together.")
 	s.Duration("rewrite-spread", &d.rewriteSpread, 2*time.Second, 0, time.Minute, "Time over which the nodes spread the writes of their registrations after the log was restored from an older copy.")
@@ -179,10 +179,12 @@
 			// The cache misses records that other nodes may need: reload it.
 			return nil, quetzalroad.StreamBounds{}, quetzalroad.ErrTrimmed
 		}
+	}
+	if ownRole.readsLog || !d.members.areKnown() {
 		wait = min(wait, d.readerPollWait)
 	}
 	sentAt := boottimer.Now()
-	records, bounds, err := d.log.ReadKeyed(ctx, s, from, wait)
+	records, bounds, err := d.readLog(ctx, s, from, wait)
 	d.recordLogResult(ctx, err)
 	if err != nil {
 		return nil, bounds, err
@@ -195,6 +197,19 @@
 	return records, bounds, nil
 }
 
+// readLog reads from the log. Callers allow for the longer wait of a node that reads for itself only; a response
+// that was lost must not delay the next read by it. The margin of a read that waits is half of that of its
+// repetition: the view of a reader that lost one response stays young enough for the nodes behind it.
+func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	timeout := d.callTimeout
+	if wait > 0 {
+		timeout = wait + d.callTimeout/2
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return d.log.ReadKeyed(ctx, s, from, wait)
+}
+
 // recordLogResult has the list of nodes read again once the log responds after a failure: evidence that
 // other nodes wrote meanwhile came with no alert.
 func (d *Distributor) recordLogResult(ctx context.Context, err error) {
@@ -203,9 +218,14 @@
 	case err != nil && !isReload(err):
 		d.logFailed.Store(true)
 	case d.logFailed.CompareAndSwap(true, false):
-		select {
-		case d.refresh <- struct{}{}:
-		default:
-		}
+		d.requestRefresh()
+	}
+}
+
+// requestRefresh has the list of nodes read soon.
+func (d *Distributor) requestRefresh() {
+	select {
+	case d.refresh <- struct{}{}:
+	default:
 	}
 }
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,17 +22,22 @@
 	ranked []quetzalroad.NodeRegistration
 	// avoidUntil is when failed readers may be used again, and is guarded by mu.
 	avoidUntil map[quetzalroad.NodeName]time.Time
+	// failures counts the failed reads from each reader since it last responded, and is guarded by mu.
+	failures map[quetzalroad.NodeName]int
 	// promotedUntil is until when this node reads the log because another one asked it to.
 	promotedUntil time.Time
 	// fallbackFailedAt is when the log last failed to respond to this node while it had readers. It
 	// has a monotonic clock reading, so that steps of the VM's clock don't matter.
 	fallbackFailedAt time.Time
-	// nodes holds the names of all nodes of all data centres, this one included; guarded by mu. The
-	// slice is never modified once it is set.
+	// nodes holds the names of all nodes of all data centres, this one included, in order; guarded by
+	// mu. The slice is never modified once it is set.
 	nodes []quetzalroad.NodeName
 	// registrations are the last ones that could be decoded, of all nodes, without their evidence; guarded by mu.
 	// The slice is never modified once it is set.
 	registrations []quetzalroad.NodeRegistration
+	// listNext is the position from which to read the list of nodes again; nil before it was first read. It is
+	// guarded by mu.
+	listNext *quetzalroad.Position
 	// known is closed once the members have been read, and isKnown is set then. Both are guarded by
 	// mu; known is allocated on first use.
 	known   chan struct{}
@@ -83,40 +89,83 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ranked = others
+	m.forgetAbsentLocked()
 	if !m.isKnown {
 		m.isKnown = true
 		close(m.knownLocked())
 	}
 }
 
-func (m *members) setNodes(nodes []quetzalroad.NodeName) {
+// forgetAbsentLocked forgets the failures of nodes that are no longer listed. The caller holds mu.
+func (m *members) forgetAbsentLocked() {
+	listed := make(map[quetzalroad.NodeName]bool, len(m.ranked))
+	for _, n := range m.ranked {
+		listed[n.Name] = true
+	}
+	maps.DeleteFunc(m.failures, func(n quetzalroad.NodeName, _ int) bool { return !listed[n] })
+	maps.DeleteFunc(m.avoidUntil, func(n quetzalroad.NodeName, _ time.Time) bool { return !listed[n] })
+}
+
+// setNodes sets the names of all nodes and reports whether there is one that was not known before.
+func (m *members) setNodes(nodes []quetzalroad.NodeName) (grew bool) {
+	slices.Sort(nodes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.nodes
 	m.nodes = nodes
+	return slices.ContainsFunc(nodes, func(n quetzalroad.NodeName) bool {
+		_, known := slices.BinarySearch(before, n)
+		return !known
+	})
 }
 
-// setRegistrations keeps registrations for when a node's next one can't be decoded.
-func (m *members) setRegistrations(registrations []quetzalroad.NodeRegistration) {
-	kept := slices.Clone(registrations)
-	for i := range kept {
-		kept[i].Evidence = nil
-	}
+// listUpdate is the result of a read of the list of nodes.
+type listUpdate struct {
+	// from is the position that was read from; nil if there was none. complete reports whether the records are the
+	// latest of all nodes.
+	from     *quetzalroad.Position
+	next     quetzalroad.Position
+	complete bool
+	records  []quetzalroad.KeyedRecord
+	// registrations are the decoded records, and undecodable the names of nodes whose record can't be decoded.
+	registrations []quetzalroad.NodeRegistration
+	undecodable   []quetzalroad.NodeName
+}
+
+// listPosition returns the position from which to read the list of nodes again; nil before it was first read.
+func (m *members) listPosition() *quetzalroad.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.registrations = kept
+	return m.listNext
 }
 
-// lastRegistrations returns the registrations of nodes that were kept.
-func (m *members) lastRegistrations(nodes []quetzalroad.NodeName) []quetzalroad.NodeRegistration {
+// update applies a read of the list of nodes and returns the registrations of all nodes. A node whose next
+// registration can't be decoded keeps its last one. update does nothing if another read was applied since from.
+func (m *members) update(u listUpdate) (all []quetzalroad.NodeRegistration, applied bool) {
+	replaced := make(map[quetzalroad.NodeName]bool, len(u.records))
+	for _, r := range u.records {
+		replaced[quetzalroad.NodeName(r.Key)] = true
+	}
+	for _, n := range u.undecodable {
+		replaced[n] = false
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var last []quetzalroad.NodeRegistration
+	if m.listNext != u.from {
+		return nil, false
+	}
+	for _, r := range u.registrations {
+		r.Evidence = nil
+		all = append(all, r)
+	}
 	for _, r := range m.registrations {
-		if slices.Contains(nodes, r.Name) {
-			last = append(last, r)
+		wasReplaced, listed := replaced[r.Name]
+		if !wasReplaced && (listed || !u.complete) {
+			all = append(all, r)
 		}
 	}
-	return last
+	m.registrations, m.listNext = all, &u.next
+	return all, true
 }
 
 func (m *members) knownLocked() chan struct{} {
@@ -173,12 +222,48 @@
 func (m *members) avoid(n quetzalroad.NodeName, until time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.avoidLocked(n, until)
+}
+
+// avoidLocked avoids a reader. The caller holds mu.
+func (m *members) avoidLocked(n quetzalroad.NodeName, until time.Time) {
 	if m.avoidUntil == nil {
 		m.avoidUntil = make(map[quetzalroad.NodeName]time.Time)
 	}
 	m.avoidUntil[n] = until
 }
 
+// avoidDurationAfter returns how long to avoid a reader after a number of failed reads in a row. It doubles up to
+// longest: a node that was killed stays listed until its registration expires.
+func avoidDurationAfter(failures int, initial, longest time.Duration) time.Duration {
+	duration := initial
+	for i := 1; i < failures && duration < longest; i++ {
+		duration *= 2
+	}
+	return min(duration, longest)
+}
+
+// recordFailure avoids a reader that did not respond. Reads that were under way at the same time count once.
+func (m *members) recordFailure(n quetzalroad.NodeName, now time.Time, initial, longest time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Before(m.avoidUntil[n]) {
+		return
+	}
+	if m.failures == nil {
+		m.failures = make(map[quetzalroad.NodeName]int)
+	}
+	m.failures[n]++
+	m.avoidLocked(n, now.Add(avoidDurationAfter(m.failures[n], initial, longest)))
+}
+
+// recordResponse forgets the failures of a reader that responded.
+func (m *members) recordResponse(n quetzalroad.NodeName) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.failures, n)
+}
+
 // roleOf returns the role of a node. In the order of all nodes, each group of as many as there are to
 // be readers is a tier. The nodes of the first tier are readers, and the others are distributed over
 // them by hash. If a node avoids all readers of a tier, it turns to the next one, as all others do that
--- a/state/distributor/members_test.go
+++ b/state/distributor/members_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +151,97 @@
 		t.Error("a node reads the log after its promotion has ended")
 	}
 }
+
+// A node that was killed stays listed until its registration expires. Asking it again every few seconds would delay
+// the reads of all nodes behind it.
+func TestReaderThatKeepsFailingIsAvoidedLonger(t *testing.T) {
+	const initial, longest = 10 * time.Second, 3 * time.Minute
+	var m members
+	now := time.Now()
+	for _, want := range []time.Duration{10 * time.Second, 20 * time.Second, 40 * time.Second, 80 * time.Second, 160 * time.Second, longest, longest} {
+		m.recordFailure("dead", now, initial, longest)
+		// Reads that were under way together fail together.
+		m.recordFailure("dead", now, initial, longest)
+		if got := m.avoidUntil["dead"].Sub(now); got != want {
+			t.Fatalf("avoided for %s, want %s", got, want)
+		}
+		now = m.avoidUntil["dead"]
+	}
+	m.recordResponse("dead")
+	m.recordFailure("dead", now, initial, longest)
+	if got := m.avoidUntil["dead"].Sub(now); got != initial {
+		t.Errorf("avoided for %s after a response, want %s", got, initial)
+	}
+}
+
+// Guards against lists that lose nodes, or keep those that are gone, if only what changed is read.
+func TestListUpdate(t *testing.T) {
+	var m members
+	update := func(from *quetzalroad.Position, complete bool, undecodable []quetzalroad.NodeName, deleted string, written ...quetzalroad.NodeName) (string, bool) {
+		u := listUpdate{from: from, complete: complete, undecodable: undecodable, records: []quetzalroad.KeyedRecord{{Key: deleted}}}
+		for _, n := range append(written, undecodable...) {
+			u.records = append(u.records, quetzalroad.KeyedRecord{Key: string(n)})
+		}
+		for _, n := range written {
+			u.registrations = append(u.registrations, quetzalroad.NodeRegistration{Name: n})
+		}
+		all, applied := m.update(u)
+		var names []string
+		for _, r := range all {
+			names = append(names, string(r.Name))
+		}
+		slices.Sort(names)
+		return strings.Join(names, " "), applied
+	}
+	for _, step := range []struct {
+		what        string
+		complete    bool
+		undecodable []quetzalroad.NodeName
+		deleted     string
+		written     []quetzalroad.NodeName
+		want        string
+	}{
+		{"all", true, nil, "", []quetzalroad.NodeName{"a", "b", "c"}, "a b c"},
+		{"one rewritten, one new", false, nil, "", []quetzalroad.NodeName{"b", "d"}, "a b c d"},
+		{"one deleted", false, nil, "a", nil, "b c d"},
+		{"one undecodable", false, []quetzalroad.NodeName{"b", "x"}, "", nil, "b c d"},
+		{"all, one undecodable", true, []quetzalroad.NodeName{"c"}, "", []quetzalroad.NodeName{"d"}, "c d"},
+	} {
+		got, applied := update(m.listPosition(), step.complete, step.undecodable, step.deleted, step.written...)
+		if !applied || got != step.want {
+			t.Errorf("%s: %q, applied %v, want %q", step.what, got, applied, step.want)
+		}
+	}
+	if _, applied := update(nil, true, nil, "", "a"); applied {
+		t.Error("a read was applied that began before another one was")
+	}
+}
+
+// Guards against a list that was read while other nodes were still registering and is kept for a whole interval.
+func TestRefreshSchedule(t *testing.T) {
+	s := refreshSchedule{delay: 400 * time.Millisecond, retryDelay: 800 * time.Millisecond, lastResult: listUnchanged}
+	for i, step := range []struct {
+		result listResult
+		early  bool
+		want   time.Duration
+	}{
+		{listGrew, false, 800 * time.Millisecond},
+		{listUnchanged, true, 800 * time.Millisecond},
+		{listGrew, false, 1600 * time.Millisecond},
+		{listFailed, false, 800 * time.Millisecond},
+		{listFailed, false, 1600 * time.Millisecond},
+		{listGrew, false, 3200 * time.Millisecond},
+		{listGrew, false, 5 * time.Second},
+		{listUnchanged, false, 20 * time.Second},
+		{listFailed, false, 800 * time.Millisecond},
+	} {
+		elapsed := s.delay
+		if step.early {
+			elapsed /= 4
+		}
+		s.advance(elapsed, 20*time.Second, step.result)
+		if s.delay != step.want {
+			t.Fatalf("step %d: delay %s, want %s", i, s.delay, step.want)
+		}
+	}
+}
--- a/state/distributor/sharedread.go
+++ b/state/distributor/sharedread.go
@@ -35,7 +35,7 @@
 		return nil, quetzalroad.StreamBounds{}, lastErr
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
-	records, bounds, err := d.log.ReadKeyed(ctx, q.Stream, q.From, 0)
+	records, bounds, err := d.readLog(ctx, q.Stream, q.From, 0)
 	if err != nil && !isReload(err) {
 		d.members.recordFallbackFailure()
 		return nil, bounds, err
@@ -82,8 +82,9 @@
 	defer cancel()
 	response, err := d.transport.RequestRead(ctx, reader.Address, q)
 	if err != nil {
-		d.members.avoid(reader.Name, time.Now().Add(d.avoidDuration))
+		d.members.recordFailure(reader.Name, time.Now(), d.avoidDuration, d.registrationTTL)
 	} else {
+		d.members.recordResponse(reader.Name)
 		err = d.checkResponse(q, response)
 	}
 	switch {
@@ -143,6 +144,8 @@
 	}
 	if !d.ownRole().readsLog {
 		d.members.promote(time.Now().Add(d.avoidDuration))
+		// The nodes behind this one get its list of nodes, which it seldom read so far.
+		d.requestRefresh()
 		return quetzalroad.SharedReadResponse{}
 	}
 	response := cache.read(q.From)
