--- a/state/distributor/cache.go
+++ b/state/distributor/cache.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
@@ -11,14 +12,20 @@
 // streamCache holds the records of a stream that this node read from the log, to
 // serve them to other nodes. The zero value is empty.
 type streamCache struct {
-	// sameContent reports whether a record repeats the previous one of its key; if
-	// nil, every record counts as a change.
-	sameContent func(before, after quetzalroad.KeyedRecord) bool
+	// decode decodes the registration of an upstream, which is often written again with nothing but another
+	// sequence number; if nil, every record counts as a change.
+	decode func(quetzalroad.KeyedRecord) (quetzalroad.UpstreamRegistration, error)
+	// failing is set while reads of the stream from the log fail.
+	failing atomic.Bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. latest holds the last record of each key that was a
 	// change; one without a value is a deletion. It is nil before the first load and after a gap.
 	latest map[string]quetzalroad.KeyedRecord
+	// decoded holds the registrations in latest that could be decoded, since the first rewrite of each.
+	decoded map[string]quetzalroad.UpstreamRegistration
+	// lastChange is the highest offset in latest.
+	lastChange quetzalroad.Offset
 	// The cache holds all changes in [earliest, nextRead) of an epoch of the log.
 	epoch              quetzalroad.Epoch
 	earliest, nextRead quetzalroad.Offset
@@ -52,6 +59,8 @@
 		c.inherited = make(map[string]bool)
 	}
 	c.latest = make(map[string]quetzalroad.KeyedRecord, len(records))
+	c.decoded = make(map[string]quetzalroad.UpstreamRegistration, len(records))
+	c.lastChange = next.Offset
 	for _, r := range records {
 		c.latest[r.Key] = r
 		if restored {
@@ -78,6 +87,7 @@
 		}
 		delete(c.inherited, r.Key)
 		c.latest[r.Key] = r
+		c.lastChange = r.Offset
 	}
 	c.nextRead = bounds.NextRead
 	if c.nextRead >= bounds.End {
@@ -85,11 +95,28 @@
 	}
 }
 
+// unchanged reports whether a record repeats the previous one of its key. The caller holds mu.
 func (c *streamCache) unchanged(before, after quetzalroad.KeyedRecord) bool {
 	if before.Value == nil || after.Value == nil {
+		delete(c.decoded, after.Key)
 		return before.Value == nil && after.Value == nil
 	}
-	return c.sameContent != nil && c.sameContent(before, after)
+	if c.decode == nil {
+		return false
+	}
+	previous, known := c.decoded[before.Key]
+	if !known {
+		var err error
+		previous, err = c.decode(before)
+		known = err == nil
+	}
+	next, err := c.decode(after)
+	if err != nil {
+		delete(c.decoded, after.Key)
+		return false
+	}
+	c.decoded[after.Key] = next
+	return known && previous.Upstream == next.Upstream && previous.StartedAt.Equal(next.StartedAt)
 }
 
 // holdsFrom reports whether the cache holds all changes from a position on. Nodes of builds that know no
@@ -118,6 +145,9 @@
 	response := quetzalroad.SharedReadResponse{
 		Status: quetzalroad.SharedReadOK, Epoch: c.epoch, NextRead: c.nextRead, InheritedEnd: c.inheritedEnd, Age: c.confirmedAt.Age(),
 	}
+	if !complete && from.Offset > c.lastChange {
+		return response
+	}
 	for _, r := range c.latest {
 		if (complete && r.Value != nil) || (!complete && r.Offset >= from.Offset) {
 			response.Records = append(response.Records, r)
--- a/state/distributor/cache_test.go
+++ b/state/distributor/cache_test.go
@@ -1,6 +1,7 @@
 package distributor
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/platform/statedecoder"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
 )
 
@@ -29,11 +31,13 @@
 	return quetzalroad.StreamBounds{Epoch: 1, End: end, NextRead: end}
 }
 
-// sameFirstByte treats values with the same first byte as equal.
-func sameFirstByte(a, b quetzalroad.KeyedRecord) bool { return a.Value[0] == b.Value[0] }
+// decodeFirstByte decodes registrations of which only the first byte matters.
+func decodeFirstByte(r quetzalroad.KeyedRecord) (quetzalroad.UpstreamRegistration, error) {
+	return quetzalroad.UpstreamRegistration{Upstream: quetzalroad.Upstream{InstanceID: string(r.Value[:1])}}, nil
+}
 
 func TestReadOmitsRewritesWithoutChange(t *testing.T) {
-	c := streamCache{sameContent: sameFirstByte}
+	c := streamCache{decode: decodeFirstByte}
 	c.load([]quetzalroad.KeyedRecord{record("a", "x1", 3), record("b", "y1", 5)}, at(10), boottimer.Now())
 	c.add(at(10), []quetzalroad.KeyedRecord{record("a", "x2", 10), record("b", "z1", 11), record("c", "w1", 12), record("c", "", 13)}, boundsAt(14), boottimer.Now())
 	got := c.read(at(10))
@@ -112,3 +116,27 @@
 		}
 	}
 }
+
+// Guards the processor time of a reader, which grows with the upstreams that write their registrations again.
+func BenchmarkRewrittenRegistrations(b *testing.B) {
+	const upstreams = 150
+	c := streamCache{decode: new(statedecoder.Decoder).DecodeRegistration}
+	beat := func(sequence int) []quetzalroad.KeyedRecord {
+		var records []quetzalroad.KeyedRecord
+		for i := range upstreams {
+			value := fmt.Sprintf(`{"service":"chat","address":"10.0.0.%d:80","zone":"logan-a","slots":24,"state":"ready","sequence":%d,"born":1765000000000}`, i+1, sequence)
+			records = append(records, record(fmt.Sprint("upstream-", i), value, quetzalroad.Offset(sequence*upstreams+i)))
+		}
+		return records
+	}
+	c.load(beat(0), at(upstreams), boottimer.Now())
+	records := beat(1)
+	next := quetzalroad.Offset(upstreams)
+	for b.Loop() {
+		c.add(at(next), records, boundsAt(next+upstreams), boottimer.Now())
+		next += upstreams
+	}
+	if got := len(c.read(at(upstreams)).Records); got != 0 {
+		b.Errorf("%d of the rewritten registrations count as changes", got)
+	}
+}
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -104,7 +104,7 @@
 	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.ReadTransport.ListenAddress()
 	d.caches = map[quetzalroad.LogStream]*streamCache{
 		quetzalroad.LogStreamOperators: new(streamCache),
-		quetzalroad.LogStreamUpstreams: {sameContent: d.sameContent},
+		quetzalroad.LogStreamUpstreams: {decode: d.codec.DecodeRegistration},
 		quetzalroad.LogStreamNodes:     new(streamCache),
 	}
 	n.KeyedLog = d
@@ -122,17 +122,6 @@
 	return d.members.roleOf(d.self, d.minNodes, d.fanOut)
 }
 
-// sameContent reports whether two registrations of an upstream are equal except for
-// their sequence numbers.
-func (d *Distributor) sameContent(a, b quetzalroad.KeyedRecord) bool {
-	first, err := d.codec.DecodeRegistration(a)
-	if err != nil {
-		return false
-	}
-	second, err := d.codec.DecodeRegistration(b)
-	return err == nil && first.Upstream == second.Upstream && first.StartedAt.Equal(second.StartedAt)
-}
-
 // ReadLatest implements quetzalroad.KeyedLog. A starting node reads the log itself,
 // as it knows no other nodes yet.
 func (d *Distributor) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
@@ -184,7 +173,8 @@
 		wait = min(wait, d.readerPollWait)
 	}
 	sentAt := boottimer.Now()
-	records, bounds, err := d.readLog(ctx, s, from, wait)
+	records, bounds, err := d.readLog(ctx, s, from, wait, d.responseMargin(cache))
+	cache.failing.Store(err != nil && !isReload(err))
 	d.recordLogResult(ctx, err)
 	if err != nil {
 		return nil, bounds, err
@@ -197,19 +187,23 @@
 	return records, bounds, nil
 }
 
-// readLog reads from the log. Callers allow for the longer wait of a node that reads for itself only; a response
-// that was lost must not delay the next read by it. The margin of a read that waits is half of that of its
-// repetition: the view of a reader that lost one response stays young enough for the nodes behind it.
-func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
-	timeout := d.callTimeout
-	if wait > 0 {
-		timeout = wait + d.callTimeout/2
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// readLog reads from the log, with a margin for the response beside the wait. Callers allow for the longer wait of a
+// node that reads for itself only; a response that was lost must not delay the next read by it.
+func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait, margin time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	return d.log.ReadKeyed(ctx, s, from, wait)
 }
 
+// responseMargin returns the time for a response of the log. It is half of that of a repetition, so that one lost
+// response leaves the view of a reader young enough for the nodes behind it.
+func (d *Distributor) responseMargin(c *streamCache) time.Duration {
+	if c.failing.Load() {
+		return d.callTimeout
+	}
+	return d.callTimeout / 2
+}
+
 // recordLogResult has the list of nodes read again once the log responds after a failure: evidence that
 // other nodes wrote meanwhile came with no alert.
 func (d *Distributor) recordLogResult(ctx context.Context, err error) {
--- a/state/distributor/distributor_test.go
+++ b/state/distributor/distributor_test.go
@@ -29,6 +29,8 @@
 type nodeLog struct {
 	*faker.KeyedLog
 	unavailable atomic.Bool
+	// losesNext makes the next read get no response.
+	losesNext atomic.Bool
 	// reads counts the reads that were answered, writes the writes that were tried, and calls all calls.
 	reads, writes, calls atomic.Int64
 }
@@ -65,6 +67,10 @@
 	if l.unavailable.Load() {
 		return nil, quetzalroad.StreamBounds{}, faker.ErrUnavailable
 	}
+	if l.losesNext.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return nil, quetzalroad.StreamBounds{}, ctx.Err()
+	}
 	l.reads.Add(1)
 	return l.KeyedLog.ReadKeyed(ctx, s, from, wait)
 }
@@ -273,6 +279,19 @@
 	})
 }
 
+// All nodes behind a reader turn to the log if its view gets too old. One lost response must not suffice for that.
+func TestLostResponseOfAReaderSendsNoNodeToTheLog(t *testing.T) {
+	runInCluster(t, 8, func(t *testing.T, c *cluster) {
+		reader := c.readerNode(t)
+		for range 3 {
+			c.logs[reader].losesNext.Store(true)
+			if readers := c.readingNodes(4 * time.Second); len(readers) != 1 {
+				t.Errorf("nodes %v read the log, want only the reader", readers)
+			}
+		}
+	})
+}
+
 func TestViewAgeCountsFromLastLogResponse(t *testing.T) {
 	runInCluster(t, 8, func(t *testing.T, c *cluster) {
 		c.log.SetStalled(true)
--- a/state/distributor/sharedread.go
+++ b/state/distributor/sharedread.go
@@ -35,7 +35,7 @@
 		return nil, quetzalroad.StreamBounds{}, lastErr
 	}
 	// Don't wait for a change: the view's age grows until a read confirms it.
-	records, bounds, err := d.readLog(ctx, q.Stream, q.From, 0)
+	records, bounds, err := d.readLog(ctx, q.Stream, q.From, 0, d.callTimeout)
 	if err != nil && !isReload(err) {
 		d.members.recordFallbackFailure()
 		return nil, bounds, err
