--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -66,7 +66,7 @@
 	evidence   evidenceSharing
 	usage      usageSharing
 	// logFailed is set while the log does not respond to this node. refresh, which is buffered, is
-	// signalled when it does again.
+	// signalled when it does again, and when this node has to read for others.
 	logFailed atomic.Bool
 	refresh   chan struct{}
 	caches    map[quetzalroad.LogStream]*streamCache
@@ -84,7 +84,7 @@
 	s.Duration("oldest", &d.maxAge, 2*time.Second, 10*time.Millisecond, time.Hour, "Maximum age of a reader's response.")
 	s.Duration("fallback-retry", &d.fallbackRetryDelay, 2*time.Second, 0, time.Minute, "How long a node whose readers respond with an old view does not ask the log again after it failed.")
 	s.Duration("avoid-for", &d.avoidDuration, 10*time.Second, 10*time.Millisecond, time.Hour, "How long to avoid a reader that failed to respond.")
-	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes.")
+	s.Duration("list-every", &d.refreshInterval, 20*time.Second, 10*time.Millisecond, time.Hour, "Interval between two reads of the list of nodes from the log. A node that has a reader reads it from there four times as often.")
 	s.Duration("lifetime", &d.registrationTTL, 3*time.Minute, time.Second, 24*time.Hour, "Age at which a node's registration expires; a node rewrites its own after a third of it.")
 	s.Duration("settle", &d.settleDelay, 400*time.Millisecond, 0, time.Minute, "Delay between the first two reads of the list of nodes, as several nodes may start together.")
 	s.Duration("rewrite-spread", &d.rewriteSpread, 2*time.Second, 0, time.Minute, "Time over which the nodes spread the writes of their registrations after the log was restored from an older copy.")
@@ -105,7 +105,7 @@
 	d.self.Name, d.self.DataCentre, d.self.Address = n.Name, n.DataCentre, n.ReadTransport.ListenAddress()
 	d.caches = map[quetzalroad.LogStream]*streamCache{
 		quetzalroad.LogStreamOperators: new(streamCache),
-		quetzalroad.LogStreamUpstreams: {sameContent: d.sameContent},
+		quetzalroad.LogStreamUpstreams: {decode: d.codec.DecodeRegistration},
 		quetzalroad.LogStreamNodes:     new(streamCache),
 	}
 	n.KeyedLog = d
@@ -124,17 +124,6 @@
 	return d.members.roleOf(d.self, d.minNodes, d.fanOut)
 }
 
-// sameContent reports whether two registrations of an upstream are equal except for
-// their sequence numbers.
-func (d *Distributor) sameContent(a, b quetzalroad.KeyedRecord) bool {
-	first, err := d.codec.DecodeRegistration(a)
-	if err != nil {
-		return false
-	}
-	second, err := d.codec.DecodeRegistration(b)
-	return err == nil && first.Upstream == second.Upstream && first.StartedAt.Equal(second.StartedAt) && first.LeavesAt.Equal(second.LeavesAt)
-}
-
 // ReadLatest implements quetzalroad.KeyedLog. A starting node reads the log itself,
 // as it knows no other nodes yet.
 func (d *Distributor) ReadLatest(ctx context.Context, s quetzalroad.LogStream) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
@@ -181,10 +170,13 @@
 			// The cache misses records that other nodes may need: reload it.
 			return nil, quetzalroad.StreamBounds{}, quetzalroad.ErrTrimmed
 		}
+	}
+	if ownRole.readsLog || !d.members.areKnown() {
 		wait = min(wait, d.readerPollWait)
 	}
 	sentAt := boottimer.Now()
-	records, bounds, err := d.log.ReadKeyed(ctx, s, from, wait)
+	records, bounds, err := d.readLog(ctx, s, from, wait, d.responseMargin(cache))
+	cache.failing.Store(err != nil && !isReload(err))
 	d.recordLogResult(ctx, err)
 	if err != nil {
 		return nil, bounds, err
@@ -197,6 +189,23 @@
 	return records, bounds, nil
 }
 
+// readLog reads from the log, with a margin for the response beside the wait. Callers allow for the longer wait of a
+// node that reads for itself only; a response that was lost must not delay the next read by it.
+func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait, margin time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	return d.log.ReadKeyed(ctx, s, from, wait)
+}
+
+// responseMargin returns the time for a response of the log. It is half of that of a repetition, so that one lost
+// response leaves the view of a reader young enough for the nodes behind it.
+func (d *Distributor) responseMargin(c *streamCache) time.Duration {
+	if c.failing.Load() {
+		return d.callTimeout
+	}
+	return d.callTimeout / 2
+}
+
 // recordLogResult has the list of nodes read again once the log responds after a failure: evidence that
 // other nodes wrote meanwhile came with no alert.
 func (d *Distributor) recordLogResult(ctx context.Context, err error) {
@@ -205,9 +214,14 @@
 	case err != nil && !isReload(err):
 		d.logFailed.Store(true)
 	case d.logFailed.CompareAndSwap(true, false):
-		select {
-		case d.refresh <- struct{}{}:
-		default:
-		}
+		d.requestRefresh()
+	}
+}
+
+// requestRefresh has the list of nodes read soon.
+func (d *Distributor) requestRefresh() {
+	select {
+	case d.refresh <- struct{}{}:
+	default:
 	}
 }
