--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -52,7 +52,6 @@
 		for _, g := range groups.all() {
 			compare(g.members, g.inLongPool)
 		}
-		compare(groups.changing, true)
 	}
 	return best
 }
--- a/decisions/balancer/separator/partition.go
+++ b/decisions/balancer/separator/partition.go
@@ -28,11 +28,6 @@
 	// their number, at least one and less than all.
 	shortShare float64
 	shortCount int
-	// shortEnd and longStart bound the engines that get new work of each kind: short prompts go to those before
-	// shortEnd, long ones to those from longStart on. shortEnd <= shortCount <= longStart; all are equal from
-	// settleTime after changedAt on.
-	shortEnd, longStart int
-	changedAt           time.Time
 	// local is the recent work of this node, decaying exponentially, and updatedAt is
 	// when the decay was last applied.
 	local     quetzalroad.ServiceMix
@@ -48,9 +43,9 @@
 	fingerprint uint64
 	// source is the slice of candidates that order was last compared with.
 	source []quetzalroad.Upstream
-	// groups are those of order with these bounds; nil if the order changed.
-	groups                    *engineGroups
-	groupedShort, groupedLong int
+	// groups are those of order with groupedCount engines in the short pool; nil if the order changed.
+	groups       *engineGroups
+	groupedCount int
 }
 
 // decay applies the exponential decay up to now.
@@ -154,9 +149,8 @@
 	var groups *engineGroups
 	s.withPartition(service, func(p *partition) {
 		s.updatePartition(p, now, candidates)
-		if p.groups == nil || p.groupedShort != p.shortEnd || p.groupedLong != p.longStart {
-			p.groups = newEngineGroups(p.order, p.shortEnd, p.longStart, s.region)
-			p.groupedShort, p.groupedLong = p.shortEnd, p.longStart
+		if p.groups == nil || p.groupedCount != p.shortCount {
+			p.groups, p.groupedCount = newEngineGroups(p.order, p.shortCount, s.region), p.shortCount
 		}
 		groups = p.groups
 	})
@@ -178,8 +172,6 @@
 	}
 	p.order, p.fingerprint = interleaveDataCentres(candidates), fingerprint
 	p.groups = nil
-	// The bounds are positions in the former order.
-	p.shortEnd, p.longStart = 0, 0
 }
 
 // updatePartition brings the order of the engines and the size of the short pool up to date.
@@ -189,7 +181,6 @@
 	}
 	p.decay(now, s.mixTimeConstant)
 	p.adjust(p.mix(now), len(p.order), s.longWeight)
-	p.settle(now, s.settleTime)
 }
 
 // tokenCost returns the work of a token to be generated. While a request generates, it holds its
@@ -295,19 +286,3 @@
 	p.shortCount = int(math.Round(p.shortShare * float64(engineCount)))
 	p.shortCount = min(max(1, p.shortCount), engineCount-1)
 }
-
-// settle lets engines that change pools finish their work of the other kind before they get any of the new one:
-// the first tokens of short prompts would wait for all prefills that a long engine has queued, and long prompts
-// would stall the streams of a short one. The load is a mix that shifts within seconds.
-func (p *partition) settle(now time.Time, settleTime time.Duration) {
-	if p.longStart == 0 {
-		p.shortEnd, p.longStart = p.shortCount, p.shortCount
-	}
-	if p.shortEnd > p.shortCount || p.longStart < p.shortCount {
-		p.changedAt = now
-	}
-	if now.Sub(p.changedAt) >= settleTime {
-		p.shortEnd, p.longStart = p.shortCount, p.shortCount
-	}
-	p.shortEnd, p.longStart = min(p.shortEnd, p.shortCount), max(p.longStart, p.shortCount)
-}
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -38,7 +38,6 @@
 	region           quetzalroad.Region
 	longPromptTokens int
 	mixTimeConstant  time.Duration
-	settleTime       time.Duration
 	outputTokenCost  int
 	stepCost         int
 	longWeight       float64
@@ -60,7 +59,6 @@
 func (s *Separator) Declare(c *configloader.Section) {
 	c.Int("long-prompt", &s.longPromptTokens, 2500, 1, 10000000, "Length in tokens from which a prompt counts as long.")
 	c.Duration("mix-memory", &s.mixTimeConstant, 20*time.Second, 100*time.Millisecond, time.Hour, "Time constant of the exponential decay of the recent mix of long and short prompts, which determines the sizes of the pools of engines.")
-	c.Duration("settle", &s.settleTime, time.Second, 0, time.Minute, "How long an engine that changes pools gets no new work, so that it finishes that of the other kind.")
 	c.Int("token-cost", &s.outputTokenCost, 0, 0, 10000, "Work of a token to be generated, in prompt tokens; zero to divide step-cost by the engines' maximum concurrency.")
 	c.Int("step-cost", &s.stepCost, 450, 0, 1000000, "Work of one step of an engine, in which each running request generates a token, in prompt tokens.")
 	c.Float("reading-weight", &s.longWeight, 2, 0.01, 100, "Weight of the work of long prompts, relative to that of short ones, when the engines are divided.")
