Bound callers' connections, heads and bodies by the limits of the process

Callers who sent many heads of short lines, bodies that stop short of their end, or nothing at all took a process out of memory or descriptors: nothing bounded what all of them hold together, and a body was kept up to three times.

The slot intake decides which requests fit, wait, give way and are refused; its ledger does no I/O. Heads are counted as they arrive, before they are parsed. A body is kept once, in parts, and written to the upstream from these. Each request has a few KiB of its own, so ordinary ones find room. The slot process passes the limits of the platform to the defaults and to the Go runtime. Listeners retry errors that pass, and connections of other nodes are bounded.

--- a/cmd/quetzalemu/callerprover/fixture_test.go
+++ b/cmd/quetzalemu/callerprover/fixture_test.go
@@ -157,6 +157,7 @@
 func settingsText(store string, addresses []netip.AddrPort) string {
 	return fmt.Sprintf(`{
   "node": {"name": "node-1", "data-centre": "zone-1", "region": "region-1", "balancer-lag": "100ms", "stop-timeout": "5s"},
+  "process": {"memory-mb": "%d", "descriptors": "%d"},
   "log": {"plugin": "none"}, "vm-list": {"plugin": "none"}, "drains": {"plugin": "none"}, "claims": {"plugin": "none"},
   "engines": {"plugin": "none"}, "services": {"plugin": "none"}, "peer-transport": {"plugin": "none"}, "peers": {"plugin": "none"}, "admin": {"plugin": "none"},
   "keyed-log": {"plugin": "platform", "address": %q},
@@ -169,7 +170,7 @@
   "retry": {"plugin": "budgeter", "share": 0.2, "reserve": 100, "initial": 100, "attempts": 3, "backoff": "0s", "hedge-after": 0},
   "upstream-fields": {"plugin": "platform"}, "forwards": {"plugin": "relayer"}, "caller-fields": {"plugin": "platform"},
   "callers": {"plugin": "forward", "address": %q, "ready-address": %q},
-}`, store, addresses[2], addresses[0], addresses[1])
+}`, memoryMB, descriptorLimit, store, addresses[2], addresses[0], addresses[1])
 }
 
 func awaitCondition(t *testing.T, timeout time.Duration, description string, condition func() bool) {
--- a/cmd/quetzalemu/configbuilder/builder.go
+++ b/cmd/quetzalemu/configbuilder/builder.go
@@ -58,6 +58,9 @@
 	routePriority   = 1
 	// linkMbps is the capacity of a node's network link in Mbit/s.
 	linkMbps = 1000.0
+	// memoryMB and fileDescriptors are the limits of a node's process, those of a small VM.
+	memoryMB        = 184.0
+	fileDescriptors = 4100.0
 )
 
 // Encode returns the config in the JSON form that is written to the store.
@@ -118,6 +121,6 @@
 		},
 		"platform":          map[string]any{"address": p.StoreAddress.String()},
 		"internalPortRange": []any{float64(p.PeerPort), float64(p.PeerPort)},
-		"limits":            map[string]any{"linkMbps": linkMbps},
+		"limits":            map[string]any{"linkMbps": linkMbps, "memoryMb": memoryMB, "fileDescriptors": fileDescriptors},
 	})
 }
--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -24,6 +24,7 @@
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
+	_ "github.com/quetzalroad/quetzalroad/support/limitsetter"
 	_ "github.com/quetzalroad/quetzalroad/support/recorder"
 	_ "github.com/quetzalroad/quetzalroad/upstreams/forwardclient"
 )
@@ -34,7 +35,7 @@
  "zones": {"zone-a": "region-a", "zone-b": "region-b"},
  "listen": {"front": "10.1.0.19:8740", "ready": "10.1.0.19:8749"},
  "bounds": {"enforceRevocation": true, "revokeMs": 5000, "drainMs": 3000, "retryBudgetRatio": 0.2},
- "platform": {"address": "10.200.1.7:8742"}, "internalPortRange": [7200, 7215], "limits": {"linkMbps": 1000.0}
+ "platform": {"address": "10.200.1.7:8742"}, "internalPortRange": [7200, 7215], "limits": {"linkMbps": 1000.0, "memoryMb": 112, "fileDescriptors": 4100}
 }`
 
 func TestDeployTemplateRendersValidSettings(t *testing.T) {
--- a/decisions/bufferlimiter/limiter.go
+++ b/decisions/bufferlimiter/limiter.go
@@ -18,7 +18,13 @@
 	})
 }
 
-const shardCount = 16
+const (
+	shardCount = 16
+	// defaultBytes is the budget if the settings state none, and memoryShare the part of the process's memory that it
+	// may take, as a divisor.
+	defaultBytes = 16 << 20
+	memoryShare  = 8
+)
 
 // shard holds a part of the budget.
 type shard struct {
@@ -37,13 +43,20 @@
 
 // Declare implements kernel.Component.
 func (l *Limiter) Declare(s *configloader.Section) {
-	s.Int("max-bytes", &l.maxBytes, 16<<20, 1<<20, 1<<34, "Maximum memory of the buffers of all responses in flight, besides a few KiB for each response. Once it is used up, plain responses are relayed as they arrive, and attempts that need more end with buffers-full.")
+	s.Int("max-bytes", &l.maxBytes, 0, 0, 1<<34, "Maximum memory of the buffers of all responses in flight, besides a few KiB for each response. Zero stands for 16 MiB, or an eighth of the process's memory if that is less. Once it is used up, plain responses are relayed as they arrive, and attempts that need more end with buffers-full.")
 }
 
 // Build implements kernel.Component.
 func (l *Limiter) Build(n *kernel.Node) error {
+	maxBytes := l.maxBytes
+	if maxBytes == 0 {
+		maxBytes = defaultBytes
+		if memory := n.Limits.MemoryBytes; memory > 0 {
+			maxBytes = min(maxBytes, memory/memoryShare)
+		}
+	}
 	for i := range l.shards {
-		l.shards[i].left = l.maxBytes / shardCount
+		l.shards[i].left = maxBytes / shardCount
 	}
 	n.BufferBudget = l
 	return nil
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -57,7 +57,9 @@
 	for _, s := range f.PromptSegments {
 		_, _ = h.WriteString(s.ID + "\x00")
 	}
-	_, _ = h.Write(f.Body)
+	for _, part := range f.Body {
+		_, _ = h.Write(part)
+	}
 	return h.Sum64()
 }
 
--- a/forward.go
+++ b/forward.go
@@ -24,7 +24,7 @@
 	// Header holds the end-to-end fields to forward.
 	Header http.Header
 	// Body is the whole body; the caller-facing server bounds its size.
-	Body []byte
+	Body Body
 	// PromptSegments lists the segments of the prompt in order; empty if the caller
 	// named none. The last one is specific to this request.
 	PromptSegments []PromptSegment
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -29,6 +29,9 @@
 	// Logger is never nil after Config.Build.
 	Logger *slog.Logger
 
+	// Limits are those of the process.
+	Limits quetzalroad.ProcessLimits
+
 	Recorder          quetzalroad.Recorder
 	Vars              *expvar.Map
 	Log               quetzalroad.Log
@@ -49,7 +52,9 @@
 	Quarantine        quetzalroad.Quarantine
 	Throttler         quetzalroad.Throttler
 	// BufferBudget is nil if there is no bound.
-	BufferBudget  quetzalroad.BufferBudget
+	BufferBudget quetzalroad.BufferBudget
+	// Intake is nil if callers' connections and requests are not bounded together.
+	Intake        quetzalroad.Intake
 	ChatClient    quetzalroad.ChatClient
 	ServiceClient quetzalroad.ServiceClient
 	Dispatcher    quetzalroad.Dispatcher
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -18,6 +18,7 @@
 
 // The slots, in build order.
 const (
+	SlotProcess         Slot = "process"
 	SlotRecorder        Slot = "recorder"
 	SlotLog             Slot = "log"
 	SlotVMList          Slot = "vm-list"
@@ -43,6 +44,7 @@
 	SlotRetryPolicy     Slot = "retry"
 	SlotQuarantine      Slot = "quarantine"
 	SlotBufferBudget    Slot = "buffers"
+	SlotIntake          Slot = "intake"
 	SlotChatClient      Slot = "engines"
 	SlotServiceClient   Slot = "services"
 	SlotUpstreamCodec   Slot = "upstream-fields"
@@ -63,6 +65,7 @@
 	// optional slots may stay empty: settings select "none".
 	optional bool
 }{
+	{slot: SlotProcess, doc: "The limits that the platform sets for the process, which defaults of other settings follow."},
 	{slot: SlotRecorder, doc: "Counters and histograms of the node's decisions."},
 	{slot: SlotLog, doc: "The platform's log.", optional: true},
 	{slot: SlotVMList, doc: "The platform's list of VMs, which lags behind reality.", optional: true},
@@ -88,6 +91,7 @@
 	{slot: SlotRetryPolicy, doc: "Retries and hedged attempts."},
 	{slot: SlotQuarantine, doc: "Prompt segments that crash upstreams, and the refusal of requests with them."},
 	{slot: SlotBufferBudget, doc: "The memory of buffered responses."},
+	{slot: SlotIntake, doc: "The connections of callers, and the memory of their requests."},
 	{slot: SlotChatClient, doc: "The client for model engines.", optional: true},
 	{slot: SlotServiceClient, doc: "The client for plain services.", optional: true},
 	{slot: SlotUpstreamCodec, doc: "The header fields between the router and upstreams of forwarded requests.", optional: true},
--- a/peers/connmanager/bounds_test.go
+++ b/peers/connmanager/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"log/slog"
 	"net"
 	"net/netip"
 	"runtime"
@@ -59,7 +60,7 @@
 			}
 			defer listener.Close()
 			address := netip.MustParseAddrPort(listener.Addr().String())
-			manager := &Manager{DialTimeout: time.Second, IdleTimeout: time.Minute}
+			manager := &Manager{Logger: slog.New(slog.DiscardHandler), DialTimeout: time.Second, IdleTimeout: time.Minute}
 			heap := func() uint64 {
 				var stats runtime.MemStats
 				runtime.ReadMemStats(&stats)
--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 )
 
 // maxMessageBytes limits the size of a message; snapshots are the largest.
@@ -32,6 +35,10 @@
 	DialTimeout time.Duration
 	// IdleTimeout is the time after which a connection without messages is closed.
 	IdleTimeout time.Duration
+	// MaxConnections bounds the connections that Serve serves at once; zero means no bound.
+	MaxConnections int
+	// Logger gets a line when connections can't be accepted. It must be set before Serve is called.
+	Logger *slog.Logger
 
 	// budget is for the messages of all connections. budgetOnce sets its size.
 	budget     bufferer.Budget
@@ -55,6 +62,14 @@
 	return newMeteredConn(conn, &m.budget)
 }
 
+// descriptorShare is the part of the process's descriptors for connections of other nodes, as a divisor.
+const descriptorShare = 8
+
+// MaxConnectionsFor returns the default of MaxConnections for a process with a number of descriptors.
+func MaxConnectionsFor(descriptors int) int {
+	return descriptors / descriptorShare
+}
+
 func (m *Manager) drpcOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		InactivityTimeout: m.IdleTimeout,
@@ -62,8 +77,10 @@
 	}
 }
 
-// Serve serves connections from a listener until the context is done.
+// Serve serves connections from a listener until the context is done. A connection beyond MaxConnections is closed; its
+// node turns to another one.
 func (m *Manager) Serve(ctx context.Context, listener net.Listener, handler drpc.Handler) error {
+	listener = retrylistener.New(listener, m.Logger)
 	rpc := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: m.drpcOptions()})
 	stop := context.AfterFunc(ctx, func() {
 		// A close error changes nothing: serving ends, and the context closes open connections.
@@ -73,6 +90,7 @@
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
+	var open atomic.Int64
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -81,7 +99,17 @@
 			}
 			return err
 		}
-		connections.Go(func() { m.serveConn(ctx, rpc, m.meter(conn)) })
+		if open.Add(1) > int64(m.MaxConnections) && m.MaxConnections > 0 {
+			open.Add(-1)
+			m.Logger.Warn("too many connections of other nodes", "address", listener.Addr().String(), "most", m.MaxConnections)
+			// The connection is of no further use.
+			_ = conn.Close()
+			continue
+		}
+		connections.Go(func() {
+			defer open.Add(-1)
+			m.serveConn(ctx, rpc, m.meter(conn))
+		})
 	}
 }
 
--- a/peers/peerconnector/connector.go
+++ b/peers/peerconnector/connector.go
@@ -47,11 +47,16 @@
 	s.Address("address", &c.address, "127.0.0.1:7082", "Address to listen on for peers.")
 	s.Secret("key", &c.conns.Key, minKeyLength, "Authentication key shared by all nodes of the deployment.")
 	s.Duration("dial-timeout", &c.conns.DialTimeout, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of the TCP connect and the handshake.")
+	s.Int("max-connections", &c.conns.MaxConnections, 0, 0, 1<<20, "Maximum number of connections of other nodes at once; zero for an eighth of the process's descriptors.")
 	s.Duration("silence", &c.conns.IdleTimeout, 30*time.Second, time.Second, time.Hour, "Idle time after which the connection to a peer is closed.")
 }
 
 // Build implements kernel.Component.
 func (c *Connector) Build(n *kernel.Node) error {
+	c.conns.Logger = n.Logger
+	if c.conns.MaxConnections == 0 {
+		c.conns.MaxConnections = connmanager.MaxConnectionsFor(n.Limits.Descriptors)
+	}
 	c.recorder = n.Recorder
 	c.mapper = peermapper.Mapper{Directory: n.Directory}
 	listener, err := net.Listen("tcp", c.address.String())
--- a/peers/readconnector/connector.go
+++ b/peers/readconnector/connector.go
@@ -36,11 +36,16 @@
 func (c *Connector) Declare(s *configloader.Section) {
 	s.Address("address", &c.address, "", "Address to listen on for log reads from other nodes.")
 	s.Duration("dial-timeout", &c.conns.DialTimeout, 200*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of the TCP connect to another node.")
+	s.Int("max-connections", &c.conns.MaxConnections, 0, 0, 1<<20, "Maximum number of connections of other nodes at once; zero for an eighth of the process's descriptors.")
 	s.Duration("silence", &c.conns.IdleTimeout, 10*time.Second, time.Second, time.Hour, "Idle time after which a connection to another node is closed.")
 }
 
 // Build implements kernel.Component.
 func (c *Connector) Build(n *kernel.Node) error {
+	c.conns.Logger = n.Logger
+	if c.conns.MaxConnections == 0 {
+		c.conns.MaxConnections = connmanager.MaxConnectionsFor(n.Limits.Descriptors)
+	}
 	listener, err := net.Listen("tcp", c.address.String())
 	if err != nil {
 		return err
--- a/refusal.go
+++ b/refusal.go
@@ -43,6 +43,9 @@
 	ReasonQuarantined             RefusalReason = "quarantined"
 	ReasonUpstreamExited          RefusalReason = "upstream-exited"
 	ReasonUpstreamRateLimit       RefusalReason = "upstream-rate-limit"
+	ReasonTooManyConnections      RefusalReason = "too-many-connections"
+	ReasonTooManyHeaderLines      RefusalReason = "too-many-header-lines"
+	ReasonRequestMemoryFull       RefusalReason = "request-memory-full"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/servers/adminserver/server.go
+++ b/servers/adminserver/server.go
@@ -25,6 +25,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 )
 
 func init() {
@@ -69,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	n.AddTask("serve operators", func(ctx context.Context) error { return s.serve(ctx, listener) })
+	n.AddTask("serve operators", func(ctx context.Context) error { return s.serve(ctx, retrylistener.New(listener, n.Logger)) })
 	return nil
 }
 
--- a/servers/callerserver/exchange.go
+++ b/servers/callerserver/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/intakeconn"
 )
 
 // Header fields that the router defines or reads.
@@ -36,7 +36,11 @@
 	request    *http.Request
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	team       quetzalroad.Team
+	// account is what the connection and the request hold; nil if there is no bound.
+	account quetzalroad.IntakeAccount
+	// headCost is the memory that the head takes.
+	headCost int
+	team     quetzalroad.Team
 	// class is the class of the request's profile; empty until that is resolved.
 	class quetzalroad.Class
 	// statusOverride replaces the status in refusalStatuses unless it is zero.
@@ -51,8 +55,9 @@
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
 		x := &exchange{
 			server: s, id: quetzalroad.RequestID(uuid.NewString()), arrived: time.Now(),
-			request: r.Request, writer: w, controller: http.NewResponseController(w),
+			request: r.Request, writer: w, controller: http.NewResponseController(w), account: intakeconn.AccountOf(r.Context()),
 		}
+		defer x.release()
 		openRequests := s.openRequests.Add(1)
 		defer s.openRequests.Add(-1)
 		w.Header().Set(fieldRequestID, string(x.id))
@@ -65,6 +70,13 @@
 	}
 }
 
+// release returns what the request holds of the node's memory.
+func (x *exchange) release() {
+	if x.account != nil {
+		x.account.Release()
+	}
+}
+
 // busyRetryAfter is the Retry-After delay of a node that is at its limit or not ready.
 const busyRetryAfter = time.Second
 
@@ -77,9 +89,38 @@
 		refusal.Cause = err
 		return refusal
 	}
+	if err := x.holdHead(); err != nil {
+		return err
+	}
 	return x.authenticate()
 }
 
+// holdHead has the head count as what it takes once it is parsed.
+func (x *exchange) holdHead() error {
+	if x.account == nil {
+		return nil
+	}
+	x.headCost = intakeconn.HeaderCost(x.request.Header)
+	if err := x.account.Hold(x.request.Context(), x.headCost); err != nil {
+		return err
+	}
+	if x.request.ContentLength != 0 {
+		return nil
+	}
+	return x.setReceived()
+}
+
+// setReceived keeps the request from giving way to others, as all of it has arrived.
+func (x *exchange) setReceived() error {
+	if x.account == nil {
+		return nil
+	}
+	if refusal := x.account.SetReceived(); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 func (x *exchange) authenticate() error {
 	scheme, key, _ := strings.Cut(x.request.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
@@ -97,19 +138,57 @@
 func (x *exchange) readBody() ([]byte, error) {
 	// A connection without deadline support is bounded by the other timeouts.
 	_ = x.controller.SetReadDeadline(time.Now().Add(x.server.bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, int64(x.server.maxBodyBytes)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, quetzalroad.NewRefusal(quetzalroad.ReasonBodyTooLarge, "the body is larger than "+strconv.Itoa(x.server.maxBodyBytes)+" bytes", 0)
-	}
+	reader := intakeconn.BodyReader{Account: x.account, HeadCost: x.headCost, Declared: x.request.ContentLength}
+	body, err := reader.Read(x.request.Context(), http.MaxBytesReader(x.writer, x.request.Body, int64(x.server.maxBodyBytes)))
 	if err != nil {
-		refusal := quetzalroad.NewRefusal(quetzalroad.ReasonMalformedRequest, "the body did not arrive whole and in time", 0)
-		refusal.Cause = err
-		return nil, refusal
+		return nil, x.bodyRefusal(err)
+	}
+	if err := x.setReceived(); err != nil {
+		return nil, err
 	}
 	// From here on the server reads only to detect that the caller disconnects.
 	_ = x.controller.SetReadDeadline(time.Time{})
-	return data, nil
+	return x.join(body)
+}
+
+// join returns a body in one piece, which takes its size once more until the parts are freed.
+func (x *exchange) join(body quetzalroad.Body) ([]byte, error) {
+	if len(body) == 1 {
+		return body[0], nil
+	}
+	if x.account != nil {
+		if err := x.account.Hold(x.request.Context(), x.headCost+2*body.Len()); err != nil {
+			return nil, err
+		}
+	}
+	data := make([]byte, 0, body.Len())
+	for _, part := range body {
+		data = append(data, part...)
+	}
+	if x.account == nil {
+		return data, nil
+	}
+	return data, x.account.Hold(x.request.Context(), x.headCost+len(data))
+}
+
+// bodyRefusal returns the refusal of a request whose body wasn't received.
+func (x *exchange) bodyRefusal(err error) error {
+	var refusal *quetzalroad.Refusal
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &tooLarge):
+		return quetzalroad.NewRefusal(quetzalroad.ReasonBodyTooLarge, "the body is larger than "+strconv.Itoa(x.server.maxBodyBytes)+" bytes", 0)
+	}
+	if x.account != nil {
+		if refusal := x.account.Interrupted(); refusal != nil {
+			return refusal
+		}
+	}
+	refusal = quetzalroad.NewRefusal(quetzalroad.ReasonMalformedRequest, "the body did not arrive whole and in time", 0)
+	refusal.Cause = err
+	return refusal
 }
 
 // resolveProfile returns the profile named in the request's header, or else the
@@ -158,6 +237,7 @@
 var refusalStatuses = map[quetzalroad.RefusalReason]int{
 	quetzalroad.ReasonUnauthorized:            http.StatusUnauthorized,
 	quetzalroad.ReasonMalformedRequest:        http.StatusBadRequest,
+	quetzalroad.ReasonTooManyHeaderLines:      http.StatusRequestHeaderFieldsTooLarge,
 	quetzalroad.ReasonBodyTooLarge:            http.StatusRequestEntityTooLarge,
 	quetzalroad.ReasonUnknownModel:            http.StatusNotFound,
 	quetzalroad.ReasonUnknownProfile:          http.StatusBadRequest,
@@ -235,6 +315,12 @@
 		"reason", string(refusal.Reason), "outcome", string(refusal.Outcome), "error", refusal.Cause)
 }
 
+func setRetryAfter(header http.Header, refusal *quetzalroad.Refusal) {
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+}
+
 func (x *exchange) writeRefusal(refusal *quetzalroad.Refusal) {
 	var rejected *quetzalroad.RejectedError
 	status := refusalStatus(refusal)
@@ -251,9 +337,7 @@
 	header := x.writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(fieldOutcome, string(refusal.Outcome))
-	if refusal.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
-	}
+	setRetryAfter(header, refusal)
 	if refusal.Reason == quetzalroad.ReasonUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
--- a/servers/callerserver/server.go
+++ b/servers/callerserver/server.go
@@ -19,6 +19,8 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/intakeconn"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 )
 
 func init() {
@@ -33,6 +35,7 @@
 	address         netip.AddrPort
 	maxBodyBytes    int
 	maxHeaderBytes  int
+	maxHeaderLines  int
 	headerTimeout   time.Duration
 	bodyTimeout     time.Duration
 	writeTimeout    time.Duration
@@ -52,6 +55,7 @@
 	section.Address("address", &s.address, "127.0.0.1:7080", "Address to listen on.")
 	section.Int("max-body-bytes", &s.maxBodyBytes, 4<<20, 1<<10, 1<<30, "Maximum size of a request body.")
 	section.Int("max-header-bytes", &s.maxHeaderBytes, 32<<10, 1<<10, 1<<20, "Maximum size of a request header.")
+	section.Int("max-header-lines", &s.maxHeaderLines, 8<<10, 16, 1<<20, "Maximum number of lines of a request header.")
 	section.Duration("header-timeout", &s.headerTimeout, 5*time.Second, 10*time.Millisecond, 10*time.Minute, "Time limit for receiving a request header.")
 	section.Duration("body-timeout", &s.bodyTimeout, 15*time.Second, 10*time.Millisecond, time.Hour, "Time limit for receiving a request body.")
 	section.Duration("write-timeout", &s.writeTimeout, 15*time.Second, 10*time.Millisecond, time.Hour, "Time limit for each write of a response to a caller.")
@@ -67,18 +71,34 @@
 		ReadHeaderTimeout: s.headerTimeout,
 		MaxHeaderBytes:    s.maxHeaderBytes,
 		IdleTimeout:       2 * time.Minute,
+		ConnState:         intakeconn.TrackState,
+		ConnContext:       intakeconn.WithConn,
 		ErrorLog:          slog.NewLogLogger(n.Logger.Handler(), slog.LevelDebug),
 	}
 	listener, err := net.Listen("tcp", s.address.String())
 	if err != nil {
 		return err
 	}
-	n.AddTask("serve callers", func(context.Context) error { return s.serve(listener) })
+	callers := &intakeconn.Listener{Listener: retrylistener.New(listener, n.Logger), Intake: n.Intake, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead}
+	n.AddTask("serve callers", func(ctx context.Context) error { return s.serve(ctx, callers) })
 	n.OnStop(s.stop)
 	return nil
 }
 
-func (s *Server) serve(listener net.Listener) error {
+// refuseHead logs, counts and encodes the refusal of a connection, or of a head that wasn't parsed.
+func (s *Server) refuseHead(refusal *quetzalroad.Refusal) (int, http.Header) {
+	s.node.Recorder.CountRefusal(refusal.Reason)
+	s.logger.Info("connection refused", "reason", string(refusal.Reason), "retry-after", refusal.RetryAfter)
+	header := http.Header{fieldOutcome: {string(refusal.Outcome)}}
+	setRetryAfter(header, refusal)
+	return refusalStatus(refusal), header
+}
+
+// serve serves callers until the server is closed, or the node ends without a planned stop.
+func (s *Server) serve(ctx context.Context, listener net.Listener) error {
+	// The node has ended if the context is done: the connections are of no further use.
+	stop := context.AfterFunc(ctx, func() { _ = s.httpServer.Close() })
+	defer stop()
 	err := s.httpServer.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/servers/forwardserver/conn.go
+++ b/servers/forwardserver/conn.go
@@ -4,16 +4,16 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/intakeconn"
 )
 
 // listener wraps accepted connections so that their read timeouts follow the
 // published limits. http.Server reads its own timeouts only once, at start.
 type listener struct {
-	net.Listener
+	intakeconn.Listener
 	limits func() quetzalroad.CallerLimits
 }
 
@@ -23,27 +23,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, limits: l.limits, awaitingRequest: true, firstRequest: true}, nil
+	return &callerConn{Conn: conn.(*intakeconn.Conn), limits: l.limits}, nil
 }
 
 // callerConn is a caller's connection that applies the published read timeouts.
 type callerConn struct {
-	net.Conn
+	*intakeconn.Conn
 	limits func() quetzalroad.CallerLimits
-	mu     sync.Mutex
-	// awaitingRequest is set while the next bytes begin a request, and firstRequest
-	// until the first request on the connection begins. Both are guarded by mu.
-	awaitingRequest bool
-	firstRequest    bool
 }
 
 // SetReadDeadline implements net.Conn. While the connection awaits a request, the
 // published limits apply: a zero t sets the deadline of an idle connection instead
 // of removing it, and any other t is the server's deadline for the header.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	awaitingRequest, firstRequest := c.awaitingRequest, c.firstRequest
-	c.mu.Unlock()
+	awaitingRequest, firstRequest := c.AwaitsRequest()
 	if awaitingRequest {
 		t = readDeadline(time.Now(), t, c.limits(), firstRequest)
 	}
@@ -66,22 +59,13 @@
 	return deadline
 }
 
-func (c *callerConn) setAwaitingRequest(awaitingRequest bool) {
-	c.mu.Lock()
-	c.awaitingRequest = awaitingRequest
-	if !awaitingRequest {
-		c.firstRequest = false
-	}
-	c.mu.Unlock()
-}
-
 // trackConnState records whether the connection awaits a request, and sets the read deadline for that state.
 func trackConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
 	}
-	c.setAwaitingRequest(state == http.StateNew || state == http.StateIdle)
+	c.TrackState(state)
 	if state != http.StateClosed && state != http.StateHijacked {
 		// On a closed connection the server's next read fails as well.
 		_ = c.SetReadDeadline(time.Time{})
@@ -102,7 +86,7 @@
 	if !ok {
 		return
 	}
-	if tcpConn, ok := c.Conn.(*net.TCPConn); ok {
+	if tcpConn, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		// On a closed connection this fails, and nothing is left to end.
 		_ = tcpConn.SetLinger(0)
 	}
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -1,7 +1,7 @@
 package forwardserver
 
 import (
-	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/intakeconn"
 )
 
 // exchange is one caller request and its response. It implements quetzalroad.ForwardSink.
@@ -25,6 +26,10 @@
 	bodyRead bool
 	// responseStarted is set when the response head is written.
 	responseStarted bool
+	// account is what the connection and the request hold; nil if there is no bound.
+	account quetzalroad.IntakeAccount
+	// headCost is the memory that the head takes.
+	headCost int
 	// contentLength is the response's Content-Length; negative if unknown.
 	contentLength int64
 }
@@ -32,6 +37,10 @@
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, writer: w, request: r, controller: http.NewResponseController(w)}
 	x.forwardRequest.Arrived = time.Now()
+	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
+		x.account = conn.Account()
+	}
+	defer x.release()
 	err := x.prepareRequest()
 	if err == nil {
 		err = s.node.Forwarder.Forward(r.Context(), &x.forwardRequest, x)
@@ -39,6 +48,22 @@
 	x.finish(err)
 }
 
+// release returns what the request holds of the node's memory.
+func (x *exchange) release() {
+	if x.account != nil {
+		x.account.Release()
+	}
+}
+
+// holdHead has the head count as what it takes once it is parsed.
+func (x *exchange) holdHead() error {
+	if x.account == nil {
+		return nil
+	}
+	x.headCost = intakeconn.HeaderCost(x.request.Header)
+	return x.account.Hold(x.request.Context(), x.headCost)
+}
+
 // prepareRequest decodes, routes and authenticates the request and reads its body.
 func (x *exchange) prepareRequest() error {
 	s := x.server
@@ -47,6 +72,9 @@
 	if s.node.Freshness.Version() == 0 {
 		return quetzalroad.NewRefusal(quetzalroad.ReasonNotReady, "no published state yet", notReadyRetryAfter)
 	}
+	if err := x.holdHead(); err != nil {
+		return err
+	}
 	metadata, err := s.codec.Decode(x.request)
 	if err != nil {
 		return quetzalroad.NewRefusal(quetzalroad.ReasonMalformedRequest, err.Error(), 0)
@@ -125,9 +153,6 @@
 	return nil
 }
 
-// maxPreallocatedBytes is how much of an announced body is allocated before it arrives, as a caller may not send it.
-const maxPreallocatedBytes = 16 << 10
-
 // readBody reads the whole body, so that a retry can send it again.
 func (x *exchange) readBody() error {
 	limit := x.server.defaultMaxBodyBytes
@@ -137,35 +162,69 @@
 	if x.request.ContentLength > int64(limit) {
 		return quetzalroad.NewRefusal(quetzalroad.ReasonBodyTooLarge, "the body is longer than "+strconv.Itoa(limit)+" bytes", 0)
 	}
-	if x.request.ContentLength == 0 {
-		x.bodyRead = true
+	deadline := time.Now().Add(x.server.bodyTimeout)
+	if x.account != nil {
+		x.account.SetUrgency(x.forwardRequest.Profile.Tier, deadline)
+	}
+	if x.request.ContentLength != 0 {
+		if err := x.receiveBody(deadline, int64(limit)); err != nil {
+			return err
+		}
+	}
+	x.bodyRead = true
+	if x.account == nil {
 		return nil
 	}
-	if err := x.controller.SetReadDeadline(time.Now().Add(x.server.bodyTimeout)); err != nil {
+	if refusal := x.account.SetReceived(); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+// receiveBody receives a body within its time and size.
+func (x *exchange) receiveBody(deadline time.Time, limit int64) error {
+	if err := x.controller.SetReadDeadline(deadline); err != nil {
 		return err
 	}
-	var body bytes.Buffer
-	if announced := x.request.ContentLength; announced > 0 {
-		body.Grow(int(min(announced, maxPreallocatedBytes)) + bytes.MinRead)
+	ctx, cancel := context.WithDeadline(x.request.Context(), deadline)
+	defer cancel()
+	reader := intakeconn.BodyReader{Account: x.account, HeadCost: x.headCost, Declared: x.request.ContentLength}
+	body, err := reader.Read(ctx, http.MaxBytesReader(x.writer, x.request.Body, limit))
+	x.forwardRequest.Body = body
+	if err != nil {
+		return x.bodyRefusal(err)
 	}
-	_, err := body.ReadFrom(http.MaxBytesReader(x.writer, x.request.Body, int64(limit)))
-	x.forwardRequest.Body = body.Bytes()
+	return x.controller.SetReadDeadline(time.Time{})
+}
+
+// bodyRefusal returns the refusal of a request whose body wasn't received.
+func (x *exchange) bodyRefusal(err error) error {
+	var refusal *quetzalroad.Refusal
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, &refusal):
+		return refusal
 	case errors.As(err, &tooLarge):
 		return quetzalroad.NewRefusal(quetzalroad.ReasonBodyTooLarge, err.Error(), 0)
-	case err != nil:
-		refusal := quetzalroad.NewRefusal(quetzalroad.ReasonCallerDisconnected, "the body did not arrive", 0)
-		refusal.Cause = err
-		return refusal
 	}
-	x.bodyRead = true
-	return x.controller.SetReadDeadline(time.Time{})
+	if x.account != nil {
+		if refusal := x.account.Interrupted(); refusal != nil {
+			return refusal
+		}
+	}
+	refusal = quetzalroad.NewRefusal(quetzalroad.ReasonCallerDisconnected, "the body did not arrive", 0)
+	refusal.Cause = err
+	return refusal
 }
 
 // WriteHead implements quetzalroad.ForwardSink.
 func (x *exchange) WriteHead(head quetzalroad.ResponseHead) error {
 	x.responseStarted = true
+	if route := &x.forwardRequest.Route; x.account != nil && !route.Resumable {
+		// No further attempt sends the body once the response has begun. Less memory is never refused.
+		x.forwardRequest.Body = nil
+		_ = x.account.Hold(x.request.Context(), x.headCost)
+	}
 	x.contentLength = head.ContentLength
 	header := x.writer.Header()
 	for name, values := range head.Header {
@@ -227,6 +286,10 @@
 		x.writer.Header()[name] = values
 	}
 	x.setConnectionClose()
+	if !x.bodyRead {
+		// The rest of the body isn't waited for. If this fails, the connection is closed already.
+		_ = x.controller.SetReadDeadline(time.Now())
+	}
 	x.writer.WriteHeader(status)
 	body, err := json.Marshal(refusalJSON{Code: string(refusal.Reason), Message: refusal.Message, Outcome: string(refusal.Outcome)})
 	if err != nil {
--- a/servers/forwardserver/server.go
+++ b/servers/forwardserver/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,8 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/intakeconn"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 )
 
 func init() {
@@ -34,6 +37,9 @@
 	writeTimeout        time.Duration
 	defaultMaxBodyBytes int
 	maxHeaderBytes      int
+	maxHeaderLines      int
+	receiveBufferBytes  int
+	sendBufferBytes     int
 
 	node            *kernel.Node
 	logger          *slog.Logger
@@ -50,6 +56,9 @@
 	section.Duration("body-timeout", &s.bodyTimeout, 10*time.Second, 10*time.Millisecond, time.Hour, "Time limit for receiving a request body.")
 	section.Duration("write-timeout", &s.writeTimeout, 10*time.Second, 10*time.Millisecond, time.Hour, "Time limit for each write of a response to a caller.")
 	section.Int("max-header-bytes", &s.maxHeaderBytes, 64<<10, 1<<10, 1<<20, "Maximum size of a request header.")
+	section.Int("max-header-lines", &s.maxHeaderLines, 4<<10, 16, 1<<20, "Maximum number of lines of a request header. The default is that of a header of the published size whose lines are as short as possible.")
+	section.Int("receive-buffer", &s.receiveBufferBytes, 16<<10, 0, 1<<30, "Size of the receive buffer of a caller's connection; zero for that of the operating system. It applies only if the memory limit of the process is known.")
+	section.Int("send-buffer", &s.sendBufferBytes, 64<<10, 0, 1<<30, "Size of the send buffer of a caller's connection, like receive-buffer.")
 	section.Int("max-body-bytes", &s.defaultMaxBodyBytes, 4<<20, 1<<10, 1<<30, "Maximum size of a request body if the published state sets none.")
 }
 
@@ -67,7 +76,7 @@
 		ReadHeaderTimeout: s.headerTimeout, MaxHeaderBytes: s.maxHeaderBytes,
 	}
 	s.readinessServer = http.Server{Handler: http.HandlerFunc(s.handleReadiness), ErrorLog: errorLog, ReadHeaderTimeout: readinessHeaderTimeout, MaxHeaderBytes: s.maxHeaderBytes}
-	listenConfig := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
+	listenConfig := net.ListenConfig{Control: s.socketControl(n.Limits), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
 	callerListener, err := listenConfig.Listen(context.Background(), "tcp", s.address.String())
 	if err != nil {
 		return err
@@ -76,14 +85,43 @@
 	if err != nil {
 		return errors.CombineErrors(err, callerListener.Close())
 	}
-	n.AddTask("serve callers", func(context.Context) error {
-		return ignoreServerClosed(s.callerServer.Serve(&listener{Listener: callerListener, limits: n.RouteTable.CallerLimits}))
+	callers := &listener{
+		Listener: intakeconn.Listener{
+			Listener: retrylistener.New(callerListener, n.Logger), Intake: n.Intake, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead,
+		},
+		limits: n.RouteTable.CallerLimits,
+	}
+	n.AddTask("serve callers", func(ctx context.Context) error { return serve(ctx, &s.callerServer, callers) })
+	n.AddTask("serve readiness probes", func(ctx context.Context) error {
+		return serve(ctx, &s.readinessServer, retrylistener.New(readinessListener, n.Logger))
 	})
-	n.AddTask("serve readiness probes", func(context.Context) error { return ignoreServerClosed(s.readinessServer.Serve(readinessListener)) })
 	n.OnStop(s.stop)
 	return nil
 }
 
+// socketControl bounds the buffers of connections if the memory limit of the process is known.
+func (s *Server) socketControl(limits quetzalroad.ProcessLimits) func(network, address string, conn syscall.RawConn) error {
+	if limits.MemoryBytes == 0 {
+		return nil
+	}
+	return intakeconn.SocketControl(s.receiveBufferBytes, s.sendBufferBytes)
+}
+
+// refuseHead logs, counts and encodes the refusal of a connection, or of a head that wasn't parsed.
+func (s *Server) refuseHead(refusal *quetzalroad.Refusal) (int, http.Header) {
+	s.node.Recorder.CountRefusal(refusal.Reason)
+	s.logger.Info("connection refused", "reason", string(refusal.Reason), "retry-after", refusal.RetryAfter)
+	return s.codec.EncodeRefusal(refusal)
+}
+
+// serve serves a listener until the server is closed, or the node ends without a planned stop.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	// The node has ended if the context is done: the connections are of no further use.
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return ignoreServerClosed(server.Serve(listener))
+}
+
 const (
 	// readinessHeaderTimeout bounds receiving the header of a readiness probe.
 	readinessHeaderTimeout = 5 * time.Second
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -254,7 +254,7 @@
 func TestChunkedBodyIsForwardedComplete(t *testing.T) {
 	x := newFixture(t, true)
 	x.roundTrip(t, "POST /open/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
-	if sent := x.Sent(); len(sent) != 1 || string(sent[0].Request.Body) != "abcde" {
+	if sent := x.Sent(); len(sent) != 1 || sent[0].Request.Body.String() != "abcde" {
 		t.Errorf("%d requests sent, want 1 with the body \"abcde\"", len(sent))
 	}
 }
--- a/support/recorder/exposer.go
+++ b/support/recorder/exposer.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 )
 
 // metricsTimeout bounds reading and writing of a metrics request.
@@ -37,7 +38,7 @@
 	n.AddTask("serve metrics", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(retrylistener.New(listener, n.Logger)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/upstreams/forwardclient/client_test.go
+++ b/upstreams/forwardclient/client_test.go
@@ -108,7 +108,7 @@
 }
 
 func newAttempt(u quetzalroad.Upstream, id string) *quetzalroad.Attempt {
-	request := &quetzalroad.ForwardRequest{CallerRequestID: id, Method: http.MethodPost, RequestTarget: "/p?q=1", Host: "h.example", Header: http.Header{"X": {"1"}}, Body: []byte("body")}
+	request := &quetzalroad.ForwardRequest{CallerRequestID: id, Method: http.MethodPost, RequestTarget: "/p?q=1", Host: "h.example", Header: http.Header{"X": {"1"}}, Body: quetzalroad.Body{[]byte("body")}}
 	request.Idempotent = true
 	return &quetzalroad.Attempt{Upstream: u, Request: request}
 }
@@ -350,7 +350,7 @@
 	})
 	client := newClient(t)
 	a := newAttempt(u, "1")
-	a.Request.Body = make([]byte, 32<<20)
+	a.Request.Body = quetzalroad.Body{make([]byte, 32<<20)}
 	response, err := client.Send(t.Context(), a)
 	if err != nil {
 		t.Fatal(err)
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -59,13 +60,13 @@
 			return x.attemptError(ctx, quetzalroad.RetryNotRun, err)
 		}
 	}
-	data := x.encode()
-	if len(data) > maxInlineWriteBytes {
+	data, size := x.encode()
+	if size > maxInlineWriteBytes {
 		x.written.Store(true)
 		go x.writeInBackground(data)
 		return nil
 	}
-	n, err := x.conn.Write(data)
+	n, err := data.WriteTo(x.conn.Conn)
 	x.written.Store(n > 0)
 	if err != nil {
 		return x.attemptError(ctx, quetzalroad.RetryConnectionLost, err)
@@ -74,31 +75,42 @@
 	return nil
 }
 
-func (x *exchange) writeInBackground(data []byte) {
-	if _, err := x.conn.Write(data); err == nil {
+func (x *exchange) writeInBackground(data net.Buffers) {
+	if _, err := data.WriteTo(x.conn.Conn); err == nil {
 		x.sent.Store(true)
 	}
 	// A write error isn't returned: the concurrent read on the same connection fails too.
 }
 
-// encode returns the request in its HTTP/1.1 wire format.
-func (x *exchange) encode() []byte {
+// encode returns the request in its HTTP/1.1 wire format, and its size. A body that is written in the background isn't
+// copied.
+func (x *exchange) encode() (net.Buffers, int) {
 	request := x.attempt.Request
 	header := request.Header.Clone()
 	x.client.codec.Encode(header, x.attempt)
 	var b bytes.Buffer
-	b.Grow(len(request.Body) + 1024)
+	bodyBytes := request.Body.Len()
+	inline := bodyBytes <= maxInlineWriteBytes
+	b.Grow(encodedHeadBytes + min(bodyBytes, maxInlineWriteBytes))
 	b.WriteString(request.Method + " " + request.RequestTarget + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	if bodyBytes > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n")
 	}
 	// Writing to a bytes.Buffer never fails.
 	_ = header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(request.Body)
-	return b.Bytes()
+	if !inline {
+		return append(net.Buffers{b.Bytes()}, request.Body...), b.Len() + bodyBytes
+	}
+	for _, part := range request.Body {
+		b.Write(part)
+	}
+	return net.Buffers{b.Bytes()}, b.Len()
 }
 
+// encodedHeadBytes is the usual size of an encoded head.
+const encodedHeadBytes = 1 << 10
+
 // maxMismatchedResponses is how many responses to other requests are discarded
 // before the attempt fails and the connection is closed.
 const maxMismatchedResponses = 2
