Keep nodes following the log, and release what is kept for routes

Tasks that return are started again with backoff, and end the process if they keep returning, with a log line and the counter task-restarts. Accepting is retried on each listener, the callers' servers end with the node, and a node whose reads of the log don't return isn't ready.

--- a/cmd/quetzalroad/server/server.go
+++ b/cmd/quetzalroad/server/server.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"github.com/quetzalroad/quetzalroad/kernel"
@@ -123,6 +124,8 @@
 		select {
 		case err := <-done:
 			return err
+		case <-node.Failed():
+			return awaitEnd(node, done)
 		case <-o.reloadSignals:
 			checkSettings(node.Logger, o.file)
 		case <-o.stopSignals:
@@ -132,6 +135,23 @@
 	}
 }
 
+// failureTimeout bounds the wait for the other tasks of a node that ends because of a failed one.
+const failureTimeout = 2 * time.Second
+
+// errFailed is the error of a node whose tasks didn't end in time after one of them had failed.
+var errFailed = errors.New("a task failed, and others did not end in time")
+
+// awaitEnd waits until a node has ended that failed.
+func awaitEnd(node *kernel.Node, done <-chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(failureTimeout):
+		node.Logger.Error("tasks still run; ending the process")
+		return errFailed
+	}
+}
+
 // checkSettings checks the settings file again and logs the result. The running
 // node keeps its settings.
 func checkSettings(log *slog.Logger, file string) {
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -100,12 +100,17 @@
 	balancerLag time.Duration
 	stopTimeout time.Duration
 
-	tomb     tomb.Tomb
+	tomb tomb.Tomb
+	// failed is closed when the node ends because of a task. It is allocated by Build.
+	failed   chan struct{}
+	failOnce sync.Once
 	stopping atomic.Bool
 	stopOnce sync.Once
 	// closingTo is when the work in flight has to end, once a stopping node no longer expects requests; nil
 	// before.
 	closingTo atomic.Pointer[time.Time]
+	// restarts counts the restarts of tasks by name.
+	restarts expvar.Map
 	// ending is done when it has to end now. It is allocated by Build.
 	ending    context.Context
 	endingNow context.CancelCauseFunc
@@ -117,8 +122,8 @@
 	run  func(ctx context.Context) error
 }
 
-// AddTask registers a background task that runs from start to stop. If a task
-// returns an error before the stop, the node ends.
+// AddTask registers a background task that runs from start to stop. A task that
+// returns before the stop is started again; if it keeps returning, the node ends.
 func (n *Node) AddTask(name string, run func(ctx context.Context) error) {
 	n.tasks = append(n.tasks, task{name: name, run: run})
 }
@@ -181,15 +186,6 @@
 	})
 }
 
-func (n *Node) supervise(ctx context.Context, t task) error {
-	err := t.run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		n.Logger.Error("task failed", "task", t.name, "error", err)
-		return errors.Wrapf(err, "task %s", t.name)
-	}
-	return nil
-}
-
 // Wait waits until the node has ended and returns the error of a failed task.
 func (n *Node) Wait() error {
 	return n.tomb.Wait()
@@ -267,7 +263,9 @@
 		Vars:        new(expvar.Map),
 		balancerLag: cfg.balancerLag,
 		stopTimeout: cfg.stopTimeout,
+		failed:      make(chan struct{}),
 	}
+	n.Vars.Set("task-restarts", &n.restarts)
 	n.ending, n.endingNow = context.WithCancelCause(context.Background())
 	for _, s := range slotSpecs {
 		selector := cfg.selectors[s.slot]
--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -90,6 +90,9 @@
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
+	// If accepting fails, the connections end before this returns.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var open atomic.Int64
 	for {
 		conn, err := listener.Accept()
--- a/recorder.go
+++ b/recorder.go
@@ -21,6 +21,8 @@
 	CountReceived(kind ControlKind, bytes int)
 	// CountCrossDataCentre counts bytes sent between data centres by purpose.
 	CountCrossDataCentre(purpose CrossDataCentrePurpose, bytes int)
+	// RetainClasses releases what is kept for all classes but some.
+	RetainClasses(classes map[Class]bool)
 	// RecordViolation counts and logs the violation of an invariant.
 	RecordViolation(invariant string, observed string)
 }
--- a/state/watcher/published.go
+++ b/state/watcher/published.go
@@ -43,12 +43,26 @@
 	w.requireKeys(state)
 	w.routes.ranks.Store(newTierRanks(state))
 	w.routes.replace(state.Routes)
+	w.releaseClasses(state.Routes)
 	w.store.SetAppliedOffset(quetzalroad.Offset(w.changes.Add(1)))
 	w.version.Store(state.Version)
 	w.logger.Info("state in force", "version", state.Version, "epoch", uint64(epoch), "offset", int64(r.Offset),
 		"routes", len(state.Routes), "services", len(state.Services), "teams", len(state.Teams))
 }
 
+// releaseClasses releases the metrics of the classes that no route has any more.
+func (w *Watcher) releaseClasses(routes []quetzalroad.Route) {
+	if w.recorder == nil {
+		return
+	}
+	// Requests that are refused before they have a route have no class.
+	classes := map[quetzalroad.Class]bool{"": true}
+	for i := range routes {
+		classes[routes[i].Profile.Class] = true
+	}
+	w.recorder.RetainClasses(classes)
+}
+
 // requireKeys stores whether callers need a key. A state that says nothing of keys, after one that had teams,
 // opens no route: anonymous callers are allowed route by route.
 func (w *Watcher) requireKeys(state *quetzalroad.PublishedState) {
--- a/state/watcher/streamreader.go
+++ b/state/watcher/streamreader.go
@@ -56,6 +56,8 @@
 	// between two reads. One of them is zero.
 	pollWait time.Duration
 	interval time.Duration
+	// reads is advanced at the end of each read.
+	reads *confirmation
 	// apply is called with the records of each read.
 	apply func(b batch)
 	// onConfirmed, if not nil, is called with the time at which the log had no
@@ -88,6 +90,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		r.reads.advance(boottimer.Now())
 		r.recordResult(err)
 		delay := r.interval / time.Duration(max(1, r.hops))
 		if err != nil {
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -30,9 +30,10 @@
 
 // Watcher implements the kernel's state slot on a keyed log. Declare describes its settings.
 type Watcher struct {
-	logger *slog.Logger
-	codec  quetzalroad.StateCodec
-	log    quetzalroad.KeyedLog
+	logger   *slog.Logger
+	recorder quetzalroad.Recorder
+	codec    quetzalroad.StateCodec
+	log      quetzalroad.KeyedLog
 
 	statePollWait      time.Duration
 	drainDeadline      time.Duration
@@ -58,6 +59,9 @@
 	changes atomic.Int64
 	// confirmed is when the log last confirmed the local view of the state.
 	confirmed confirmation
+	// stateReads and registrationReads are when the last read of each stream ended.
+	stateReads        confirmation
+	registrationReads confirmation
 }
 
 // Declare implements kernel.Component.
@@ -83,6 +87,7 @@
 		return err
 	}
 	w.logger = n.Logger
+	w.recorder = n.Recorder
 	w.codec = n.StateCodec
 	w.log = n.KeyedLog
 	n.Directory = &w.store
@@ -128,6 +133,7 @@
 var (
 	errNoState = errors.New("no published state yet")
 	errStale   = errors.New("the view of the published state is too old")
+	errStopped = errors.New("the node has stopped following the log")
 )
 
 // unreadyFraction is the fraction of the revocation deadline after which the node
@@ -141,13 +147,24 @@
 		return errNoState
 	case w.revocationDeadline > 0 && w.routes.RequiresKey() && w.confirmed.age() > time.Duration(unreadyFraction*float64(w.revocationDeadline)):
 		return errStale
+	case w.stateReads.age() > w.maxReadGap() || w.registrationReads.age() > w.maxReadGap():
+		return errStopped
 	}
 	return nil
 }
 
+// readGapMargin is the time beyond the timeouts of a read after which its loop counts as stopped.
+const readGapMargin = 5 * time.Second
+
+// maxReadGap returns the longest time between the ends of two reads of a stream, whether they succeed or fail.
+func (w *Watcher) maxReadGap() time.Duration {
+	read := max(w.loadTimeout, w.statePollWait+w.callTimeout)
+	return read + w.loadTimeout + max(w.maxBackoff, w.initialBackoff, w.registrationReadInterval()) + readGapMargin
+}
+
 // followState applies the published state as operators write it.
 func (w *Watcher) followState(ctx context.Context) error {
-	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamOperators, pollWait: w.statePollWait, onConfirmed: w.confirmed.advance}
+	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamOperators, pollWait: w.statePollWait, reads: &w.stateReads, onConfirmed: w.confirmed.advance}
 	reader.apply = func(b batch) {
 		for _, r := range b.records {
 			w.applyState(r, b.epoch)
@@ -168,6 +185,6 @@
 
 // followRegistrations applies the registrations that upstreams write.
 func (w *Watcher) followRegistrations(ctx context.Context) error {
-	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamUpstreams, interval: w.registrationReadInterval(), apply: w.applyRegistrations, beforeRead: w.removeMissing}
+	reader := streamReader{watcher: w, stream: quetzalroad.LogStreamUpstreams, reads: &w.registrationReads, interval: w.registrationReadInterval(), apply: w.applyRegistrations, beforeRead: w.removeMissing}
 	return reader.run(ctx)
 }
--- a/support/recorder/recorder.go
+++ b/support/recorder/recorder.go
@@ -2,18 +2,13 @@
 package recorder
 
 import (
-	"encoding/json"
 	"expvar"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
-	"sync"
+	"strings"
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"golang.org/x/sys/cpu"
-
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
@@ -157,95 +152,21 @@
 	}
 }
 
-const (
-	// minValue and maxValue bound the values that a histogram distinguishes.
-	minValue = time.Microsecond
-	maxValue = time.Hour
-	// significantDigits is the precision of the histograms.
-	significantDigits = 2
-)
-
-// histogramShards is the number of histograms per class. An observation goes to
-// a random one; they are merged when they are read.
-const histogramShards = 8
-
-// histograms holds one histogram per class. The zero value is empty.
-type histograms struct {
-	// classes maps a quetzalroad.Class to a *histogram.
-	classes sync.Map
-}
-
-type histogram struct {
-	shards [histogramShards]histogramShard
-}
-
-type histogramShard struct {
-	// Padding keeps shards that different cores lock off the same cache line.
-	_  cpu.CacheLinePad
-	mu sync.Mutex
-	// h holds microseconds and is guarded by mu; it is created on first use.
-	h *hdrhistogram.Histogram
-}
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(minValue.Microseconds(), maxValue.Microseconds(), significantDigits)
-}
-
-func (s *histograms) observe(class quetzalroad.Class, value time.Duration) {
-	v, ok := s.classes.Load(class)
-	if !ok {
-		v, _ = s.classes.LoadOrStore(class, new(histogram))
-	}
-	shard := &v.(*histogram).shards[rand.IntN(histogramShards)]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	if shard.h == nil {
-		shard.h = newHistogram()
-	}
-	// The value is clamped to the range, so no error can occur.
-	_ = shard.h.RecordValue(min(max(value, minValue), maxValue).Microseconds())
-}
-
-// merged returns the sum of all shards.
-func (h *histogram) merged() *hdrhistogram.Histogram {
-	merged := newHistogram()
-	for i := range h.shards {
-		shard := &h.shards[i]
-		shard.mu.Lock()
-		if shard.h != nil {
-			merged.Merge(shard.h)
+// RetainClasses implements quetzalroad.Recorder.
+func (r *Recorder) RetainClasses(classes map[quetzalroad.Class]bool) {
+	r.queueWaits.retain(classes)
+	r.firstTokens.retain(classes)
+	for _, counts := range []*expvar.Map{&r.outcomes, &r.inTarget} {
+		var gone []string
+		counts.Do(func(v expvar.KeyValue) {
+			class, _, _ := strings.Cut(v.Key, "/")
+			if !classes[quetzalroad.Class(class)] {
+				gone = append(gone, v.Key)
+			}
+		})
+		// The map can't be changed within Do.
+		for _, key := range gone {
+			counts.Delete(key)
 		}
-		shard.mu.Unlock()
-	}
-	return merged
-}
-
-type histogramJSON struct {
-	Count int64  `json:"count"`
-	P50   string `json:"p50"`
-	P95   string `json:"p95"`
-	P99   string `json:"p99"`
-	Max   string `json:"max"`
-}
-
-// String returns the histograms by class as JSON, for expvar.
-func (s *histograms) String() string {
-	summaries := make(map[string]histogramJSON)
-	s.classes.Range(func(class, v any) bool {
-		summaries[string(class.(quetzalroad.Class))] = v.(*histogram).summary()
-		return true
-	})
-	data, err := json.Marshal(summaries)
-	if err != nil {
-		return "{}"
-	}
-	return string(data)
-}
-
-func (h *histogram) summary() histogramJSON {
-	merged := h.merged()
-	percentile := func(percent float64) string {
-		return (time.Duration(merged.ValueAtQuantile(percent)) * time.Microsecond).String()
 	}
-	return histogramJSON{Count: merged.TotalCount(), P50: percentile(50), P95: percentile(95), P99: percentile(99), Max: percentile(100)}
 }
