--- a/proofs/faker/forwardclient.go
+++ b/proofs/faker/forwardclient.go
@@ -54,8 +54,11 @@
 			return nil, &quetzalroad.AttemptError{Upstream: a.Upstream.Name, NotRun: true, RetryReason: quetzalroad.RetryNotRun, Cause: err}
 		}
 	}
+	// The body of the request is freed once the response has begun.
+	sent, request := *a, *a.Request
+	sent.Request = &request
 	c.mu.Lock()
-	c.sent = append(c.sent, *a)
+	c.sent = append(c.sent, sent)
 	c.mu.Unlock()
 	if c.Script == nil {
 		return &ScriptedResponse{}, nil
--- a/support/intakeconn/body.go
+++ b/support/intakeconn/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,27 @@
 	partBytes      = 32 << 10
 )
 
+// freeParts holds parts of bodies that were refused. Those of others may still be written to an upstream after their
+// request has ended.
+var freeParts = sync.Pool{New: func() any { return new([partBytes]byte) }}
+
+// newPart returns an empty part of a size.
+func newPart(size int) []byte {
+	if size == partBytes {
+		return freeParts.Get().(*[partBytes]byte)[:0]
+	}
+	return make([]byte, 0, size)
+}
+
+// freeBody keeps the parts of a body that was refused for other bodies.
+func freeBody(body quetzalroad.Body) {
+	for _, part := range body {
+		if cap(part) == partBytes {
+			freeParts.Put((*[partBytes]byte)(part[:partBytes]))
+		}
+	}
+}
+
 // BodyReader reads a body in parts, each of which the account has to allow before it is allocated.
 type BodyReader struct {
 	// Account is nil if there is no bound.
@@ -33,6 +55,7 @@
 		held += size
 		if r.Account != nil {
 			if err := r.Account.Hold(ctx, held); err != nil {
+				freeBody(body)
 				return nil, err
 			}
 		}
@@ -44,6 +67,7 @@
 			return body, nil
 		}
 		if err != nil {
+			freeBody(body)
 			return nil, err
 		}
 		size = partBytes
@@ -60,7 +84,7 @@
 
 // readPart reads until a part is full.
 func readPart(src io.Reader, size int) ([]byte, error) {
-	part := make([]byte, 0, size)
+	part := newPart(size)
 	for len(part) < size {
 		n, err := src.Read(part[len(part):size])
 		part = part[:len(part)+n]
--- a/support/intakeconn/intakeconn.go
+++ b/support/intakeconn/intakeconn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -180,6 +181,11 @@
 	n, err := c.Conn.Read(p)
 	if !awaiting {
 		c.carriedLines = bytes.Count(p[:n], lineEnd)
+		if n == len(p) && n > 1 {
+			// Callers who always have more to send, above all in small chunks, would otherwise keep the processor
+			// from other requests for milliseconds each.
+			runtime.Gosched()
+		}
 		return n, err
 	}
 	if refusal := c.countHead(p[:n]); refusal != nil {
