Keep descriptors for upstreams, and retry connecting without any

A node without descriptors took the failed connect for a fault of the upstream. Connecting is now retried within its timeout after idle connections were closed, and idle connections take at most an eighth of the descriptors.

--- a/servers/callerserver/exchange.go
+++ b/servers/callerserver/exchange.go
@@ -341,6 +341,11 @@
 	if refusal.Reason == quetzalroad.ReasonUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
+	if refusal.Reason == quetzalroad.ReasonRequestMemoryFull || refusal.Reason == quetzalroad.ReasonTooManyConnections {
+		// The rest of the body isn't waited for. If this fails, the connection is closed already.
+		header.Set("Connection", "close")
+		_ = x.controller.SetReadDeadline(time.Now())
+	}
 	x.writer.WriteHeader(status)
 	// Write errors are ignored: the caller has disconnected.
 	_ = x.write(body)
--- a/servers/callerserver/server_test.go
+++ b/servers/callerserver/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -22,8 +23,9 @@
 // callRequest is a call of a plain service without the last byte of its body.
 const callRequest = "POST /services/portal/bookings HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\nContent-Length: 2\r\n\r\no"
 
-// newNode starts a node that listens on loopback, with a plain service whose calls last longer than the test.
-func newNode(t *testing.T) (*kernel.Node, *faker.ServiceClient, net.Addr) {
+// newNode starts a node that listens on loopback, with a plain service whose calls last longer than the test, and with
+// further settings sections.
+func newNode(t *testing.T, sections ...string) (*kernel.Node, *faker.ServiceClient, net.Addr) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,10 +47,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := d.AddNode("node-1", "east", "east", `"callers": {"plugin": "http", "address": "`+address.String()+`"}`)
+	n, err := d.AddNode("node-1", "east", "east", strings.Join(append(sections, `"callers": {"plugin": "http", "address": "`+address.String()+`"}`), ", "))
 	if errors.Is(err, syscall.EADDRINUSE) {
 		// Another process took the port meanwhile.
-		return newNode(t)
+		return newNode(t, sections...)
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/support/retrylistener/retrylistener.go
+++ b/support/retrylistener/retrylistener.go
@@ -20,14 +20,18 @@
 	maxBackoff     = 500 * time.Millisecond
 )
 
-// transientErrors lists the errors of system calls after which the same call may succeed.
-var transientErrors = []error{
-	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR, syscall.ECONNABORTED, syscall.ECONNRESET,
+// shortageErrors lists the errors of system calls that this process or its system is short of something.
+var shortageErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR}
+
+// IsShortage reports whether a call failed for want of descriptors or buffers of this process or its system, so that it
+// says nothing of the other end and may succeed later.
+func IsShortage(err error) bool {
+	return errors.IsAny(err, shortageErrors...)
 }
 
-// IsTransient reports whether the call that failed may succeed later.
+// IsTransient reports whether accepting a connection may succeed after an error.
 func IsTransient(err error) bool {
-	return errors.IsAny(err, transientErrors...)
+	return IsShortage(err) || errors.IsAny(err, syscall.ECONNABORTED, syscall.ECONNRESET)
 }
 
 // Listener retries accepting connections with backoff as long as the errors may pass.
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -19,6 +20,8 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/retrylistener"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 func init() {
@@ -37,6 +40,7 @@
 	idleTimeout              time.Duration
 	nonIdempotentIdleTimeout time.Duration
 	maxIdlePerUpstream       int
+	maxIdlePerShard          int
 	maxHeadBytes             int
 	maxDiscardedBytes        int
 	discardTimeout           time.Duration
@@ -61,12 +65,19 @@
 		return errors.New("plug-in relayer requires the slot upstream-fields")
 	}
 	c.codec = n.UpstreamCodec
+	c.maxIdlePerShard = math.MaxInt
+	if n.Limits.Descriptors > 0 {
+		c.maxIdlePerShard = max(1, n.Limits.Descriptors/idleShare/poolShardCount)
+	}
 	c.bufferBudget = n.BufferBudget
 	n.ForwardClient = c
 	n.UpstreamChecker = c
 	return nil
 }
 
+// idleShare is the part of the process's descriptors that idle connections may take, as a divisor.
+const idleShare = 8
+
 func (c *Client) shard(u quetzalroad.UpstreamName) *poolShard {
 	return &c.shards[xxhash.Sum64String(string(u))%poolShardCount]
 }
@@ -122,7 +133,28 @@
 		},
 		Control: c.setUserTimeout,
 	}
-	return dialer.DialContext(ctx, "tcp", u.Address.String())
+	return c.retryShortage(ctx, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", u.Address.String()) })
+}
+
+// shortageBackoff is the delay after a dial that failed for want of descriptors; it doubles with each further failure.
+const shortageBackoff = 5 * time.Millisecond
+
+// retryShortage repeats a dial that fails for want of descriptors or buffers, within the time for a dial. Idle
+// connections are closed to make room.
+func (c *Client) retryShortage(ctx context.Context, dial func() (net.Conn, error)) (net.Conn, error) {
+	deadline := time.Now().Add(c.dialTimeout)
+	for delay := shortageBackoff; ; delay *= 2 {
+		conn, err := dial()
+		if err == nil || !retrylistener.IsShortage(err) || time.Now().Add(delay).After(deadline) {
+			return conn, err
+		}
+		for i := range c.shards {
+			c.shards[i].closeIdle()
+		}
+		if sleeper.Sleep(ctx, delay) != nil {
+			return nil, err
+		}
+	}
 }
 
 // HasExited implements quetzalroad.UpstreamChecker.
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -283,7 +283,7 @@
 	}
 	pc.keepAlive = x.metadata.KeepAlive
 	c := x.client
-	c.shard(x.attempt.Upstream.Name).put(x.attempt.Upstream.Name, pc, c.idleTimeout, c.maxIdlePerUpstream)
+	c.shard(x.attempt.Upstream.Name).put(x.attempt.Upstream.Name, pc, c.idleTimeout, c.maxIdlePerUpstream, c.maxIdlePerShard)
 }
 
 // attemptError returns the AttemptError for a failure before the response head.
--- a/upstreams/forwardclient/pool.go
+++ b/upstreams/forwardclient/pool.go
@@ -127,17 +127,39 @@
 	s.idle[u] = append(s.idle[u], pc)
 }
 
-// put adds a connection to the pool. It closes connections to any upstream of the
+// put adds a connection to the pool, unless the shard holds maxShard. It closes connections to any upstream of the
 // shard that exceed maxIdle or have been idle for too long.
-func (s *poolShard) put(u quetzalroad.UpstreamName, pc *persistConn, idleTimeout time.Duration, maxIdle int) {
+func (s *poolShard) put(u quetzalroad.UpstreamName, pc *persistConn, idleTimeout time.Duration, maxIdle, maxShard int) {
 	pc.lastUsed = time.Now()
 	pc.reused = true
-	s.push(u, pc)
+	if s.len() >= maxShard {
+		pc.abort()
+	} else {
+		s.push(u, pc)
+	}
 	for _, expired := range s.evict(pc.lastUsed, idleTimeout, maxIdle) {
 		expired.abort()
 	}
 }
 
+// len returns the number of idle connections.
+func (s *poolShard) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, conns := range s.idle {
+		total += len(conns)
+	}
+	return total
+}
+
+// closeIdle closes all idle connections.
+func (s *poolShard) closeIdle() {
+	for _, pc := range s.evict(time.Now(), 0, 0) {
+		pc.abort()
+	}
+}
+
 func (s *poolShard) evict(now time.Time, idleTimeout time.Duration, maxIdle int) []*persistConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
