--- a/refusal.go
+++ b/refusal.go
@@ -45,6 +45,7 @@
 	ReasonUpstreamRateLimit       RefusalReason = "upstream-rate-limit"
 	ReasonTooManyConnections      RefusalReason = "too-many-connections"
 	ReasonTooManyHeaderLines      RefusalReason = "too-many-header-lines"
+	ReasonHeaderTooLarge          RefusalReason = "header-too-large"
 	ReasonRequestMemoryFull       RefusalReason = "request-memory-full"
 )
 
--- a/servers/callerserver/exchange.go
+++ b/servers/callerserver/exchange.go
@@ -237,6 +237,7 @@
 var refusalStatuses = map[quetzalroad.RefusalReason]int{
 	quetzalroad.ReasonUnauthorized:            http.StatusUnauthorized,
 	quetzalroad.ReasonMalformedRequest:        http.StatusBadRequest,
+	quetzalroad.ReasonHeaderTooLarge:          http.StatusRequestHeaderFieldsTooLarge,
 	quetzalroad.ReasonTooManyHeaderLines:      http.StatusRequestHeaderFieldsTooLarge,
 	quetzalroad.ReasonBodyTooLarge:            http.StatusRequestEntityTooLarge,
 	quetzalroad.ReasonUnknownModel:            http.StatusNotFound,
--- a/servers/callerserver/server.go
+++ b/servers/callerserver/server.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	callers := &intakeconn.Listener{Listener: retrylistener.New(listener, n.Logger), Intake: n.Intake, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead}
+	callers := &intakeconn.Listener{Listener: retrylistener.New(listener, n.Logger), Intake: n.Intake, MaxHeaderBytes: s.maxHeaderBytes, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead}
 	n.AddTask("serve callers", func(ctx context.Context) error { return s.serve(ctx, callers) })
 	n.OnStop(s.stop)
 	return nil
--- a/servers/forwardserver/server.go
+++ b/servers/forwardserver/server.go
@@ -87,7 +87,7 @@
 	}
 	callers := &listener{
 		Listener: intakeconn.Listener{
-			Listener: retrylistener.New(callerListener, n.Logger), Intake: n.Intake, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead,
+			Listener: retrylistener.New(callerListener, n.Logger), Intake: n.Intake, MaxHeaderBytes: s.maxHeaderBytes, MaxHeaderLines: s.maxHeaderLines, Refuse: s.refuseHead,
 		},
 		limits: n.RouteTable.CallerLimits,
 	}
--- a/support/intakeconn/intakeconn.go
+++ b/support/intakeconn/intakeconn.go
@@ -45,7 +45,8 @@
 	net.Listener
 	// Intake may be nil, for no bound.
 	Intake quetzalroad.Intake
-	// MaxHeaderLines bounds the lines of a head.
+	// MaxHeaderBytes and MaxHeaderLines bound the size and the lines of a head.
+	MaxHeaderBytes int
 	MaxHeaderLines int
 	// Refuse logs and counts a refusal that precedes a request, and returns its status and header.
 	Refuse func(*quetzalroad.Refusal) (int, http.Header)
@@ -195,6 +196,10 @@
 	return n, err
 }
 
+// headerSlopBytes is what net/http reads beyond the limit of a head. A head that exceeds both is refused here, before
+// net/http does so without a log line.
+const headerSlopBytes = 4 << 10
+
 var lineEnd = []byte("\n")
 
 // countHead counts the bytes of a head, and returns a refusal if there are too many.
@@ -210,6 +215,9 @@
 	if c.meter.ended {
 		c.carriedLines = bytes.Count(data[headBytes:], lineEnd)
 	}
+	if maxBytes := c.listener.MaxHeaderBytes; !c.meter.ended && c.meter.bytes >= maxBytes+headerSlopBytes {
+		return quetzalroad.NewRefusal(quetzalroad.ReasonHeaderTooLarge, "the head is longer than "+strconv.Itoa(maxBytes)+" bytes", 0)
+	}
 	if c.meter.lines > c.listener.MaxHeaderLines {
 		return quetzalroad.NewRefusal(quetzalroad.ReasonTooManyHeaderLines, "the head has more than "+strconv.Itoa(c.listener.MaxHeaderLines)+" lines", 0)
 	}
--- a/support/intakeconn/intakeconn_test.go
+++ b/support/intakeconn/intakeconn_test.go
@@ -47,6 +47,9 @@
 func (a *account) Release()                               { a.held = 0 }
 func (a *account) Close()                                 { a.closed = true }
 
+// maxHeadBytes is the limit of heads in these tests.
+const maxHeadBytes = 16 << 10
+
 // oneConn is a listener with one connection.
 type oneConn struct {
 	net.Listener
@@ -66,9 +69,9 @@
 func accept(t *testing.T, intake quetzalroad.Intake, maxLines int) (*Conn, net.Conn) {
 	t.Helper()
 	server, caller := net.Pipe()
-	l := &Listener{Listener: &oneConn{conn: server}, Intake: intake, MaxHeaderLines: maxLines, Refuse: func(r *quetzalroad.Refusal) (int, http.Header) {
+	l := &Listener{Listener: &oneConn{conn: server}, Intake: intake, MaxHeaderBytes: maxHeadBytes, MaxHeaderLines: maxLines, Refuse: func(r *quetzalroad.Refusal) (int, http.Header) {
 		status := http.StatusServiceUnavailable
-		if r.Reason == quetzalroad.ReasonTooManyHeaderLines {
+		if r.Reason != quetzalroad.ReasonRequestMemoryFull && r.Reason != quetzalroad.ReasonTooManyConnections {
 			status = http.StatusRequestHeaderFieldsTooLarge
 		}
 		return status, http.Header{"Retry-After": {"1.000"}}
@@ -94,11 +97,13 @@
 	for name, c := range map[string]struct {
 		account  account
 		maxLines int
+		line     string
 		status   int
 	}{
-		"too many lines":      {account{max: 1 << 20}, 50, http.StatusRequestHeaderFieldsTooLarge},
-		"no memory left":      {account{max: 8 << 10}, 1000, http.StatusServiceUnavailable},
-		"no connections left": {account{full: true}, 1000, http.StatusServiceUnavailable},
+		"too many lines":      {account{max: 1 << 20}, 50, "a:\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"too many bytes":      {account{max: 1 << 20}, 1000, "a: " + strings.Repeat("b", maxHeadBytes/10) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"no memory left":      {account{max: 8 << 10}, 1000, "a:\r\n", http.StatusServiceUnavailable},
+		"no connections left": {account{full: true}, 1000, "a:\r\n", http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, caller := accept(t, &c.account, c.maxLines)
@@ -112,7 +117,7 @@
 				}()
 				go func() {
 					// The node closes the connection meanwhile.
-					_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 100))
+					_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n"+strings.Repeat(c.line, 100))
 				}()
 			}
 			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
