--- a/kernel/supervise.go
+++ b/kernel/supervise.go
@@ -41,7 +41,7 @@
 		quickReturns++
 		if quickReturns > maxQuickReturns {
 			n.Logger.Error("task failed; ending the node", "task", t.name, "error", err)
-			n.failOnce.Do(func() { close(n.failed) })
+			n.failOnce.Do(n.reportFailure)
 			return errors.Wrapf(err, "task %s", t.name)
 		}
 		n.Logger.Error("task failed; starting it again", "task", t.name, "delay", delay, "error", err)
@@ -53,6 +53,12 @@
 	}
 }
 
+func (n *Node) reportFailure() {
+	if n.failed != nil {
+		close(n.failed)
+	}
+}
+
 // Failed returns a channel that is closed when the node ends because of a task that keeps returning. Other tasks may
 // still run then.
 func (n *Node) Failed() <-chan struct{} {
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -176,6 +177,8 @@
 	if m.avoidUntil == nil {
 		m.avoidUntil = make(map[quetzalroad.NodeName]time.Time)
 	}
+	now := time.Now()
+	maps.DeleteFunc(m.avoidUntil, func(_ quetzalroad.NodeName, at time.Time) bool { return at.Before(now) })
 	m.avoidUntil[n] = until
 }
 
