--- a/cmd/quetzalemu/callerprover/attack_test.go
+++ b/cmd/quetzalemu/callerprover/attack_test.go
@@ -56,8 +56,10 @@
 	if maxDescriptors >= descriptorLimit {
 		t.Errorf("all %d descriptors were in use", descriptorLimit)
 	}
-	awaitCondition(t, answerTimeout, "an ordinary request is answered afterwards", func() bool { return p.request() == nil })
+	awaitCondition(t, answerTimeout, "an ordinary request is answered afterwards", func() bool { return p.request(firstPath) == nil })
 	awaitCondition(t, answerTimeout, "the node is ready afterwards", p.isReady)
+	p.store.PutConfig(configText(2, changedPath))
+	awaitCondition(t, answerTimeout, "the node still follows the store", func() bool { return p.request(changedPath) == nil })
 }
 
 // observe returns the largest number of descriptors in use until the context ends.
--- a/cmd/quetzalemu/callerprover/fixture_test.go
+++ b/cmd/quetzalemu/callerprover/fixture_test.go
@@ -30,6 +30,9 @@
 	// maxBodyBytes is a lowered limit of bodies, at which the clients of a test still send more than memoryMB.
 	maxBodyBytes = 1 << 20
 	maxHeadBytes = 16 << 10
+	// firstPath is the path of the ordinary route, and changedPath that after a change of the config.
+	firstPath   = "/order/"
+	changedPath = "/changed/"
 	// readyTimeout and answerTimeout are generous for slow machines.
 	readyTimeout  = 20 * time.Second
 	answerTimeout = 30 * time.Second
@@ -78,7 +81,7 @@
 		store.Close()
 	})
 	p.startUpstream(t)
-	p.store.PutConfig(configText())
+	p.store.PutConfig(configText(1, firstPath))
 	addresses, err := faultinjector.FreeAddresses(3)
 	if err != nil {
 		t.Fatal(err)
@@ -90,7 +93,7 @@
 	}
 	p.run(t, settings)
 	awaitCondition(t, readyTimeout, "the node is ready", p.isReady)
-	awaitCondition(t, readyTimeout, "the node answers", func() bool { return p.request() == nil })
+	awaitCondition(t, readyTimeout, "the node answers", func() bool { return p.request(firstPath) == nil })
 	return p
 }
 
@@ -145,13 +148,14 @@
 	})
 }
 
-func configText() string {
-	return fmt.Sprintf(`{"version":1,"routes":[
-{"name":"order","host":"h.example","pathPrefix":"/order/","kind":"unsafe","timeoutMs":20000,"targetLatencyMs":200,"priority":1,"service":"application","maxAttempts":1},
+// configText returns a config whose ordinary route has a path.
+func configText(version int, path string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"order","host":"h.example","pathPrefix":%q,"kind":"unsafe","timeoutMs":20000,"targetLatencyMs":200,"priority":1,"service":"application","maxAttempts":1},
 {"name":"batch","host":"h.example","pathPrefix":"/batch/","kind":"unsafe","timeoutMs":20000,"targetLatencyMs":200,"priority":4,"service":"application","maxAttempts":1}],
 "services":[{"name":"application","connectionLimit":100}],
 "limits":{"maxHeaderBytes":%d,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"team","apiKeys":["key"],"priority":1}]}`, maxHeadBytes, maxBodyBytes)
+"tenants":[{"name":"team","apiKeys":["key"],"priority":1}]}`, version, path, maxHeadBytes, maxBodyBytes)
 }
 
 func settingsText(store string, addresses []netip.AddrPort) string {
@@ -193,10 +197,10 @@
 }
 
 // request sends an ordinary request on a new connection and returns why it wasn't answered.
-func (p *process) request() error {
+func (p *process) request(path string) error {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	body := strings.Repeat("x", 3000)
-	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers.String()+"/order/1", strings.NewReader(body))
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers.String()+path+"1", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
