Close a connection that gives way before the new one counts

One run of TestSilentConnections beside load had all 600 descriptors in use: a connection that gave way was no longer counted, but was only closed once its goroutine ran.

--- a/decisions/intaker/connections.go
+++ b/decisions/intaker/connections.go
@@ -19,7 +19,7 @@
 // freshConnection is a connection whose first request hasn't arrived.
 type freshConnection struct {
 	connection *connection
-	interrupt  func()
+	disconnect func()
 }
 
 // connectionTable counts the connections, and closes the oldest without a request to make room for a new one. Those
@@ -35,7 +35,7 @@
 }
 
 // add adds a new connection, and reports whether there was room.
-func (t *connectionTable) add(c *connection, interrupt func()) bool {
+func (t *connectionTable) add(c *connection, disconnect func()) bool {
 	t.mu.Lock()
 	var oldest func()
 	if t.count >= t.max {
@@ -47,11 +47,11 @@
 		evicted := first.Value.(freshConnection)
 		t.removeLocked(evicted.connection)
 		evicted.connection.evicted = true
-		oldest = evicted.interrupt
+		oldest = evicted.disconnect
 	}
 	t.count++
 	c.counted = true
-	c.fresh = t.fresh.PushBack(freshConnection{c, interrupt})
+	c.fresh = t.fresh.PushBack(freshConnection{c, disconnect})
 	t.mu.Unlock()
 	if oldest != nil {
 		t.evictions.Add(1)
--- a/decisions/intaker/intaker.go
+++ b/decisions/intaker/intaker.go
@@ -108,9 +108,9 @@
 const connectionsRetryAfter = time.Second
 
 // Connect implements quetzalroad.Intake.
-func (in *Intaker) Connect(interrupt func()) (quetzalroad.IntakeAccount, *quetzalroad.Refusal) {
+func (in *Intaker) Connect(interrupt, disconnect func()) (quetzalroad.IntakeAccount, *quetzalroad.Refusal) {
 	a := &account{intaker: in, interrupt: interrupt}
-	if !in.connections.add(&a.connection, interrupt) {
+	if !in.connections.add(&a.connection, disconnect) {
 		return nil, connectionsRefusal()
 	}
 	return a, nil
--- a/decisions/intaker/intaker_test.go
+++ b/decisions/intaker/intaker_test.go
@@ -26,7 +26,7 @@
 
 func connect(t *testing.T, in *Intaker, interrupt func()) quetzalroad.IntakeAccount {
 	t.Helper()
-	a, refusal := in.Connect(interrupt)
+	a, refusal := in.Connect(interrupt, interrupt)
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
@@ -125,7 +125,7 @@
 	if diff := cmp.Diff(map[string]int{"silent": 1}, interrupted); diff != "" {
 		t.Error(diff)
 	}
-	if _, refusal := in.Connect(func() {}); refusal == nil || refusal.Reason != quetzalroad.ReasonTooManyConnections || refusal.RetryAfter <= 0 {
+	if _, refusal := in.Connect(func() {}, func() {}); refusal == nil || refusal.Reason != quetzalroad.ReasonTooManyConnections || refusal.RetryAfter <= 0 {
 		t.Errorf("refusal %v", refusal)
 	}
 	silent.Close()
--- a/intake.go
+++ b/intake.go
@@ -16,9 +16,10 @@
 // handled.
 type Intake interface {
 	// Connect returns the account of a new connection, or a refusal if no connection is left. interrupt is called
-	// when the connection has to give way to another one: it ends the read in progress and doesn't block. It is
-	// called at most once between two calls of Release.
-	Connect(interrupt func()) (IntakeAccount, *Refusal)
+	// when the request has to give way to another one: it ends the read in progress and doesn't block. It is called
+	// at most once between two calls of Release. disconnect is called when the connection has to give way: it closes
+	// the connection, and returns once its descriptor is free.
+	Connect(interrupt, disconnect func()) (IntakeAccount, *Refusal)
 }
 
 // IntakeAccount is what one connection and its current request hold. Its methods are not called concurrently.
--- a/support/intakeconn/intakeconn.go
+++ b/support/intakeconn/intakeconn.go
@@ -66,7 +66,7 @@
 		if l.Intake == nil {
 			return c, nil
 		}
-		account, refusal := l.Intake.Connect(c.interrupt)
+		account, refusal := l.Intake.Connect(c.interrupt, c.disconnect)
 		if refusal == nil {
 			c.account = account
 			return c, nil
@@ -106,6 +106,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
+// disconnect closes the connection. Its descriptor is free afterwards.
+func (c *Conn) disconnect() {
+	// The connection may have ended meanwhile.
+	_ = c.Conn.Close()
+}
+
 // pastDeadline makes reads fail at once.
 var pastDeadline = time.Unix(1, 0)
 
--- a/support/intakeconn/intakeconn_test.go
+++ b/support/intakeconn/intakeconn_test.go
@@ -25,7 +25,7 @@
 	closed          bool
 }
 
-func (a *account) Connect(interrupt func()) (quetzalroad.IntakeAccount, *quetzalroad.Refusal) {
+func (a *account) Connect(interrupt, _ func()) (quetzalroad.IntakeAccount, *quetzalroad.Refusal) {
 	a.interrupt = interrupt
 	if a.full {
 		return nil, quetzalroad.NewRefusal(quetzalroad.ReasonTooManyConnections, "full", time.Second)
