--- a/kernel/node.go
+++ b/kernel/node.go
@@ -29,6 +29,9 @@
 	// Logger is never nil after Config.Build.
 	Logger *slog.Logger
 
+	// Limits are those of the process.
+	Limits quetzalroad.ProcessLimits
+
 	Recorder          quetzalroad.Recorder
 	Vars              *expvar.Map
 	Log               quetzalroad.Log
@@ -49,7 +52,9 @@
 	Quarantine        quetzalroad.Quarantine
 	Throttler         quetzalroad.Throttler
 	// BufferBudget is nil if there is no bound.
-	BufferBudget  quetzalroad.BufferBudget
+	BufferBudget quetzalroad.BufferBudget
+	// Intake is nil if callers' connections and requests are not bounded together.
+	Intake        quetzalroad.Intake
 	ChatClient    quetzalroad.ChatClient
 	ServiceClient quetzalroad.ServiceClient
 	Dispatcher    quetzalroad.Dispatcher
@@ -98,7 +103,10 @@
 	balancerLag time.Duration
 	stopTimeout time.Duration
 
-	tomb     tomb.Tomb
+	tomb tomb.Tomb
+	// failed is closed when the node ends because of a task. It is allocated by Build.
+	failed   chan struct{}
+	failOnce sync.Once
 	stopping atomic.Bool
 	// stopBegun is closed when a planned stop begins. It is allocated by Build.
 	stopBegun chan struct{}
@@ -106,6 +114,8 @@
 	// closingTo is when the work in flight has to end, once a stopping node no longer expects requests; nil
 	// before.
 	closingTo atomic.Pointer[time.Time]
+	// restarts counts the restarts of tasks by name.
+	restarts expvar.Map
 	// ending is done when it has to end now. It is allocated by Build.
 	ending    context.Context
 	endingNow context.CancelCauseFunc
@@ -117,8 +127,8 @@
 	run  func(ctx context.Context) error
 }
 
-// AddTask registers a background task that runs from start to stop. If a task
-// returns an error before the stop, the node ends.
+// AddTask registers a background task that runs from start to stop. A task that
+// returns before the stop is started again; if it keeps returning, the node ends.
 func (n *Node) AddTask(name string, run func(ctx context.Context) error) {
 	n.tasks = append(n.tasks, task{name: name, run: run})
 }
@@ -186,15 +196,6 @@
 	})
 }
 
-func (n *Node) supervise(ctx context.Context, t task) error {
-	err := t.run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		n.Logger.Error("task failed", "task", t.name, "error", err)
-		return errors.Wrapf(err, "task %s", t.name)
-	}
-	return nil
-}
-
 // Wait waits until the node has ended and returns the error of a failed task.
 func (n *Node) Wait() error {
 	return n.tomb.Wait()
@@ -272,8 +273,10 @@
 		Vars:        new(expvar.Map),
 		balancerLag: cfg.balancerLag,
 		stopTimeout: cfg.stopTimeout,
+		failed:      make(chan struct{}),
 	}
 	n.stopBegun = make(chan struct{})
+	n.Vars.Set("task-restarts", &n.restarts)
 	n.ending, n.endingNow = context.WithCancelCause(context.Background())
 	for _, s := range slotSpecs {
 		selector := cfg.selectors[s.slot]
--- a/refusal.go
+++ b/refusal.go
@@ -43,6 +43,10 @@
 	ReasonQuarantined             RefusalReason = "quarantined"
 	ReasonUpstreamExited          RefusalReason = "upstream-exited"
 	ReasonUpstreamRateLimit       RefusalReason = "upstream-rate-limit"
+	ReasonTooManyConnections      RefusalReason = "too-many-connections"
+	ReasonTooManyHeaderLines      RefusalReason = "too-many-header-lines"
+	ReasonHeaderTooLarge          RefusalReason = "header-too-large"
+	ReasonRequestMemoryFull       RefusalReason = "request-memory-full"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/state/distributor/members.go
+++ b/state/distributor/members.go
@@ -243,6 +243,8 @@
 	if m.avoidUntil == nil {
 		m.avoidUntil = make(map[quetzalroad.NodeName]time.Time)
 	}
+	now := time.Now()
+	maps.DeleteFunc(m.avoidUntil, func(_ quetzalroad.NodeName, at time.Time) bool { return at.Before(now) })
 	m.avoidUntil[n] = until
 }
 
--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -170,12 +170,13 @@
 
 // run claims the lease when it is free and holds it, until the node stops. A node without duties needs no lease.
 func (l *Leaser) run(ctx context.Context) error {
-	l.started.Store(true)
-	defer close(l.stopped)
 	if len(l.duties) == 0 {
 		l.logger.Info("no duties are configured; the lease is not used")
-		return nil
+		<-ctx.Done()
+		return ctx.Err()
 	}
+	l.started.Store(true)
+	defer close(l.stopped)
 	// By then the list of nodes has usually been read. The nodes of a fleet that starts at once don't read together.
 	delay := l.policy.renewEvery + time.Duration(randv2.Float64()*float64(l.policy.renewEvery))
 	for first := true; ; {
