Explain the choices of the balancers

Operators can't tell from the logs where a request would go now, nor why. The balancers implement ChoiceExplainer: the separator and the estimator run Choose on copies of their state, and the cost functions note the parts of a cost. The rotator names the next upstream without taking a turn.

Tests drive random situations through the decision and the explanation with the same random seed, and check that an explanation changes no later choice.

--- a/decisions/balancer/estimator/estimator.go
+++ b/decisions/balancer/estimator/estimator.go
@@ -26,14 +26,19 @@
 
 // Estimator is a balancer that compares estimated costs. Declare describes its settings.
 type Estimator struct {
+	settings
+	latencies latencytracker.Tracker
+	random    randomizer.Randomizer
+}
+
+// settings are what an Estimator is built from. They are read-only after Build.
+type settings struct {
 	loadTracker    quetzalroad.LoadTracker
 	sampleSize     int
 	affinityLimit  float64
 	symmetryWeight float64
 	reservedShare  float64
 	seed           int
-	latencies      latencytracker.Tracker
-	random         randomizer.Randomizer
 }
 
 // Declare implements kernel.Component.
@@ -139,22 +144,37 @@
 	return float64(estimate.Running) - reported + e.symmetryWeight*symmetric + (1-e.symmetryWeight)*reported
 }
 
-// cost returns the expected load of an upstream relative to its maximum concurrency,
-// times the squared ratio of its latency to the service's median where it is slower.
+// costParts are the amounts that add up to the cost of an upstream.
+type costParts struct {
+	load, overload, slowness, suspect float64
+}
+
+func (p costParts) total() float64 {
+	return p.load + p.overload + p.slowness + p.suspect
+}
+
+// cost observes the latency of an upstream and returns its cost.
 func (e *Estimator) cost(now time.Time, r *quetzalroad.Request, u quetzalroad.Upstream, medianLatency time.Duration) float64 {
 	estimate := e.loadTracker.Estimate(u.Name, now)
 	e.latencies.Observe(r.Service.Name, estimate.InterTokenLatency)
+	return e.costParts(estimate, u, medianLatency).total()
+}
+
+// costParts returns the expected load of an upstream relative to its maximum concurrency,
+// times the squared ratio of its latency to the service's median where it is slower.
+func (e *Estimator) costParts(estimate quetzalroad.LoadEstimate, u quetzalroad.Upstream, medianLatency time.Duration) costParts {
+	maxConcurrency := float64(max(1, u.MaxConcurrency))
 	running := e.expectedRunning(estimate) + 1
+	p := costParts{load: running / maxConcurrency}
 	if excess := running - float64(u.MaxConcurrency); excess > 0 {
-		running += overloadPenalty * excess
+		p.overload = overloadPenalty * excess / maxConcurrency
 	}
-	cost := running / float64(max(1, u.MaxConcurrency))
 	if medianLatency > 0 && estimate.InterTokenLatency > 0 {
 		ratio := float64(estimate.InterTokenLatency) / float64(medianLatency)
-		cost *= max(1, ratio*ratio)
+		p.slowness = (p.load + p.overload) * (max(1, ratio*ratio) - 1)
 	}
 	if estimate.Suspect {
-		cost += suspectPenalty
+		p.suspect = suspectPenalty
 	}
-	return cost
+	return p
 }
--- a/decisions/balancer/rotator/rotator.go
+++ b/decisions/balancer/rotator/rotator.go
@@ -46,7 +46,11 @@
 
 // Choose implements quetzalroad.Balancer.
 func (r *Rotator) Choose(_ time.Time, request *quetzalroad.Request, candidates []quetzalroad.Upstream) quetzalroad.Upstream {
-	name := request.Service.Name
+	return candidates[r.turn(request.Service.Name, 1)%len(candidates)]
+}
+
+// turn returns the number of choices made for a service, and adds to it.
+func (r *Rotator) turn(name quetzalroad.ServiceName, added int) int {
 	sh := &r.shards[xxhash.Sum64String(string(name))%shardCount]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -54,6 +58,20 @@
 		sh.counts = make(map[quetzalroad.ServiceName]int)
 	}
 	count := sh.counts[name]
-	sh.counts[name] = count + 1
-	return candidates[count%len(candidates)]
+	sh.counts[name] = count + added
+	return count
+}
+
+// ExplainChoice implements quetzalroad.ChoiceExplainer.
+func (r *Rotator) ExplainChoice(_ time.Time, request *quetzalroad.Request, candidates []quetzalroad.Upstream) quetzalroad.ChoiceExplanation {
+	next := r.turn(request.Service.Name, 0) % len(candidates)
+	x := quetzalroad.ChoiceExplanation{Draws: 1}
+	for i, u := range candidates {
+		c := quetzalroad.CandidateCost{Upstream: u, CanBeChosen: i == next}
+		if c.CanBeChosen {
+			c.Chance = 1
+		}
+		x.Candidates = append(x.Candidates, c)
+	}
+	return x
 }
--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/decisions/latencytracker"
 )
 
 const (
@@ -24,6 +25,16 @@
 	owners []quetzalroad.Upstream
 	// limited are the engines that state a rate limit. They belong to no pool.
 	limited []quetzalroad.Upstream
+	// items collects the parts of a cost while a choice is explained; nil otherwise.
+	items *[]quetzalroad.CostItem
+}
+
+// part returns an amount of the cost, and notes what it is for while a choice is explained.
+func (c *chooser) part(p quetzalroad.CostPart, value float64) float64 {
+	if c.items != nil && value != 0 {
+		*c.items = append(*c.items, quetzalroad.CostItem{Part: p, Value: value})
+	}
+	return value
 }
 
 // chooseAmong returns the cheapest of a few engines of each group. It compares all of them if those
@@ -91,7 +102,7 @@
 	}
 	cost := c.loadCost(u, inLongPool)
 	if inLongPool {
-		cost += c.separator.longPoolLoad
+		cost += c.part(quetzalroad.CostPool, c.separator.longPoolLoad)
 	}
 	return cost
 }
@@ -107,13 +118,18 @@
 	outlierLoad = 0.3
 )
 
+// latencies tracks the usual latency of a pool.
+func (s *Separator) latencies(inLongPool bool) *latencytracker.Tracker {
+	if inLongPool {
+		return &s.longPoolLatencies
+	}
+	return &s.shortPoolLatencies
+}
+
 // slowness returns the factor by which an upstream recently exceeded the latency that counts as slow in
 // its pool, at least one.
 func (c *chooser) slowness(e quetzalroad.LoadEstimate, inLongPool bool) float64 {
-	latencies := &c.separator.shortPoolLatencies
-	if inLongPool {
-		latencies = &c.separator.longPoolLatencies
-	}
+	latencies := c.separator.latencies(inLongPool)
 	service := c.request.Service.Name
 	usual := latencies.Median(service)
 	latencies.Observe(service, e.InterTokenLatency)
@@ -130,13 +146,14 @@
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
 	slowness := c.slowness(e, inLongPool)
-	cost := (float64(e.Running) + s.random.Float64()) * slowness / float64(max(1, u.MaxConcurrency))
+	load := (float64(e.Running) + s.random.Float64()) / float64(max(1, u.MaxConcurrency))
+	cost := c.part(quetzalroad.CostLoad, load) + c.part(quetzalroad.CostSlowness, load*(slowness-1))
 	if slowness >= outlierSlowness {
-		cost += outlierLoad
+		cost += c.part(quetzalroad.CostSlowness, outlierLoad)
 	}
-	cost += c.fullness(u, e)
+	cost += c.part(quetzalroad.CostFullness, c.fullness(u, e))
 	if u.Region != s.region {
-		cost += s.crossRegionLoad
+		cost += c.part(quetzalroad.CostRegion, s.crossRegionLoad)
 	}
 	return cost + c.unusableCost(u.Name, e)
 }
@@ -164,12 +181,13 @@
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
 	queued := (float64(e.Running) + s.random.Float64()) * float64(s.requestCost)
-	cost := queued*c.slowness(e, inLongPool) + c.uncachedTokens(u.Name)
+	cost := c.part(quetzalroad.CostLoad, queued) + c.part(quetzalroad.CostSlowness, queued*(c.slowness(e, inLongPool)-1))
+	cost += c.part(quetzalroad.CostUncachedPrompt, c.uncachedTokens(u.Name))
 	if !inLongPool {
-		cost += float64(s.shortPoolCost)
+		cost += c.part(quetzalroad.CostPool, float64(s.shortPoolCost))
 	}
 	if u.Region != s.region {
-		cost += float64(s.crossRegionCost)
+		cost += c.part(quetzalroad.CostRegion, float64(s.crossRegionCost))
 	}
 	return cost + c.unusableCost(u.Name, e)
 }
--- a/decisions/balancer/separator/limited.go
+++ b/decisions/balancer/separator/limited.go
@@ -56,7 +56,7 @@
 		limitedShare = 1
 	}
 	shared := float64(c.request.SharedPromptTokens)
-	return c.longPromptCost(u, true) - limitedShare*shared
+	return c.longPromptCost(u, true) + c.part(quetzalroad.CostRateLimitShare, -limitedShare*shared)
 }
 
 // maySend reports whether the request may be sent under the rate limit that an upstream states, if it
@@ -77,9 +77,9 @@
 func (c *chooser) unusableCost(u quetzalroad.UpstreamName, e quetzalroad.LoadEstimate) float64 {
 	switch {
 	case !c.maySend(u):
-		return exhaustedCost
+		return c.part(quetzalroad.CostRateLimit, exhaustedCost)
 	case e.Suspect:
-		return suspectCost
+		return c.part(quetzalroad.CostSuspect, suspectCost)
 	}
 	return 0
 }
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -32,6 +32,16 @@
 // Separator is a balancer that keeps long and short prompts on separate engines. Declare describes
 // its settings.
 type Separator struct {
+	settings
+	random randomizer.Randomizer
+	// The usual latencies of the pools differ, because only the long pool prefills long prompts.
+	shortPoolLatencies latencytracker.Tracker
+	longPoolLatencies  latencytracker.Tracker
+	shards             [partitionShards]partitionShard
+}
+
+// settings are what a Separator is built from. They are read-only after Build.
+type settings struct {
 	loadTracker quetzalroad.LoadTracker
 	// throttler is nil if rate limits of engines are not known.
 	throttler        quetzalroad.Throttler
@@ -48,12 +58,7 @@
 	crossRegionLoad  float64
 	longPoolLoad     float64
 	seed             int
-	random           randomizer.Randomizer
 	sampleSize       int
-	// The usual latencies of the pools differ, because only the long pool prefills long prompts.
-	shortPoolLatencies latencytracker.Tracker
-	longPoolLatencies  latencytracker.Tracker
-	shards             [partitionShards]partitionShard
 }
 
 // Declare implements kernel.Component.
@@ -93,13 +98,19 @@
 	if r.Model == "" {
 		return c.cheapestOf(candidates)
 	}
-	s.observe(now, r, candidates[0].MaxConcurrency)
+	return c.chooseAmong(c.groupCandidates(candidates))
+}
+
+// groupCandidates adds the request to the recent mix and divides the engines as that demands.
+func (c *chooser) groupCandidates(candidates []quetzalroad.Upstream) *engineGroups {
+	s, r := c.separator, c.request
+	s.observe(c.now, r, candidates[0].MaxConcurrency)
 	if s.hasLimits() {
-		candidates, c.limited = s.splitLimited(now, candidates)
+		candidates, c.limited = s.splitLimited(c.now, candidates)
 	}
-	groups := s.groupEngines(now, r.Service.Name, candidates)
+	groups := s.groupEngines(c.now, r.Service.Name, candidates)
 	if r.PromptTokens >= s.longPromptTokens {
-		c.owners = prefixOwners(r.PrefixHash, s.prefixShare(now, r), groups.longPool)
+		c.owners = prefixOwners(r.PrefixHash, s.prefixShare(c.now, r), groups.longPool)
 	}
-	return c.chooseAmong(groups)
+	return groups
 }
--- a/decisions/latencytracker/latencytracker.go
+++ b/decisions/latencytracker/latencytracker.go
@@ -24,6 +24,15 @@
 // Tracker holds the median inter-token latency of each service. The zero value is empty.
 type Tracker struct {
 	shards [latencyShards]latencyShard
+	// frozen is set if Observe has no effect.
+	frozen bool
+}
+
+// Freeze sets the median of a service and makes Observe have no effect. Zero means that no median is known. It must
+// be called before the tracker is shared.
+func (t *Tracker) Freeze(s quetzalroad.ServiceName, median time.Duration) {
+	t.Observe(s, median)
+	t.frozen = true
 }
 
 type latencyShard struct {
@@ -48,7 +57,7 @@
 
 // Observe updates the median with a latency of one of the service's upstreams. It ignores zero.
 func (t *Tracker) Observe(s quetzalroad.ServiceName, sample time.Duration) {
-	if sample <= 0 {
+	if sample <= 0 || t.frozen {
 		return
 	}
 	sh := t.shard(s)
--- a/decisions/randomizer/randomizer.go
+++ b/decisions/randomizer/randomizer.go
@@ -11,6 +11,14 @@
 	mu sync.Mutex
 	// rng is guarded by mu; nil means the runtime's source.
 	rng *rand.Rand
+	// fixed is what Float64 returns if isFixed is set.
+	fixed   float64
+	isFixed bool
+}
+
+// Fix makes Float64 return the same value each time. It must be called before the first number is generated.
+func (r *Randomizer) Fix(value float64) {
+	r.fixed, r.isFixed = value, true
 }
 
 // SetSeed makes the numbers reproducible, unless the seed is zero. It must be called before the first
@@ -33,6 +41,9 @@
 
 // Float64 returns a random number in [0, 1).
 func (r *Randomizer) Float64() float64 {
+	if r.isFixed {
+		return r.fixed
+	}
 	if r.rng == nil {
 		return rand.Float64()
 	}
