--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -23,7 +23,7 @@
 	})
 }
 
-// Dispatcher implements quetzalroad.Dispatcher and quetzalroad.Forwarder.
+// Dispatcher implements quetzalroad.Dispatcher, quetzalroad.Forwarder and quetzalroad.RouteExplainer.
 type Dispatcher struct {
 	node   *kernel.Node
 	logger *slog.Logger
@@ -45,6 +45,7 @@
 	d.idle = make(chan struct{}, 1)
 	n.Dispatcher = d
 	n.Forwarder = d
+	n.RouteExplainer = d
 	n.AddInFlightCounter(d.inFlightCount)
 	n.OnStop(d.drain)
 	context.AfterFunc(n.Ending(), d.endings.endAll)
@@ -148,6 +149,15 @@
 // returns a refusal if there is no upstream, or none whose rate limit allows another request.
 func (d *Dispatcher) chooseUpstream(r *quetzalroad.Request, held reservation, tried []quetzalroad.UpstreamName) (quetzalroad.Upstream, *quetzalroad.Refusal) {
 	now := time.Now()
+	candidates := d.findCandidates(now, r, held, tried)
+	if len(candidates) == 0 {
+		return quetzalroad.Upstream{}, noUpstreamRefusal()
+	}
+	return d.acquireUpstream(now, r, candidates)
+}
+
+// findCandidates returns the upstreams among which chooseUpstream chooses.
+func (d *Dispatcher) findCandidates(now time.Time, r *quetzalroad.Request, held reservation, tried []quetzalroad.UpstreamName) []quetzalroad.Upstream {
 	candidates := held.remoteUpstreams
 	if len(tried) > 0 || len(candidates) == 0 {
 		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, tried)
@@ -155,10 +165,7 @@
 	if len(candidates) == 0 {
 		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil)
 	}
-	if len(candidates) == 0 {
-		return quetzalroad.Upstream{}, noUpstreamRefusal()
-	}
-	return d.acquireUpstream(now, r, candidates)
+	return candidates
 }
 
 // noUpstreamRetryAfter is the retry delay suggested to callers when a service has no usable upstream.
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -88,6 +88,8 @@
 	Fleet quetzalroad.Fleet
 	// MixTracker is nil if the balancer tracks no mix.
 	MixTracker quetzalroad.MixTracker
+	// RouteExplainer is nil if the dispatcher doesn't explain where requests go.
+	RouteExplainer quetzalroad.RouteExplainer
 
 	readiness []quetzalroad.Readiness
 	tasks     []task
