Serve explanations of routes to operators

GET /admin/v1/route describes a request by service, path or model and answers with the node's explanation for each service that the route may lead to, and the version and age of the published state. The hash of a prompt's shared segments moves to support/prefixhasher, so that the description of a prompt gives the same prefix as the request itself.

--- a/servers/adminserver/server.go
+++ b/servers/adminserver/server.go
@@ -94,6 +94,7 @@
 	router.GET("/debug/vars", s.handle(s.handleVars))
 	router.GET("/admin/v1/status", s.handle(s.handleStatus))
 	router.GET("/admin/v1/nodes", s.handle(s.handleNodes))
+	router.GET("/admin/v1/route", s.handle(s.handleRoute))
 	router.GET("/admin/v1/:kind", s.handle(s.handleList))
 	router.GET("/admin/v1/:kind/:name", s.handle(s.handleGet))
 	router.PUT("/admin/v1/:kind/:name", s.handle(s.handlePut))
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/prefixhasher"
 )
 
 // exchange is one caller request and its response. It implements quetzalroad.ForwardSink.
@@ -60,7 +61,7 @@
 	}
 	f.Model, f.PromptTokens, f.MaxTokens = metadata.Model, metadata.PromptTokens, metadata.MaxTokens
 	f.PromptSegments, f.LastEventID, f.Header = metadata.PromptSegments, metadata.LastEventID, metadata.Header
-	f.PrefixHash, f.SharedPromptTokens = sharedPrefix(metadata.PromptSegments)
+	f.PrefixHash, f.SharedPromptTokens = prefixhasher.Shared(metadata.PromptSegments)
 	f.Method, f.RequestTarget, f.Host = x.request.Method, x.request.RequestURI, x.request.Host
 	if err := x.matchRoute(); err != nil {
 		return err
--- a/servers/forwardserver/prefix.go
+++ b/support/prefixhasher/prefixhasher.go
@@ -1,4 +1,5 @@
-package forwardserver
+// Package prefixhasher identifies the beginning that prompts have in common.
+package prefixhasher
 
 import (
 	"github.com/cespare/xxhash/v2"
@@ -6,9 +7,9 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// sharedPrefix returns the hash and token count of the prompt segments that other
+// Shared returns the hash and token count of the prompt segments that other
 // requests may share: all but the last. Both are zero if there are none.
-func sharedPrefix(segments []quetzalroad.PromptSegment) (hash uint64, tokens int) {
+func Shared(segments []quetzalroad.PromptSegment) (hash uint64, tokens int) {
 	if len(segments) < 2 {
 		return 0, 0
 	}
