--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/lister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/nodelister"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/quarantinemanager"
+	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/routeexplainer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/runner"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/statusviewer"
 	"github.com/quetzalroad/quetzalroad/cmd/quetzalctl/uploader"
@@ -57,6 +58,7 @@
 	}
 	commands.Register(&applier.Command{Streams: streams}, "")
 	commands.Register(&explainer.Command{Streams: streams}, "")
+	commands.Register(&routeexplainer.Command{Streams: streams}, "")
 	commands.Register(&statusviewer.Command{Streams: streams}, "")
 	commands.Register(&statusviewer.Command{Streams: streams, Top: true}, "")
 	flag.Parse()
