Check the bounds of explained costs without the draws

The tests now check the bounds by themselves, and suspect engines and those that change pools. The table says of candidates that no draw chooses that others are preferred, as a prefix or a turn may decide as well as the cost.

--- a/cmd/quetzalctl/routeexplainer/table.go
+++ b/cmd/quetzalctl/routeexplainer/table.go
@@ -102,7 +102,7 @@
 	case u.CanBeChosen:
 		return "possible"
 	}
-	return "no: cost"
+	return "no: others preferred"
 }
 
 func costRange(u quetzalroad.UpstreamExplanation) string {
--- a/decisions/balancer/separator/explain_test.go
+++ b/decisions/balancer/separator/explain_test.go
@@ -48,7 +48,7 @@
 	return x
 }
 
-const situations = 100
+const situations = 300
 
 // An explanation from other code than the decision would name another upstream than the one that gets the request.
 func TestExplanationAgreesWithChoice(t *testing.T) {
@@ -56,12 +56,18 @@
 	for seed := range uint64(situations) {
 		x := newSituation(t, seed)
 		explained := x.separator.ExplainChoice(x.now, x.request, x.candidates)
+		// The bounds of the costs have to hold by themselves, without what the draws show.
+		bounds := newPricer(x.separator.rehearsal(x.request.Service.Name), x.now, x.request, x.candidates)
+		bounds.addAll(x.candidates)
+		bounds.markChoosable()
 		chances := 0.0
-		choosable := make(map[quetzalroad.UpstreamName]bool)
 		for _, c := range explained.Candidates {
 			chances += c.Chance
-			choosable[c.Upstream.Name] = c.CanBeChosen
-			if !c.CanBeChosen {
+			canBeChosen := bounds.priced[c.Upstream.Name].CanBeChosen
+			if c.Chance > 0 && !canBeChosen {
+				t.Errorf("seed %d: %s has chance %g and is out of the bounds", seed, c.Upstream.Name, c.Chance)
+			}
+			if !canBeChosen {
 				excluded++
 			}
 		}
@@ -77,7 +83,7 @@
 			if got := live.Choose(x.now, x.request, x.candidates).Name; got != want {
 				t.Fatalf("seed %d, draw %d: explained %s, chosen %s", seed, draw, want, got)
 			}
-			if !choosable[want] {
+			if !bounds.priced[want].CanBeChosen {
 				t.Errorf("seed %d, draw %d: %s was chosen and is explained as impossible", seed, draw, want)
 			}
 		}
@@ -135,3 +141,56 @@
 		}
 	}
 }
+
+// An operator who reads that a suspect engine may be chosen looks for a fault that isn't there.
+func TestSuspectEngineIsExplainedAsImpossibleWhileOthersAreUsable(t *testing.T) {
+	l := newFakeLoads()
+	s := newSeparator(t, l)
+	all := newEngines(12)
+	for _, u := range all[1:] {
+		l.suspect[u.Name] = true
+	}
+	for _, tokens := range []int{0, shortPrompt, longPrompt} {
+		for i, c := range s.ExplainChoice(time.Unix(1000, 0), newRequest(tokens, 1), all).Candidates {
+			if c.CanBeChosen != (i == 0) {
+				t.Errorf("%d tokens: %s can be chosen: %t", tokens, c.Upstream.Name, c.CanBeChosen)
+			}
+		}
+	}
+}
+
+// Engines that change pools get work only if no other engine can.
+func TestEngineThatChangesPoolsIsExplainedAsLastResort(t *testing.T) {
+	for _, othersSuspect := range []bool{false, true} {
+		l := newFakeLoads()
+		s := newSeparator(t, l)
+		all := newEngines(20)
+		now := time.Unix(1000, 0)
+		for p := range 100 {
+			s.Choose(now, newRequest(longPrompt, uint64(p)), all)
+		}
+		now = now.Add(2 * time.Second)
+		s.Choose(now, newRequest(longPrompt, 1), all)
+		for p := range 2000 {
+			s.Choose(now, newRequest(shortPrompt, uint64(p)), all)
+		}
+		pools := make(map[quetzalroad.UpstreamName]quetzalroad.UpstreamPool)
+		for _, c := range s.ExplainChoice(now, newRequest(shortPrompt, 1), all).Candidates {
+			pools[c.Upstream.Name] = c.Pool
+			l.suspect[c.Upstream.Name] = othersSuspect && c.Pool != quetzalroad.PoolChanging
+		}
+		changing := 0
+		for _, c := range s.ExplainChoice(now, newRequest(shortPrompt, 1), all).Candidates {
+			if pools[c.Upstream.Name] != quetzalroad.PoolChanging {
+				continue
+			}
+			changing++
+			if c.CanBeChosen != othersSuspect {
+				t.Errorf("others suspect: %t; %s can be chosen: %t", othersSuspect, c.Upstream.Name, c.CanBeChosen)
+			}
+		}
+		if changing == 0 {
+			t.Error("no engine changes pools")
+		}
+	}
+}
