--- a/servers/adminserver/explanation_test.go
+++ b/servers/adminserver/explanation_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/explanationmapper"
+	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
@@ -19,6 +20,12 @@
 
 // newRoutes returns the admin API of a node with one engine.
 func newRoutes(t *testing.T) http.Handler {
+	t.Helper()
+	s := &Server{node: newNode(t), key: quetzalroad.HashKey(operatorKey)}
+	return s.routes()
+}
+
+func newNode(t *testing.T) *kernel.Node {
 	t.Helper()
 	d := new(faker.Deployment)
 	d.ChatClient.Engines = map[quetzalroad.UpstreamName]*faker.FaultyEngine{"u": new(faker.FaultyEngine)}
@@ -26,6 +33,7 @@
 	err := d.Publish(
 		quetzalroad.Object{Profile: &quetzalroad.Profile{Name: "chat", Class: "chat", FirstTokenTarget: time.Second, Timeout: 30 * time.Second}},
 		quetzalroad.Object{Service: &quetzalroad.Service{Name: "llm", Kind: quetzalroad.ServiceKindEngine, Models: []quetzalroad.ModelName{"m"}, DefaultProfile: "chat"}},
+		quetzalroad.Object{Service: &quetzalroad.Service{Name: "portal", Kind: quetzalroad.ServiceKindPlain, DefaultProfile: "chat"}},
 		quetzalroad.Object{Upstream: &quetzalroad.Upstream{Name: "u", Service: "llm", DataCentre: "east", Region: "east", MaxConcurrency: 8, Address: netip.MustParseAddrPort("127.0.0.1:1")}},
 	)
 	if err != nil {
@@ -39,8 +47,7 @@
 	for n.Ready() != nil {
 		time.Sleep(time.Millisecond)
 	}
-	s := &Server{node: n, key: key}
-	return s.routes()
+	return n
 }
 
 // get returns the response to an operator's request.
@@ -99,3 +106,35 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// fakeRouteTable has one route, which splits its requests.
+type fakeRouteTable struct {
+	quetzalroad.RouteTable
+}
+
+func (fakeRouteTable) Match(host, path string) (quetzalroad.Route, bool) {
+	route := quetzalroad.Route{TrafficSplit: []quetzalroad.WeightedService{{Service: "llm", Weight: 1}, {Service: "portal", Weight: 3}}}
+	return route, host == "h" && path == "/x"
+}
+
+// An answer for one service of a split would hide where the other requests go.
+func TestRouteExplainsEachServiceOfASplit(t *testing.T) {
+	n := newNode(t)
+	s := &Server{key: quetzalroad.HashKey(operatorKey), node: &kernel.Node{
+		Identity: n.Identity, Directory: n.Directory, RouteExplainer: n.RouteExplainer, RouteTable: fakeRouteTable{},
+	}}
+	answer, err := explanationmapper.Decode(get(t, s.routes(), "/admin/v1/route?host=h&path=/x", operatorKey).Body.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	shares := make(map[quetzalroad.ServiceName]float64)
+	for _, x := range answer.Services {
+		shares[x.Service] = x.Share
+	}
+	if diff := cmp.Diff(map[quetzalroad.ServiceName]float64{"llm": 0.25, "portal": 0.75}, shares); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if w := get(t, s.routes(), "/admin/v1/route?host=h&path=/y", operatorKey); w.Code != http.StatusNotFound {
+		t.Errorf("status %d for an unknown path", w.Code)
+	}
+}
