Weigh cached prefixes against room, pace and memory of their engines

Cause: a long prompt stayed with the owner of its prefix whatever its last report said, also when requests waited for slots there, when it prefilled slowly, or when its memory could not hold the prefixes assigned to it. Change: a decision of its own weighs the tokens saved against the wait, from the last report, the latency between tokens and KVCacheTokens. It is off by default; the template sets hold-weight to 1.

--- a/decisions/balancer/separator/cost.go
+++ b/decisions/balancer/separator/cost.go
@@ -22,6 +22,10 @@
 	request   *quetzalroad.Request
 	// owners are the engines that the request's prefix is assigned to; empty for a short prompt.
 	owners []quetzalroad.Upstream
+	// demand describes the recent long prompts, and longEngines is the number of engines that own their prefixes. They
+	// are set if the memory of the engines counts.
+	demand      prefixDemand
+	longEngines int
 	// limited are the engines that state a rate limit. They belong to no pool.
 	limited []quetzalroad.Upstream
 }
@@ -158,13 +162,16 @@
 const fullnessWeight = 2
 
 // longPromptCost returns the estimated work until a long prompt is prefilled, in prompt tokens at the
-// usual pace, plus a random amount of up to one request. Slowness counts for the queue only: tokens are
-// slow wherever long prompts are prefilled, and leaving the owner means to prefill the prefix again.
+// usual pace, plus a random amount of up to one request.
 func (c *chooser) longPromptCost(u quetzalroad.Upstream, inLongPool bool) float64 {
 	s := c.separator
 	e := s.loadTracker.Estimate(u.Name, c.now)
-	queued := (float64(e.Running) + s.random.Float64()) * float64(s.requestCost)
-	cost := queued*c.slowness(e, inLongPool) + c.uncachedTokens(u.Name)
+	cost := s.weighing.cost(c.weighedPrompt(), engineState{
+		slots:     float64(u.MaxConcurrency),
+		running:   float64(e.Running) + s.random.Float64(),
+		occupancy: float64(e.Occupancy),
+		slowness:  c.slowness(e, inLongPool),
+	}, c.heldProbability(u.Name, e))
 	if !inLongPool {
 		cost += float64(s.shortPoolCost)
 	}
@@ -174,12 +181,25 @@
 	return cost + c.unusableCost(u.Name, e)
 }
 
-// uncachedTokens estimates how many tokens of the prompt an engine has to prefill.
-func (c *chooser) uncachedTokens(u quetzalroad.UpstreamName) float64 {
-	unshared := float64(c.request.PromptTokens - c.request.SharedPromptTokens)
+// weighedPrompt returns the lengths of the request's prompt.
+func (c *chooser) weighedPrompt() weighedPrompt {
 	shared := float64(c.request.SharedPromptTokens)
-	if slices.ContainsFunc(c.owners, func(o quetzalroad.Upstream) bool { return o.Name == u }) {
-		return unshared
+	return weighedPrompt{shared: shared, unshared: float64(c.request.PromptTokens) - shared, output: float64(c.request.MaxTokens)}
+}
+
+// heldProbability estimates the probability that an engine holds the request's shared tokens.
+func (c *chooser) heldProbability(u quetzalroad.UpstreamName, e quetzalroad.LoadEstimate) float64 {
+	if !slices.ContainsFunc(c.owners, func(o quetzalroad.Upstream) bool { return o.Name == u }) {
+		return 0
 	}
-	return unshared + shared
+	if !c.separator.weighsMemory(c.request) {
+		return 1
+	}
+	running := float64(max(e.Running, e.Occupancy))
+	return c.separator.weighing.ownerProbability(c.request.Service.KVCacheTokens, c.weighedPrompt(), c.demand, running, c.longEngines)
+}
+
+// weighsMemory reports whether the memory of engines bounds what owners of prefixes hold.
+func (s *Separator) weighsMemory(r *quetzalroad.Request) bool {
+	return s.weighing.weight > 0 && r.Service.KVCacheTokens > 0
 }
--- a/decisions/balancer/separator/partition.go
+++ b/decisions/balancer/separator/partition.go
@@ -211,7 +211,7 @@
 			p.local.ShortWork += work
 		} else {
 			p.local.LongWork += work
-			p.prefixes.add(now, r.PrefixHash)
+			p.prefixes.add(now, r)
 		}
 	})
 }
@@ -223,6 +223,16 @@
 	return share
 }
 
+// prefixDemand describes the recent long prompts of a service, of this node and, by their number, of others.
+func (s *Separator) prefixDemand(now time.Time, service quetzalroad.ServiceName) prefixDemand {
+	var d prefixDemand
+	s.withPartition(service, func(p *partition) {
+		d = p.prefixes.demand(now)
+		d.scale = p.mix(now).Requests / max(1, p.local.Requests)
+	})
+	return d
+}
+
 // LocalMix implements quetzalroad.MixTracker.
 func (s *Separator) LocalMix(now time.Time) []quetzalroad.ServiceMix {
 	var all []quetzalroad.ServiceMix
--- a/decisions/balancer/separator/prefix.go
+++ b/decisions/balancer/separator/prefix.go
@@ -63,6 +63,8 @@
 type recentPrefix struct {
 	at   time.Time
 	hash uint64
+	// shared is the length of the prefix in tokens, and other that of the rest of the prompt and of the output.
+	shared, other int
 }
 
 // prefixHistory is a ring buffer of the prefixes of recent long prompts. The zero value is empty.
@@ -71,8 +73,10 @@
 	next    int
 }
 
-func (h *prefixHistory) add(now time.Time, hash uint64) {
-	h.entries[h.next] = recentPrefix{at: now, hash: hash}
+func (h *prefixHistory) add(now time.Time, r *quetzalroad.Request) {
+	h.entries[h.next] = recentPrefix{
+		at: now, hash: r.PrefixHash, shared: r.SharedPromptTokens, other: r.PromptTokens - r.SharedPromptTokens + r.MaxTokens,
+	}
 	h.next = (h.next + 1) % recentPrefixCount
 }
 
@@ -94,3 +98,26 @@
 	}
 	return float64(occurrences-1) / float64(total)
 }
+
+// demand describes the recent long prompts.
+func (h *prefixHistory) demand(now time.Time) prefixDemand {
+	var d prefixDemand
+	hashes := make([]uint64, 0, recentPrefixCount)
+	for _, e := range h.entries {
+		if e.at.IsZero() || now.Sub(e.at) > recentPrefixAge {
+			continue
+		}
+		hashes = append(hashes, e.hash)
+		d.meanShared += float64(e.shared)
+		d.meanOther += float64(e.other)
+	}
+	if len(hashes) == 0 {
+		return d
+	}
+	d.prompts = float64(len(hashes))
+	d.meanShared /= d.prompts
+	d.meanOther /= d.prompts
+	slices.Sort(hashes)
+	d.distinct = float64(len(slices.Compact(hashes)))
+	return d
+}
--- a/decisions/balancer/separator/separator.go
+++ b/decisions/balancer/separator/separator.go
@@ -43,6 +43,8 @@
 	stepCost         int
 	longWeight       float64
 	requestCost      int
+	slotCost         int
+	weighing         weighing
 	shortPoolCost    int
 	crossRegionCost  int
 	crossRegionLoad  float64
@@ -67,6 +69,10 @@
 	c.Int("seed", &s.seed, 0, 0, 1<<30, "Seed of the random choices, for reproducible measurements; zero for a random seed.")
 	c.Int("choices", &s.sampleSize, 2, 1, 1000, "Number of engines that are sampled at random and compared in each group of engines of one pool, near or far. Nodes that compare them all choose the same one at once.")
 	c.Int("request-cost", &s.requestCost, 1500, 0, 10000000, "Cost to a long prompt of each request already running on an engine, in prompt tokens.")
+	c.Float("hold-weight", &s.weighing.weight, 0, 0, 1, "How much a lack of room, memory or pace counts against the owner of a long prompt's prefix; zero to count only the requests that are known to run there.")
+	c.Int("slot-cost", &s.slotCost, 1000, 0, 10000000, "Cost to a long prompt of each request that waits for a slot according to an engine's last report, in prompt tokens.")
+	c.Float("busy-share", &s.weighing.busyShare, 0.5, 0, 10, "Share of an engine's slots that are taken from which long steps mean that it prefills slowly.")
+	c.Float("slow-limit", &s.weighing.slowLimit, 2, 1, 100, "Highest factor by which prefilling counts as slower on an engine with long steps; one to disregard it.")
 	c.Int("mix-cost", &s.shortPoolCost, 30000, 0, 10000000, "Added cost of a long prompt on an engine for short ones, in prompt tokens.")
 	c.Int("far-cost", &s.crossRegionCost, 1000, 0, 10000000, "Added cost of a long prompt in another region, in prompt tokens.")
 	c.Float("far-running", &s.crossRegionLoad, 0.06, 0, 10, "Added cost of other work in another region, as a share of an upstream's maximum concurrency.")
@@ -79,6 +85,7 @@
 	s.throttler = n.Throttler
 	s.region = n.Region
 	s.random.SetSeed(s.seed)
+	s.weighing.requestCost, s.weighing.slotCost = float64(s.requestCost), float64(s.slotCost)
 	n.Balancer = s
 	n.MixTracker = s
 	return nil
@@ -99,7 +106,18 @@
 	}
 	groups := s.groupEngines(now, r.Service.Name, candidates)
 	if r.PromptTokens >= s.longPromptTokens {
-		c.owners = prefixOwners(r.PrefixHash, s.prefixShare(now, r), groups.longPool)
+		c.findOwners(groups.longPool)
 	}
 	return c.chooseAmong(groups)
 }
+
+// findOwners sets the owners of the request's prefix, and what tells whether they still hold it.
+func (c *chooser) findOwners(longPool []quetzalroad.Upstream) {
+	s, r := c.separator, c.request
+	share := s.prefixShare(c.now, r)
+	c.owners = prefixOwners(r.PrefixHash, share, longPool)
+	if s.weighsMemory(r) {
+		c.demand, c.longEngines = s.prefixDemand(c.now, r.Service.Name), len(longPool)
+		c.demand.share = share
+	}
+}
--- a/proofs/placer/engine_test.go
+++ b/proofs/placer/engine_test.go
@@ -33,9 +33,11 @@
 	engine   *engine
 	// unread is how many prompt tokens the engine still has to read; generated counts tokens.
 	unread, generated int
-	firstAt, lastAt   time.Time
-	longestGap        time.Duration
-	outcome           outcome
+	// rereadTokens counts the shared tokens that its engine prefills although some engine did before.
+	rereadTokens    int
+	firstAt, lastAt time.Time
+	longestGap      time.Duration
+	outcome         outcome
 }
 
 func (r *request) promptTokens() int { return r.sharedTokens + r.ownTokens + r.uncachedTokens }
@@ -52,6 +54,8 @@
 	// generation invalidates steps that were scheduled before a crash.
 	generation int
 	readTokens int
+	// read holds the parts that any engine of the fleet has prefilled.
+	read map[int]bool
 }
 
 // admit moves waiting requests to free slots, the most urgent class first.
@@ -61,15 +65,22 @@
 		r := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		r.unread = r.promptTokens() - e.cachedTokens(r)
+		r.rereadTokens += max(0, e.readBefore(r)-e.cachedTokens(r))
 		e.running = append(e.running, r)
 	}
 }
 
-func (e *engine) cachedTokens(r *request) int {
+// readBefore returns how many of a prompt's first tokens engines have prefilled before.
+func (e *engine) readBefore(r *request) int { return firstTokens(e.read, r) }
+
+func (e *engine) cachedTokens(r *request) int { return firstTokens(e.cached, r) }
+
+// firstTokens returns the length of a prompt's first parts that are all among some parts.
+func firstTokens(parts map[int]bool, r *request) int {
 	switch {
-	case !e.cached[r.sharedID]:
+	case !parts[r.sharedID]:
 		return 0
-	case !e.cached[r.ownID]:
+	case !parts[r.ownID]:
 		return r.sharedTokens
 	}
 	return r.sharedTokens + r.ownTokens
@@ -95,6 +106,7 @@
 		budget -= n
 		if r.unread == 0 {
 			e.cached[r.sharedID], e.cached[r.ownID] = true, true
+			e.read[r.sharedID], e.read[r.ownID] = true, true
 			decoding = append(decoding, r)
 		}
 	}
--- a/proofs/placer/fleet_test.go
+++ b/proofs/placer/fleet_test.go
@@ -132,10 +132,11 @@
 	t.Helper()
 	f := &fleet{pattern: p, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000000, 0), byName: make(map[quetzalroad.UpstreamName]*engine)}
 	f.now = f.start
+	read := make(map[int]bool)
 	for d := range p.dataCentres {
 		for range p.enginesPerDataCentre {
 			u := f.upstream(len(f.engines))
-			e := &engine{Upstream: u, speed: 1, cached: make(map[int]bool)}
+			e := &engine{Upstream: u, speed: 1, cached: make(map[int]bool), read: read}
 			f.engines = append(f.engines, e)
 			f.byName[u.Name] = e
 			f.listed = append(f.listed, u)
@@ -145,7 +146,7 @@
 			merged := map[string]string{
 				"node":     fmt.Sprintf(`{"name": "node-%d-%d", "data-centre": %q, "region": %q}`, d, i, dataCentreName(d), regionName(d)),
 				"load":     `{"report-interval": "0s", "report-lifetime": "200ms", "reach": "all"}`,
-				"balancer": `{"plugin": "separator", "request-cost": 350, "step-cost": 400}`,
+				"balancer": `{"plugin": "separator", "request-cost": 350, "step-cost": 400, "hold-weight": 1}`,
 			}
 			for name, text := range sections {
 				merged[name] = strings.ReplaceAll(text, seedOfNode, strconv.Itoa(1+len(f.nodes)))
@@ -445,6 +446,18 @@
 	return n
 }
 
+// rereadShare returns the share of the shared tokens of long prompts that engines prefilled again.
+func (f *fleet) rereadShare(from, to time.Duration) float64 {
+	reread, shared := 0, 0
+	for _, r := range f.requests {
+		if at := r.arrived.Sub(f.start); r.class == draft && from <= at && at < to {
+			reread += r.rereadTokens
+			shared += r.sharedTokens + r.ownTokens
+		}
+	}
+	return float64(reread) / float64(max(1, shared))
+}
+
 // neededShare returns the engines' time that the requests of a period need at least, as a share of what
 // there is: with every shared part cached, full batches and no engine lost or slowed.
 func (f *fleet) neededShare(from, to time.Duration) float64 {
--- a/proofs/placer/placement_test.go
+++ b/proofs/placer/placement_test.go
@@ -99,7 +99,11 @@
 	return f
 }
 
-const routerBalancer = `{"plugin": "separator", "request-cost": 350, "step-cost": 400, "seed": ` + seedOfNode + `}`
+const (
+	routerBalancer = `{"plugin": "separator", "request-cost": 350, "step-cost": 400, "hold-weight": 1, "seed": ` + seedOfNode + `}`
+	// ownerBalancer disregards room and pace of the owners of prefixes.
+	ownerBalancer = `{"plugin": "separator", "request-cost": 350, "step-cost": 400, "seed": ` + seedOfNode + `}`
+)
 
 // The router holds the targets of each load pattern. Beside its outcome stands, with -v, that of round robin, and
 // how much of their time the engines need at least: below one, a clairvoyant could serve all in time.
@@ -109,6 +113,7 @@
 			t.Parallel()
 			router := play(t, p.pattern, routerBalancer)
 			t.Logf("engines' time needed: %.2f", router.neededShare(calm, calm+trouble))
+			t.Logf("shared tokens prefilled again: %.3f", router.rereadShare(calm, calm+trouble))
 			baseline := new(fleet)
 			if testing.Verbose() {
 				baseline = play(t, p.pattern, `{"plugin": "rotator"}`)
@@ -137,6 +142,7 @@
 			}
 		}
 	}}}, routerBalancer)
+	t.Logf("shared tokens prefilled again: %.3f", f.rereadShare(calm, calm+trouble))
 	for c, want := range map[*class]float64{chat: impaired.chat, draft: impaired.draft} {
 		if got := f.countOutcomes(c, calm, calm+trouble); got.inTimeShare() < want {
 			t.Errorf("%s: %s, want %.2f in time", c.name, got, want)
@@ -153,9 +159,26 @@
 		}
 		return 1.1
 	}}, routerBalancer)
+	t.Logf("shared tokens prefilled again: %.3f", f.rereadShare(0, burstEnd))
 	for c, want := range map[*class]float64{chat: impaired.chat, draft: impaired.draft} {
 		if got := f.countOutcomes(c, 0, burstEnd); got.inTimeShare() < want {
 			t.Errorf("%s: %s, want %.2f in time", c.name, got, want)
 		}
 	}
 }
+
+// The owners of a frequent prefix get more long prompts than they have room for. Sending them elsewhere is a gain only
+// if prefixes are not prefilled again for it in great numbers, at the cost of the others.
+func TestLongPromptsLeaveFullOwnersWithoutPrefillingMuchAgain(t *testing.T) {
+	const mayPrefillAgain = 0.05
+	p := patterns["one prefix in two fifths of the long prompts"].pattern
+	weighed, preferred := play(t, p, routerBalancer), play(t, p, ownerBalancer)
+	got, without := weighed.countOutcomes(draft, calm, calm+trouble), preferred.countOutcomes(draft, calm, calm+trouble)
+	t.Logf("weighed: %s; owners preferred: %s", got, without)
+	if got.inTimeShare() <= without.inTimeShare() {
+		t.Errorf("%.3f in time, with owners preferred %.3f", got.inTimeShare(), without.inTimeShare())
+	}
+	if again := weighed.rereadShare(calm, calm+trouble); again > mayPrefillAgain {
+		t.Errorf("%.3f of the shared tokens prefilled again, want at most %.2f", again, mayPrefillAgain)
+	}
+}
