Bound the caches of simulated engines, and test what their memory decides

Cause: the simulated engines cached all prompts for ever, so that no load pattern showed what the published size of a cache is good for. Change: a pattern may bound the caches; running requests take part of them, and the parts not used for longest are evicted. The counts of the simulation move to a file of their own.

--- a/proofs/placer/engine_test.go
+++ b/proofs/placer/engine_test.go
@@ -42,6 +42,9 @@
 
 func (r *request) promptTokens() int { return r.sharedTokens + r.ownTokens + r.uncachedTokens }
 
+// cachedPart is a part of a prompt that an engine holds.
+type cachedPart struct{ id, tokens int }
+
 // engine is a simulated model engine.
 type engine struct {
 	quetzalroad.Upstream
@@ -50,7 +53,10 @@
 	crashed          bool
 	running, waiting []*request
 	cached           map[int]bool
-	stepping         bool
+	// cacheTokens bounds the tokens of the cached parts; zero for no bound. uses lists them, the last used last.
+	cacheTokens int
+	uses        []cachedPart
+	stepping    bool
 	// generation invalidates steps that were scheduled before a crash.
 	generation int
 	readTokens int
@@ -86,6 +92,27 @@
 	return r.sharedTokens + r.ownTokens
 }
 
+// cache holds the parts of a prompt, and evicts those that were not used for longest.
+func (e *engine) cache(r *request) {
+	e.cached[r.sharedID], e.cached[r.ownID] = true, true
+	if e.cacheTokens == 0 {
+		return
+	}
+	e.uses = slices.DeleteFunc(e.uses, func(p cachedPart) bool { return p.id == r.sharedID || p.id == r.ownID })
+	e.uses = append(e.uses, cachedPart{r.ownID, r.ownTokens}, cachedPart{r.sharedID, r.sharedTokens})
+	held := 0
+	for _, other := range e.running {
+		held += other.uncachedTokens + other.generated
+	}
+	for _, p := range e.uses {
+		held += p.tokens
+	}
+	for ; held > e.cacheTokens && len(e.uses) > 0; e.uses = e.uses[1:] {
+		held -= e.uses[0].tokens
+		delete(e.cached, e.uses[0].id)
+	}
+}
+
 // step reads one chunk and generates one token of each request that was read before. It returns
 // when the step ends and the requests that generated a token in it.
 func (e *engine) step(now time.Time) (time.Time, []*request) {
@@ -105,7 +132,7 @@
 		r.unread -= n
 		budget -= n
 		if r.unread == 0 {
-			e.cached[r.sharedID], e.cached[r.ownID] = true, true
+			e.cache(r)
 			e.read[r.sharedID], e.read[r.ownID] = true, true
 			decoding = append(decoding, r)
 		}
--- a/proofs/placer/fleet_test.go
+++ b/proofs/placer/fleet_test.go
@@ -73,6 +73,8 @@
 	rate func(c *class, dataCentre int, at time.Duration) float64
 	// hotShare returns the share of the requests of a class that have one and the same prompt.
 	hotShare func(c *class, at time.Duration) float64
+	// cacheTokens bounds what an engine caches, and publishedTokens is the bound that the nodes know; zero for none.
+	cacheTokens, publishedTokens int
 	// changes are applied at a time since the start.
 	changes map[time.Duration]func(f *fleet)
 }
@@ -136,7 +138,7 @@
 	for d := range p.dataCentres {
 		for range p.enginesPerDataCentre {
 			u := f.upstream(len(f.engines))
-			e := &engine{Upstream: u, speed: 1, cached: make(map[int]bool), read: read}
+			e := &engine{Upstream: u, speed: 1, cached: make(map[int]bool), read: read, cacheTokens: p.cacheTokens}
 			f.engines = append(f.engines, e)
 			f.byName[u.Name] = e
 			f.listed = append(f.listed, u)
@@ -267,9 +269,9 @@
 	f.send(r, nil)
 }
 
-func (r *request) decisionRequest() *quetzalroad.Request {
+func (f *fleet) decisionRequest(r *request) *quetzalroad.Request {
 	return &quetzalroad.Request{
-		Model: "m", Service: quetzalroad.Service{Name: "llm"}, Arrived: r.arrived, PromptTokens: r.promptTokens(),
+		Model: "m", Service: quetzalroad.Service{Name: "llm", KVCacheTokens: f.pattern.publishedTokens}, Arrived: r.arrived, PromptTokens: r.promptTokens(),
 		SharedPromptTokens: r.sharedTokens + r.ownTokens, MaxTokens: r.outputTokens, PrefixHash: uint64(r.ownID)*2654435761 + 1,
 		Profile: quetzalroad.Profile{Tier: r.class.tier, FirstTokenTarget: r.class.firstTarget, Timeout: r.class.timeout},
 	}
@@ -282,7 +284,7 @@
 		candidates = slices.DeleteFunc(slices.Clone(f.listed), func(u quetzalroad.Upstream) bool { return slices.Contains(tried, u.Name) })
 	}
 	r.attempts++
-	u := r.node.Balancer.Choose(f.now, r.decisionRequest(), candidates)
+	u := r.node.Balancer.Choose(f.now, f.decisionRequest(r), candidates)
 	e := f.byName[u.Name]
 	r.engine = e
 	r.node.LoadTracker.BeginAttempt(u.Name, f.now)
@@ -380,7 +382,7 @@
 		e.crashed = true
 		e.generation++
 		e.stepping = false
-		e.cached = make(map[int]bool)
+		e.cached, e.uses = make(map[int]bool), nil
 		for _, r := range append(slices.Clone(e.running), e.waiting...) {
 			f.end(r, failed)
 		}
@@ -416,58 +418,3 @@
 	}
 	n.LoadTracker.UpdatePeerObservations(f.now, sum.Upstreams)
 }
-
-// counts are the outcomes of a class.
-type counts struct{ total, inTime, late, failed int }
-
-func (c counts) inTimeShare() float64 { return float64(c.inTime) / float64(max(1, c.total)) }
-
-func (c counts) String() string {
-	return fmt.Sprintf("%5d in time %.3f, late %.3f, failed %.3f", c.total, c.inTimeShare(), float64(c.late)/float64(max(1, c.total)), float64(c.failed)/float64(max(1, c.total)))
-}
-
-// countOutcomes counts the requests of a class that arrived in a period.
-func (f *fleet) countOutcomes(c *class, from, to time.Duration) counts {
-	var n counts
-	for _, r := range f.requests {
-		if at := r.arrived.Sub(f.start); r.class != c || at < from || at >= to {
-			continue
-		}
-		n.total++
-		switch r.outcome {
-		case inTime:
-			n.inTime++
-		case late:
-			n.late++
-		default:
-			n.failed++
-		}
-	}
-	return n
-}
-
-// rereadShare returns the share of the shared tokens of long prompts that engines prefilled again.
-func (f *fleet) rereadShare(from, to time.Duration) float64 {
-	reread, shared := 0, 0
-	for _, r := range f.requests {
-		if at := r.arrived.Sub(f.start); r.class == draft && from <= at && at < to {
-			reread += r.rereadTokens
-			shared += r.sharedTokens + r.ownTokens
-		}
-	}
-	return float64(reread) / float64(max(1, shared))
-}
-
-// neededShare returns the engines' time that the requests of a period need at least, as a share of what
-// there is: with every shared part cached, full batches and no engine lost or slowed.
-func (f *fleet) neededShare(from, to time.Duration) float64 {
-	var needed time.Duration
-	for _, r := range f.requests {
-		if at := r.arrived.Sub(f.start); at < from || at >= to {
-			continue
-		}
-		needed += time.Duration(r.uncachedTokens) * time.Millisecond / readTokensPerMilli
-		needed += time.Duration(r.outputTokens) * (stepTime + engineSlots*stepTimePerRequest) / engineSlots
-	}
-	return float64(needed) / float64(to-from) / float64(len(f.engines))
-}
--- a/proofs/placer/placement_test.go
+++ b/proofs/placer/placement_test.go
@@ -182,3 +182,26 @@
 		t.Errorf("%.3f of the shared tokens prefilled again, want at most %.2f", again, mayPrefillAgain)
 	}
 }
+
+// Engines whose memory is too small for the prefixes that they own evict them before they are used again. Staying
+// with the owners then saves little, and their queues grow.
+func TestLongPromptsLeaveOwnersThatCannotHoldTheirPrefixes(t *testing.T) {
+	p := pattern{rate: constantRate(1.4), cacheTokens: 50000, hotShare: func(c *class, _ time.Duration) float64 {
+		if c == draft {
+			return 0.2
+		}
+		return 0
+	}}
+	unknown := play(t, p, routerBalancer)
+	p.publishedTokens = p.cacheTokens
+	known := play(t, p, routerBalancer)
+	got, without := known.countOutcomes(draft, calm, calm+trouble), unknown.countOutcomes(draft, calm, calm+trouble)
+	again, againWithout := known.rereadShare(calm, calm+trouble), unknown.rereadShare(calm, calm+trouble)
+	t.Logf("memory known: %s, prefilled again %.3f; unknown: %s, %.3f", got, again, without, againWithout)
+	if got.inTimeShare() <= without.inTimeShare() {
+		t.Errorf("%.3f in time, with the memory unknown %.3f", got.inTimeShare(), without.inTimeShare())
+	}
+	if again > againWithout {
+		t.Errorf("%.3f of the shared tokens prefilled again, with the memory unknown %.3f", again, againWithout)
+	}
+}
