--- a/decisions/balancer/separator/pricer.go
+++ b/decisions/balancer/separator/pricer.go
@@ -106,7 +106,6 @@
 	p.tighten(p.base.owners, sampleSize)
 	p.add(quetzalroad.PoolLimited, p.base.limited, func(c *chooser, u quetzalroad.Upstream) float64 { return c.limitedCost(u, c.limitedShare(groups)) })
 	p.tighten(p.base.limited, len(p.base.limited))
-	p.add(quetzalroad.PoolChanging, groups.changing, func(c *chooser, u quetzalroad.Upstream) float64 { return c.engineCost(u, true) })
 }
 
 func (g *group) pool() quetzalroad.UpstreamPool {
@@ -158,16 +157,14 @@
 	}
 }
 
-// canBeChosen reports whether some draw chooses a candidate. Engines that change pools, and unusable ones, are chosen
-// only if no usable one is sampled.
+// canBeChosen reports whether some draw chooses a candidate. Unusable engines are chosen only if no usable one is
+// sampled.
 func (p *pricer) canBeChosen(c *pricedCandidate, least float64) bool {
 	switch {
 	case c.low >= exhaustedCost:
 		return least >= exhaustedCost
 	case c.low >= suspectCost:
 		return least >= suspectCost
-	case c.Pool == quetzalroad.PoolChanging:
-		return p.bound >= suspectCost
 	}
 	return c.low <= p.bound
 }
--- a/decisions/scaler/planner/plan.go
+++ b/decisions/scaler/planner/plan.go
@@ -326,7 +326,8 @@
 	if !pl.hasRoom(g) {
 		return
 	}
-	g.Ordered += count
+	// More may be there than ordered, after a restore of the log; an order to add upstreams must not remove those.
+	g.Ordered = max(g.Ordered, g.ready) + count
 	g.booting += count
 	if g.reason == "" {
 		g.reason = reason
--- a/decisions/scaler/planner/plan_test.go
+++ b/decisions/scaler/planner/plan_test.go
@@ -86,3 +86,23 @@
 		})
 	}
 }
+
+// After a restore of the log the order in force may be older than what is there. An order to add upstreams must not
+// give others up.
+func TestOrdersThatAddUpstreamsRemoveNone(t *testing.T) {
+	start, policy := time.Unix(0, 0), DefaultPolicy()
+	ordered, present := fleetOf{spot: [3]int{2, 2, 2}, other: [3]int{2, 2, 1}}, fleetOf{spot: [3]int{6, 2, 2}, other: [3]int{2, 2, 1}}
+	in := Input{Now: start.Add(time.Second), Upstreams: present.upstreams(), Demand: &Demand{Running: 500, Requests: 100}, Scaling: quetzalroad.Scaling{
+		Minimum: 1, Maximum: 30, BootTime: 4 * time.Second, SpotPrice: 0.2,
+		Prices: []quetzalroad.DataCentrePrice{{DataCentre: "a", Price: 1}, {DataCentre: "b", Price: 1}, {DataCentre: "c", Price: 1}},
+	}}
+	_, decision := policy.Plan(in, NewState(start, ordered.orders()))
+	for _, o := range decision.Orders {
+		if there := present.orders()[o.Group]; o.Count < there {
+			t.Errorf("%+v although %d are there", o, there)
+		}
+	}
+	if len(decision.Orders) == 0 {
+		t.Error("no orders for a load that needs more")
+	}
+}
--- a/decisions/usagereporter/reporter.go
+++ b/decisions/usagereporter/reporter.go
@@ -125,17 +125,22 @@
 // maxClockError bounds the difference between the clocks of two VMs.
 const maxClockError = 10 * time.Second
 
+// clockMargin is added to the time before which decisions may be missing, as a holder whose clock was ahead may have
+// decided a window before its end.
+const clockMargin = 5 * time.Second
+
 // lostBefore returns the time before which saved decisions may be missing. The clock of the holder that stated it may
 // have been slow, whereas this node knows how long the log's epoch has lasted at least.
 func (r *Reporter) lostBefore(now, stated time.Time) time.Time {
-	if stated.IsZero() || r.epochs == nil {
+	if stated.IsZero() {
 		return stated
 	}
-	observed := now.Add(-r.epochs.Age())
-	if observed.After(stated) && observed.Sub(stated) < maxClockError {
-		return observed
+	if r.epochs != nil {
+		if observed := now.Add(-r.epochs.Age()); observed.After(stated) && observed.Sub(stated) < maxClockError {
+			stated = observed
+		}
 	}
-	return stated
+	return stated.Add(clockMargin)
 }
 
 // refresh merges the counts of all nodes.
--- a/explanation.go
+++ b/explanation.go
@@ -30,10 +30,9 @@
 
 // The pools.
 const (
-	PoolShort    UpstreamPool = "short"
-	PoolLong     UpstreamPool = "long"
-	PoolChanging UpstreamPool = "changing"
-	PoolLimited  UpstreamPool = "rate-limited"
+	PoolShort   UpstreamPool = "short"
+	PoolLong    UpstreamPool = "long"
+	PoolLimited UpstreamPool = "rate-limited"
 	// PoolReserved holds the upstreams that preemptible work does not use.
 	PoolReserved UpstreamPool = "reserved"
 )
--- a/state/activitypublisher/publisher.go
+++ b/state/activitypublisher/publisher.go
@@ -95,6 +95,7 @@
 // instead.
 func (p *Publisher) publish(ctx context.Context) error {
 	var last quetzalroad.ActivityReport
+	recovered := false
 	for {
 		// Different delays keep the writes of all nodes, which the log handles one at a time, apart.
 		interval := p.currentInterval()
@@ -105,6 +106,10 @@
 		if !p.publishes() {
 			continue
 		}
+		if !recovered && !p.recoverCounts(ctx) {
+			continue
+		}
+		recovered = true
 		report := p.report(time.Now())
 		if isSameActivity(last, report) && report.WrittenAt.Sub(last.WrittenAt).Abs() < p.idleInterval-p.interval {
 			continue
@@ -115,6 +120,24 @@
 	}
 }
 
+// recoverCounts takes over the counts in the last report under this node's name, and reports whether it could be read.
+// The next report replaces that one, which a process before this one may have written moments before it was killed.
+func (p *Publisher) recoverCounts(ctx context.Context) bool {
+	if p.node.UsageMeter == nil {
+		return true
+	}
+	reports, err := p.Refresh(ctx)
+	if err != nil {
+		return false
+	}
+	for _, r := range reports {
+		if r.Node == p.node.Name {
+			p.node.UsageMeter.UpdatePeerUsage(time.Now(), r.Usage)
+		}
+	}
+	return true
+}
+
 // publishes reports whether this node reads the log. While the list of nodes is unknown, as when a whole fleet starts,
 // all nodes read it, and their writes would exceed the rate that the log allows.
 func (p *Publisher) publishes() bool {
--- a/state/activitypublisher/publisher_test.go
+++ b/state/activitypublisher/publisher_test.go
@@ -43,6 +43,46 @@
 	}
 }
 
+// countedUsage is what a node counted, and what it took over from other processes.
+type countedUsage struct {
+	quetzalroad.UsageMeter
+	own, taken []quetzalroad.NodeUsage
+}
+
+func (u *countedUsage) KnownUsage(time.Time) []quetzalroad.NodeUsage {
+	return append(u.taken[:len(u.taken):len(u.taken)], u.own...)
+}
+
+func (u *countedUsage) UpdatePeerUsage(_ time.Time, usage []quetzalroad.NodeUsage) {
+	u.taken = append(u.taken, usage...)
+}
+
+// A process that is killed and started again writes under the same name. Its first report would replace the last one
+// of the process before it, with all that the holder of the lease has not read yet.
+func TestRestartedPublisherKeepsTheCountsOfTheProcessBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		usage := func(startedAt int64, requests int) []quetzalroad.NodeUsage {
+			return []quetzalroad.NodeUsage{{Node: "n", StartedAt: time.UnixMilli(startedAt).UTC(), Window: 7, Teams: []quetzalroad.TeamUsage{{Team: "team", Requests: requests}}}}
+		}
+		before, kill := newPublisher(t, log, "n", false)
+		before.node.UsageMeter = &countedUsage{own: usage(1000, 5)}
+		time.Sleep(3 * time.Second)
+		kill()
+		after, stop := newPublisher(t, log, "n", false)
+		after.node.UsageMeter = &countedUsage{own: usage(2000, 3)}
+		time.Sleep(3 * time.Second)
+		reports, err := after.Refresh(t.Context())
+		if err != nil || len(reports) != 1 {
+			t.Fatalf("%d reports, error %v", len(reports), err)
+		}
+		if diff := cmp.Diff(append(usage(1000, 5), usage(2000, 3)...), reports[0].Usage); diff != "" {
+			t.Errorf("counts (-want +got):\n%s", diff)
+		}
+		stop()
+	})
+}
+
 // Each write has a price, and reports that come too seldom make windows late.
 func TestReportsAreWrittenAsOftenAsTheyChange(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/state/leaser/policy_test.go
+++ b/state/leaser/policy_test.go
@@ -104,3 +104,16 @@
 		t.Errorf("state %q after a confirmed write", got)
 	}
 }
+
+// A log that states an earlier epoch than the record's is not the one that the lease was granted in: its tokens would be
+// lower than those in use.
+func TestNoLeaseIsReadBelowTheEpochOfARecord(t *testing.T) {
+	value, err := leasemapper.Encode(leasemapper.Record{Holder: "a", Incarnation: "i", Token: 2<<epochShift + 1, Epoch: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := sighting{epoch: 1}
+	if err := s.pick([]quetzalroad.KeyedRecord{{Key: recordKey(2), Value: value}}); err == nil {
+		t.Error("a claim in epoch 1 would follow a lease in epoch 2")
+	}
+}
--- a/state/leaser/record.go
+++ b/state/leaser/record.go
@@ -68,7 +68,7 @@
 	if s.epoch > maxEpoch {
 		return sighting{}, errBadEpoch
 	}
-	if s.epoch != epochBefore {
+	if s.epoch != epochBefore || s.epochKnownFor == boottimer.Never {
 		s.epochKnownFor = 0
 	}
 	if err := s.pick(records); err != nil {
@@ -88,8 +88,11 @@
 		switch {
 		case err != nil:
 			return errors.Wrapf(err, "key %q at offset %d", r.Key, int64(r.Offset))
-		case r.Key != recordKey(decoded.Epoch) || decoded.Epoch > s.epoch:
+		case r.Key != recordKey(decoded.Epoch):
 			continue
+		case decoded.Epoch > s.epoch:
+			// A claim in this epoch would issue a token below that of the record.
+			return errors.Wrapf(errBadEpoch, "epoch %d after a lease in epoch %d", uint64(s.epoch), uint64(decoded.Epoch))
 		case decoded.Epoch == s.epoch:
 			s.current, s.offset = &decoded, r.Offset
 		case s.earlier == nil || decoded.Epoch > s.earlier.Epoch:
