--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -66,7 +66,8 @@
 		go x.writeInBackground(data)
 		return nil
 	}
-	n, err := data.WriteTo(x.conn.Conn)
+	// Data of this size is in one part.
+	n, err := x.conn.Conn.Write(data[0])
 	x.written.Store(n > 0)
 	if err != nil {
 		return x.attemptError(ctx, quetzalroad.RetryConnectionLost, err)
