Name orders, reads and retries after what they are

"subject", "held", "gives", "sighting" and "isOver" had to be looked up. They become orderKey, reductionsPaused, isReduction, readResult and canRetry. No behaviour changes; the tests of the packages pass.

--- a/cmd/quetzalemu/storeserver/append.go
+++ b/cmd/quetzalemu/storeserver/append.go
@@ -12,7 +12,7 @@
 // maxAppendBytes limits the total size of the records in one append request.
 const maxAppendBytes = 2 << 20
 
-var errCutRecord = errors.New("a record is cut")
+var errTruncatedRecord = errors.New("a record is cut")
 
 // handleAppend appends length-prefixed records. It rejects appends to the topics that only
 // operators and servers write, and those on condition of another end offset than the topic's.
@@ -51,7 +51,7 @@
 		length := binary.BigEndian.Uint32(data)
 		rest := data[4:]
 		if length == 0 || uint64(length) > uint64(len(rest)) || int(rest[0]) >= int(length) {
-			return nil, errCutRecord
+			return nil, errTruncatedRecord
 		}
 		keyEnd := 1 + int(rest[0])
 		records = append(records, record{key: string(rest[1:keyEnd]), value: string(rest[keyEnd:length])})
--- a/decisions/scaler/demand.go
+++ b/decisions/scaler/demand.go
@@ -90,12 +90,12 @@
 }
 
 // setOrdered publishes an accepted order in the counters.
-func (s *Scaler) setOrdered(subject subject, count int) {
+func (s *Scaler) setOrdered(key orderKey, count int) {
 	kind := "other"
-	if subject.Spot {
+	if key.Spot {
 		kind = "spot"
 	}
 	v := new(expvar.Int)
 	v.Set(int64(count))
-	s.ordered.Set(string(subject.service)+"/"+string(subject.DataCentre)+"/"+kind, v)
+	s.ordered.Set(string(key.service)+"/"+string(key.DataCentre)+"/"+kind, v)
 }
--- a/decisions/scaler/orders.go
+++ b/decisions/scaler/orders.go
@@ -15,7 +15,7 @@
 
 // entry is an order that the platform isn't known to have accepted.
 type entry struct {
-	subject
+	orderKey
 	count, previous int
 	reason          planner.Reason
 	// load and needed are the load and the number of upstreams on which the decision is based.
@@ -23,31 +23,31 @@
 	needed int
 }
 
-// gives reports whether the order gives up upstreams.
-func (e entry) gives() bool { return e.count < e.previous }
+// isReduction reports whether the order gives up upstreams.
+func (e entry) isReduction() bool { return e.count < e.previous }
 
-// queue holds at most one order for each subject. The zero value is empty.
+// queue holds at most one order for each key. The zero value is empty.
 type queue struct {
 	entries []entry
 }
 
-// put adds an order, and replaces an earlier one of the subject. What that would have replaced is still in force.
+// put adds an order, and replaces an earlier one of its key. What that would have replaced is still in force.
 func (q *queue) put(e entry) {
 	for _, earlier := range q.entries {
-		if earlier.subject == e.subject {
+		if earlier.orderKey == e.orderKey {
 			e.previous = earlier.previous
 		}
 	}
-	q.remove(e.subject)
+	q.remove(e.orderKey)
 	q.entries = append(q.entries, e)
 }
 
-func (q *queue) remove(s subject) {
-	q.entries = slices.DeleteFunc(q.entries, func(e entry) bool { return e.subject == s })
+func (q *queue) remove(key orderKey) {
+	q.entries = slices.DeleteFunc(q.entries, func(e entry) bool { return e.orderKey == key })
 }
 
-func (q *queue) contains(s subject) bool {
-	return slices.ContainsFunc(q.entries, func(e entry) bool { return e.subject == s })
+func (q *queue) contains(key orderKey) bool {
+	return slices.ContainsFunc(q.entries, func(e entry) bool { return e.orderKey == key })
 }
 
 // groups lists those of a service that have an order.
@@ -62,28 +62,28 @@
 }
 
 // next returns the order to send now: one that adds upstreams if there is any.
-func (q *queue) next(held map[quetzalroad.ServiceName]bool) (entry, bool) {
+func (q *queue) next(reductionsPaused map[quetzalroad.ServiceName]bool) (entry, bool) {
 	for _, e := range q.entries {
-		if !e.gives() {
+		if !e.isReduction() {
 			return e, true
 		}
 	}
 	for _, e := range q.entries {
-		if !held[e.service] {
+		if !reductionsPaused[e.service] {
 			return e, true
 		}
 	}
 	return entry{}, false
 }
 
-// ordersInForce lists the orders in force, sorted by subject.
+// ordersInForce lists the orders in force, sorted by key.
 func (t *term) ordersInForce() []quetzalroad.OrderInForce {
 	var orders []quetzalroad.OrderInForce
 	for service, state := range t.states {
 		for g, group := range state.Groups {
 			orders = append(orders, quetzalroad.OrderInForce{
 				UpstreamOrder: quetzalroad.UpstreamOrder{Service: service, DataCentre: g.DataCentre, Spot: g.Spot, Count: group.Ordered},
-				Confirmed:     !t.queue.contains(subject{service: service, Group: g}),
+				Confirmed:     !t.queue.contains(orderKey{service: service, Group: g}),
 			})
 		}
 	}
@@ -102,13 +102,13 @@
 
 // canSend reports whether an order is due.
 func (t *term) canSend(now time.Time) bool {
-	_, ok := t.queue.next(t.held)
+	_, ok := t.queue.next(t.reductionsPaused)
 	return ok && !t.unsaved && !now.Before(t.sendAt)
 }
 
 // wakeAt returns when there is something to do next.
 func (t *term) wakeAt() time.Time {
-	if _, ok := t.queue.next(t.held); ok && !t.unsaved && t.sendAt.Before(t.planAt) {
+	if _, ok := t.queue.next(t.reductionsPaused); ok && !t.unsaved && t.sendAt.Before(t.planAt) {
 		return t.sendAt
 	}
 	return t.planAt
@@ -116,7 +116,8 @@
 
 // sendNext sends one order.
 func (t *term) sendNext(ctx context.Context) {
-	e, _ := t.queue.next(t.held)
+	// canSend has reported that there is an order.
+	e, _ := t.queue.next(t.reductionsPaused)
 	err := t.send(ctx, e)
 	now := time.Now()
 	t.sendAt = now.Add(t.scaler.orderInterval)
@@ -157,18 +158,18 @@
 }
 
 func (t *term) accept(now time.Time, e entry) {
-	t.queue.remove(e.subject)
+	t.queue.remove(e.orderKey)
 	if state, ok := t.states[e.service]; ok {
 		t.states[e.service] = state.MarkAccepted(e.Group, now)
 	}
-	t.accepted[e.subject] = e.count
-	t.scaler.setOrdered(e.subject, e.count)
+	t.accepted[e.orderKey] = e.count
+	t.scaler.setOrdered(e.orderKey, e.count)
 }
 
 // markUnavailable returns to the last accepted order and has the planner look for other upstreams.
 func (t *term) markUnavailable(now time.Time, e entry) {
-	t.queue.remove(e.subject)
-	count, ok := t.accepted[e.subject]
+	t.queue.remove(e.orderKey)
+	count, ok := t.accepted[e.orderKey]
 	if !ok {
 		count = min(e.previous, e.count)
 	}
--- a/decisions/scaler/planner/reduce.go
+++ b/decisions/scaler/planner/reduce.go
@@ -26,7 +26,7 @@
 	return pl.in.Now.Sub(pl.state.Since) >= pl.policy.PeakHold
 }
 
-// removeAll gives up upstreams where there are many of their kind and they are dear.
+// removeAll gives up upstreams where there are many of their kind and they are expensive.
 func (pl *plan) removeAll(count int, match func(*group) bool, reason Reason) {
 	for range count {
 		best, highest := (*group)(nil), math.Inf(-1)
--- a/decisions/scaler/term.go
+++ b/decisions/scaler/term.go
@@ -9,8 +9,8 @@
 	"github.com/quetzalroad/quetzalroad/decisions/scaler/planner"
 )
 
-// subject is what one order at a time is in force for.
-type subject struct {
+// orderKey identifies the order for a group of upstreams of a service. At most one is in force for each key.
+type orderKey struct {
 	service quetzalroad.ServiceName
 	planner.Group
 }
@@ -23,14 +23,14 @@
 	// saved are the orders of the previous holder; nil if there are none.
 	saved map[quetzalroad.ServiceName]map[planner.Group]int
 	// accepted are the counts that the platform is known to have accepted.
-	accepted map[subject]int
+	accepted map[orderKey]int
 	queue    queue
 	// unsaved is set while orders in force aren't in the lease.
 	unsaved bool
 	demand  demandTracker
 	epoch   quetzalroad.Epoch
-	// held is set while no upstreams may be given up.
-	held map[quetzalroad.ServiceName]bool
+	// reductionsPaused is set for services of which no upstreams may be given up at the moment.
+	reductionsPaused map[quetzalroad.ServiceName]bool
 	// planAt and sendAt are when the next decision and the next order are due.
 	planAt, sendAt time.Time
 	// failed counts the consecutive orders that failed.
@@ -40,11 +40,11 @@
 func newTerm(s *Scaler, l quetzalroad.Lease, now time.Time) *term {
 	t := &term{
 		scaler: s, lease: l,
-		states:   make(map[quetzalroad.ServiceName]planner.State),
-		saved:    make(map[quetzalroad.ServiceName]map[planner.Group]int),
-		accepted: make(map[subject]int),
-		held:     make(map[quetzalroad.ServiceName]bool),
-		planAt:   now, sendAt: now,
+		states:           make(map[quetzalroad.ServiceName]planner.State),
+		saved:            make(map[quetzalroad.ServiceName]map[planner.Group]int),
+		accepted:         make(map[orderKey]int),
+		reductionsPaused: make(map[quetzalroad.ServiceName]bool),
+		planAt:           now, sendAt: now,
 	}
 	if s.epochs != nil {
 		t.epoch = s.epochs.Epoch()
@@ -73,10 +73,10 @@
 
 func (t *term) continueOrder(o quetzalroad.OrderInForce) {
 	g := planner.Group{DataCentre: o.DataCentre, Spot: o.Spot}
-	key := subject{service: o.Service, Group: g}
+	key := orderKey{service: o.Service, Group: g}
 	present := t.present(key)
 	if !o.Confirmed && o.Count > present {
-		t.queue.put(entry{subject: key, count: o.Count, previous: present, reason: planner.ReasonTakeOver})
+		t.queue.put(entry{orderKey: key, count: o.Count, previous: present, reason: planner.ReasonTakeOver})
 	}
 	if !t.lease.LostBefore().IsZero() {
 		// Later orders may be lost. One that is based on too low a count would give up upstreams.
@@ -92,11 +92,11 @@
 	}
 }
 
-// present counts the registered upstreams of a subject.
-func (t *term) present(s subject) int {
+// present counts the registered upstreams of a group.
+func (t *term) present(key orderKey) int {
 	count := 0
-	for _, u := range t.scaler.directory.UpstreamsOf(s.service) {
-		if u.DataCentre == s.DataCentre && u.Spot == s.Spot && !u.Draining {
+	for _, u := range t.scaler.directory.UpstreamsOf(key.service) {
+		if u.DataCentre == key.DataCentre && u.Spot == key.Spot && !u.Draining {
 			count++
 		}
 	}
@@ -158,10 +158,10 @@
 	}
 	state, decision := t.scaler.policy.Plan(in, state)
 	t.states[service.Name] = state
-	t.held[service.Name] = in.Demand == nil || state.IsLate(t.scaler.policy)
+	t.reductionsPaused[service.Name] = in.Demand == nil || state.IsLate(t.scaler.policy)
 	for _, o := range decision.Orders {
 		t.queue.put(entry{
-			subject: subject{service: service.Name, Group: o.Group}, count: o.Count, previous: o.Previous, reason: o.Reason,
+			orderKey: orderKey{service: service.Name, Group: o.Group}, count: o.Count, previous: o.Previous, reason: o.Reason,
 			load: decision.Needs.Load, needed: decision.Needs.Total,
 		})
 		t.unsaved = true
--- a/decisions/usagereporter/sender.go
+++ b/decisions/usagereporter/sender.go
@@ -26,8 +26,8 @@
 	delay time.Duration
 }
 
-// isOver reports whether a report may be sent again.
-func (a attempt) isOver() bool {
+// canRetry reports whether a report may be sent again.
+func (a attempt) canRetry() bool {
 	return a.endedAt.IsZero() || a.endedAt.Age() >= a.delay
 }
 
@@ -44,7 +44,7 @@
 		delete(t.attempts, r.Window)
 	}
 	for _, r := range t.ledger.state.Pending {
-		if r.Window <= t.savedThrough && t.attempts[r.Window].isOver() {
+		if r.Window <= t.savedThrough && t.attempts[r.Window].canRetry() {
 			t.sendReport(ctx, r)
 			return
 		}
--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -53,7 +53,7 @@
 
 	// The fields below belong to the task. lastRead is what the log holds by the last read or write, and firstReadAt
 	// the response to the first read that returned the same record.
-	lastRead       sighting
+	lastRead       readResult
 	firstReadAt    boottimer.Instant
 	failedReads    int
 	failedRenewals int
@@ -248,7 +248,7 @@
 
 // claim writes a claim of the lease, or continues one of this process whose confirmation was lost. It returns nil if
 // the lease was not granted, or has ended since the claim was sent.
-func (l *Leaser) claim(ctx context.Context, s sighting) *grant {
+func (l *Leaser) claim(ctx context.Context, s readResult) *grant {
 	if l.node.Stopping() {
 		return nil
 	}
--- a/state/leaser/record.go
+++ b/state/leaser/record.go
@@ -21,8 +21,8 @@
 	return keyPrefix + strconv.FormatUint(uint64(e), 10)
 }
 
-// sighting is what the last read of the log returned.
-type sighting struct {
+// readResult is what a read of the lease returned.
+type readResult struct {
 	epoch quetzalroad.Epoch
 	// end is the offset on which the next write is conditional.
 	end quetzalroad.Offset
@@ -35,7 +35,7 @@
 }
 
 // latest returns the record from which the next claim continues; nil if there is none.
-func (s sighting) latest() *leasemapper.Record {
+func (s readResult) latest() *leasemapper.Record {
 	if s.current != nil {
 		return s.current
 	}
@@ -55,31 +55,31 @@
 const maxRecordBytes = 1 << 20
 
 // read reads the record of the lease.
-func (l *Leaser) read(ctx context.Context) (sighting, error) {
-	s := sighting{offset: quetzalroad.NoOffset, unchangedFor: l.firstReadAt.Age(), epochKnownFor: l.epochs.Age()}
+func (l *Leaser) read(ctx context.Context) (readResult, error) {
+	s := readResult{offset: quetzalroad.NoOffset, unchangedFor: l.firstReadAt.Age(), epochKnownFor: l.epochs.Age()}
 	epochBefore := l.epochs.Epoch()
 	ctx, cancel := context.WithTimeout(ctx, l.callTimeout)
 	defer cancel()
 	records, bounds, err := l.log.ReadLatest(ctx, quetzalroad.LogStreamLeases)
 	if err != nil {
-		return sighting{}, err
+		return readResult{}, err
 	}
 	s.epoch, s.end = bounds.Epoch, bounds.End
 	if s.epoch > maxEpoch {
-		return sighting{}, errBadEpoch
+		return readResult{}, errBadEpoch
 	}
 	if s.epoch != epochBefore {
 		s.epochKnownFor = 0
 	}
 	if err := s.pick(records); err != nil {
-		return sighting{}, err
+		return readResult{}, err
 	}
 	l.note(&s)
 	return s, nil
 }
 
 // pick finds the records of the current epoch and of the last one before it that has any.
-func (s *sighting) pick(records []quetzalroad.KeyedRecord) error {
+func (s *readResult) pick(records []quetzalroad.KeyedRecord) error {
 	for _, r := range records {
 		if r.Value == nil {
 			continue
@@ -100,7 +100,7 @@
 }
 
 // note compares what was read with what this node knows, and updates it.
-func (l *Leaser) note(s *sighting) {
+func (l *Leaser) note(s *readResult) {
 	if s.epoch != l.lastRead.epoch || s.offset != l.lastRead.offset {
 		l.firstReadAt, s.unchangedFor = boottimer.Now(), 0
 	}
@@ -135,7 +135,7 @@
 	if l.lastRead.current != nil && r.Token < l.lastRead.current.Token {
 		l.recordViolation("lease-write-after-higher-token", r.Token)
 	}
-	l.note(&sighting{epoch: r.Epoch, end: position.Offset, offset: position.Offset - 1, current: &r})
+	l.note(&readResult{epoch: r.Epoch, end: position.Offset, offset: position.Offset - 1, current: &r})
 	return sentAt, nil
 }
 
