--- a/state/leaser/leaser.go
+++ b/state/leaser/leaser.go
@@ -122,6 +122,7 @@
 }
 
 func (l *Leaser) lastHolder() quetzalroad.LeaseHolder {
+	// Without a holder the zero value is shown.
 	h, _ := l.Holder()
 	return h
 }
--- a/support/intakeconn/intakeconn.go
+++ b/support/intakeconn/intakeconn.go
@@ -242,7 +242,7 @@
 	// Writing to a buffer never fails.
 	_ = header.Write(&b)
 	b.WriteString("\r\n")
-	// The caller may have disconnected.
+	// Errors are ignored: the caller may have disconnected.
 	if c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) == nil {
 		_, _ = c.Conn.Write(b.Bytes())
 	}
