--- a/usage.go
+++ b/usage.go
@@ -127,10 +127,14 @@
 	ErrRejected = errors.New("the platform rejected the command")
 )
 
-// PlatformClient sends commands that only the holder of the lease may send. An error other than ErrUnavailable,
-// ErrNotSent and ErrRejected leaves open whether the command took effect or still will. Before each command, and again once the connection is open, check is
-// called; if it returns an error, nothing is sent.
+// PlatformClient sends commands that only the holder of the lease may send.
+//
+// check is called before each command, and again once the connection is open; if it returns an error, nothing is sent.
+// An error other than ErrUnavailable, ErrNotSent and ErrRejected leaves open whether the command took effect or still
+// will.
 type PlatformClient interface {
+	// ReportUsage reports the usage of one window. It may be repeated with the same counts.
 	ReportUsage(ctx context.Context, f Fence, r UsageReport, check func() error) error
+	// OrderUpstreams replaces the order in force for the same service, data centre and kind.
 	OrderUpstreams(ctx context.Context, f Fence, o UpstreamOrder, check func() error) error
 }
