Shorten comments and name the reader's channel

"turn" held the state while no read is in progress; it is named idle. Some comments gave the reason in figures of speech, or were longer than a line. No behaviour changes; the tests of the packages pass.

--- a/decisions/dispatcher/activity.go
+++ b/decisions/dispatcher/activity.go
@@ -43,7 +43,8 @@
 	switch refusal.Reason {
 	case quetzalroad.ReasonTimeout:
 		meter.CountLate(now, f.Service.Name)
-	case quetzalroad.ReasonTargetUnreachable, quetzalroad.ReasonQueueFull, quetzalroad.ReasonNoUpstream, quetzalroad.ReasonServiceConcurrencyLimit, quetzalroad.ReasonUpstreamRateLimit:
+	case quetzalroad.ReasonTargetUnreachable, quetzalroad.ReasonQueueFull, quetzalroad.ReasonNoUpstream,
+		quetzalroad.ReasonServiceConcurrencyLimit, quetzalroad.ReasonUpstreamRateLimit:
 		meter.CountRefused(now, f.Service.Name)
 	}
 }
--- a/decisions/usagecounter/counter.go
+++ b/decisions/usagecounter/counter.go
@@ -75,7 +75,7 @@
 		sh.counts = make(map[windowTeam]int)
 	}
 	if _, known := sh.counts[key]; !known {
-		// Without this, windows would add up on a node whose usage nobody asks for.
+		// Nothing else drops old windows on a node whose usage is not read.
 		sh.dropBefore(c.oldest(now))
 	}
 	sh.counts[key]++
--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// Serve serves connections from a listener until the context is done. A connection beyond MaxConnections is closed; its
-// node turns to another one.
+// Serve serves connections from a listener until the context is done. A connection beyond MaxConnections is closed;
+// its node turns to another one.
 func (m *Manager) Serve(ctx context.Context, listener net.Listener, handler drpc.Handler) error {
 	listener = retrylistener.New(listener, m.Logger)
 	rpc := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: m.drpcOptions()})
--- a/state/activitypublisher/peers.go
+++ b/state/activitypublisher/peers.go
@@ -12,8 +12,8 @@
 const (
 	// peerShardCount is the number of shards of the demand at other nodes.
 	peerShardCount = 8
-	// peerLifetime is the age up to which the demand at another node counts. It is some times the interval at which
-	// nodes send it.
+	// peerLifetime is the age up to which the demand at another node counts. Nodes send it every
+	// 0.5 s by default, so that a few lost messages don't lower the sum.
 	peerLifetime = 2 * time.Second
 )
 
--- a/state/activitypublisher/reader.go
+++ b/state/activitypublisher/reader.go
@@ -20,8 +20,8 @@
 	logger      *slog.Logger
 	interval    time.Duration
 	callTimeout time.Duration
-	// turn holds the state while nobody reads.
-	turn chan readState
+	// idle holds the state while no read is in progress.
+	idle chan readState
 }
 
 // readState is what was read.
@@ -34,21 +34,21 @@
 
 func (r *reader) open(log quetzalroad.KeyedLog, callTimeout time.Duration, logger *slog.Logger) {
 	r.log, r.callTimeout, r.logger = log, callTimeout, logger
-	r.turn = make(chan readState, 1)
-	r.turn <- readState{}
+	r.idle = make(chan readState, 1)
+	r.idle <- readState{}
 }
 
-// refresh returns the latest report of each publisher, sorted by name. Those of a moment ago serve several callers.
+// refresh returns the latest report of each publisher, sorted by name. Calls within the interval share a read.
 func (r *reader) refresh(ctx context.Context) ([]quetzalroad.ActivityReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
 	var state readState
 	select {
-	case state = <-r.turn:
+	case state = <-r.idle:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	defer func() { r.turn <- state }()
+	defer func() { r.idle <- state }()
 	if state.reports == nil || state.readAt.Age() >= r.interval {
 		updated, err := r.read(ctx, state)
 		if err != nil {
@@ -64,7 +64,8 @@
 	return reports, nil
 }
 
-// maxHistory is the age of the last read up to which what followed is read. Later, the latest reports are smaller.
+// maxHistory is the age of the last read up to which the changes since are read. Beyond it, reading the latest report of each
+// publisher transfers less.
 const maxHistory = 10 * time.Second
 
 // read reads what was written since a state was read.
--- a/support/retrylistener/retrylistener.go
+++ b/support/retrylistener/retrylistener.go
@@ -23,8 +23,8 @@
 // shortageErrors lists the errors of system calls that this process or its system is short of something.
 var shortageErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR}
 
-// IsShortage reports whether a call failed for want of descriptors or buffers of this process or its system, so that it
-// says nothing of the other end and may succeed later.
+// IsShortage reports whether a call failed because this process or its system lacks descriptors or buffers. Such an
+// error says nothing about the other end, and the call may succeed later.
 func IsShortage(err error) bool {
 	return errors.IsAny(err, shortageErrors...)
 }
