--- a/state/activitypublisher/reader.go
+++ b/state/activitypublisher/reader.go
@@ -64,8 +64,8 @@
 	return reports, nil
 }
 
-// maxHistory is the age of the last read up to which the changes since are read. Beyond it, reading the latest report of each
-// publisher transfers less.
+// maxHistory is the age of the last read up to which the changes since are read. Beyond it, reading the latest report
+// of each publisher transfers less.
 const maxHistory = 10 * time.Second
 
 // read reads what was written since a state was read.
