--- a/cmd/quetzalemu/callerprover/attack_test.go
+++ b/cmd/quetzalemu/callerprover/attack_test.go
@@ -126,13 +126,13 @@
 // Heads of legal size made of very many short lines took 1 MB each once they were parsed and copied.
 func TestHeadsOfShortLines(t *testing.T) { play(t, crowd, headAttack(shortLine)) }
 
-// The like of odd names and values.
+// The same with odd names and values.
 func TestHeadsOfOddLines(t *testing.T) { play(t, crowd, headAttack(oddLine)) }
 
-// The like of one empty field, repeated.
+// The same with one empty field, repeated.
 func TestHeadsOfEmptyLines(t *testing.T) { play(t, crowd, headAttack(emptyLine)) }
 
-// The like of longer, different lines.
+// The same with longer, different lines.
 func TestHeadsOfDifferentLines(t *testing.T) { play(t, crowd, headAttack(longLine)) }
 
 // unfinishedHeadAttack sends the lines of a head, but not its end.
@@ -174,12 +174,12 @@
 	play(t, crowd, chunkedAttack(maxBodyBytes, 8<<10, ""))
 }
 
-// The like in the smallest chunks.
+// The same bodies in the smallest chunks.
 func TestUnfinishedBodiesInSmallChunks(t *testing.T) {
 	play(t, crowd, chunkedAttack(maxBodyBytes, 1, ""))
 }
 
-// The like with an extension in each chunk.
+// The same bodies with an extension in each chunk.
 func TestUnfinishedBodiesWithChunkExtensions(t *testing.T) {
 	play(t, crowd, chunkedAttack(maxBodyBytes, 64, ";name=value"))
 }
@@ -244,7 +244,7 @@
 // Responses that their callers don't read stay in the node's memory, together with the requests.
 func TestUnreadResponses(t *testing.T) { play(t, crowd, unreadAttack) }
 
-// All forms at once.
+// All attacks at once: bounds that hold for each alone may not hold for their sum.
 func TestMixedAttacks(t *testing.T) {
 	play(t, crowd, headAttack(shortLine), unfinishedHeadAttack, chunkedAttack(maxBodyBytes, 8<<10, ""), silentAttack, slowAttack,
 		declaredAttack(maxBodyBytes, maxBodyBytes-1), chunkedAttack(64*maxBodyBytes, 8<<10, ""), unreadAttack, pipelinedHeadAttack, chunkedAttack(maxBodyBytes, 1, ""))
--- a/decisions/intaker/ledger_test.go
+++ b/decisions/intaker/ledger_test.go
@@ -9,7 +9,7 @@
 	"github.com/quetzalroad/quetzalroad"
 )
 
-// newEntry returns an entry of a tier with its name.
+// newTestEntry returns an entry of a tier, which can be granted and interrupted.
 func newTestEntry(tier quetzalroad.Tier) *entry {
 	return &entry{tier: tier, granted: make(chan struct{}, 1)}
 }
