--- a/upstreams/forwardclient/events_test.go
+++ b/upstreams/forwardclient/events_test.go
@@ -64,3 +64,41 @@
 		})
 	}
 }
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id:1\n\nid:2\r\n\r\n"), 3)
+	f.Add([]byte("id:1\n\r\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, step int) {
+		r := eventReader{src: &stepReader{data: data, step: max(1, step%16)}, codec: fakeCodec{}}
+		var all []byte
+		for {
+			event, err := r.next()
+			if err != nil {
+				break
+			}
+			if len(event.Data) == 0 {
+				t.Fatal("an empty event")
+			}
+			all = append(all, event.Data...)
+		}
+		if !strings.HasPrefix(string(data), string(all)) {
+			t.Errorf("%q is not the beginning of %q", all, data)
+		}
+	})
+}
+
+// stepReader returns at most step bytes a read.
+type stepReader struct {
+	data []byte
+	step int
+}
+
+// Read implements io.Reader.
+func (r *stepReader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), r.step)], r.data)
+	r.data = r.data[n:]
+	return n, nil
+}
