--- a/state/leaser/failures_test.go
+++ b/state/leaser/failures_test.go
@@ -9,26 +9,26 @@
 )
 
 // runFleet runs a test on three nodes of which one has held the lease for a while.
-func runFleet(t *testing.T, lateShare float64, f func(t *testing.T, w *world, holder *process)) {
+func runFleet(t *testing.T, lateShare float64, f func(t *testing.T, sim *simulation, holder *process)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3, 0, lateShare, faults{})
-		defer w.end()
+		sim := newSimulation(t, 3, 0, lateShare, faults{})
+		defer sim.end()
 		time.Sleep(15 * time.Second)
-		f(t, w, w.awaitHolder(t, nil, 0))
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		for _, v := range w.violations {
+		f(t, sim, sim.awaitHolder(t, nil, 0))
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		for _, v := range sim.violations {
 			t.Error(v)
 		}
 	})
 }
 
 // awaitHolder waits until a process other than a given one holds the lease.
-func (w *world) awaitHolder(t *testing.T, other *process, timeout time.Duration) *process {
+func (sim *simulation) awaitHolder(t *testing.T, other *process, timeout time.Duration) *process {
 	t.Helper()
 	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		for _, p := range w.processes {
+		for _, p := range sim.processes {
 			if p != other && p.holds() {
 				return p
 			}
@@ -56,11 +56,11 @@
 		"disconnected": func(p *process) { p.cut(time.Minute) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			runFleet(t, 0, func(t *testing.T, w *world, holder *process) {
+			runFleet(t, 0, func(t *testing.T, sim *simulation, holder *process) {
 				before, failedAt := token(t, holder), time.Now()
 				fail(holder)
-				next := w.awaitHolder(t, holder, takeOver+time.Second)
-				if after := time.Since(failedAt); after < takeOver-w.renewEvery {
+				next := sim.awaitHolder(t, holder, takeOver+time.Second)
+				if after := time.Since(failedAt); after < takeOver-sim.renewEvery {
 					t.Errorf("taken over after %s", after)
 				}
 				if got := token(t, next); got != before+1 {
@@ -73,23 +73,23 @@
 
 // Two nodes would act if one took over without the log's consent, and none if nobody tried again.
 func TestNoNodeHoldsTheLeaseWithoutTheLog(t *testing.T) {
-	for name, set := range map[string]func(w *world, failed bool){
-		"down":   func(w *world, failed bool) { w.log.SetUnavailable(failed) },
-		"silent": func(w *world, failed bool) { w.log.SetStalled(failed) },
+	for name, set := range map[string]func(sim *simulation, failed bool){
+		"down":   func(sim *simulation, failed bool) { sim.log.SetUnavailable(failed) },
+		"silent": func(sim *simulation, failed bool) { sim.log.SetStalled(failed) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			runFleet(t, 0, func(t *testing.T, w *world, _ *process) {
-				set(w, true)
+			runFleet(t, 0, func(t *testing.T, sim *simulation, _ *process) {
+				set(sim, true)
 				for range 20 {
 					time.Sleep(duration)
-					for _, p := range w.processes {
+					for _, p := range sim.processes {
 						if p.holds() {
 							t.Errorf("%s holds the lease", p.name)
 						}
 					}
 				}
-				set(w, false)
-				w.awaitHolder(t, nil, 2*time.Second)
+				set(sim, false)
+				sim.awaitHolder(t, nil, 2*time.Second)
 			})
 		})
 	}
@@ -97,7 +97,7 @@
 
 // Each lost response would cost a change of the holder, or make a holder act on a renewal that the log doesn't have.
 func TestHolderKeepsItsTokenWhenCallsAndResponsesAreLost(t *testing.T) {
-	runFleet(t, 0, func(t *testing.T, _ *world, holder *process) {
+	runFleet(t, 0, func(t *testing.T, _ *simulation, holder *process) {
 		before := token(t, holder)
 		for range 20 {
 			holder.setLossy(1)
@@ -115,10 +115,10 @@
 func TestStoppingHolderHandsOverUnlessACommandMayBeInFlight(t *testing.T) {
 	for name, lateShare := range map[string]float64{"confirmed": 0, "unconfirmed": 1} {
 		t.Run(name, func(t *testing.T) {
-			runFleet(t, lateShare, func(t *testing.T, w *world, holder *process) {
+			runFleet(t, lateShare, func(t *testing.T, sim *simulation, holder *process) {
 				before, stoppedAt := token(t, holder), time.Now()
 				go holder.node.Stop(t.Context())
-				next := w.awaitHolder(t, holder, takeOver+time.Second)
+				next := sim.awaitHolder(t, holder, takeOver+time.Second)
 				if after := time.Since(stoppedAt); (after > 2*time.Second) != (lateShare > 0) {
 					t.Errorf("taken over after %s", after)
 				}
@@ -133,24 +133,24 @@
 // A restored log would issue tokens and accept states a second time. A write that was sent before the restore may be
 // stored after it, and would replace the lease that was granted since.
 func TestRestoredLogIssuesHigherTokensAndIgnoresWritesOfBefore(t *testing.T) {
-	runFleet(t, 0, func(t *testing.T, w *world, holder *process) {
-		older := w.log.Copy()
-		records, _, err := w.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
+	runFleet(t, 0, func(t *testing.T, sim *simulation, holder *process) {
+		older := sim.log.Copy()
+		records, _, err := sim.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
 		if err != nil || len(records) != 1 {
 			t.Fatalf("%d records, error %v", len(records), err)
 		}
 		time.Sleep(5 * time.Second)
 		before := token(t, holder)
-		w.log.Restore(older)
+		sim.log.Restore(older)
 		time.Sleep(2 * takeOver)
-		next := w.awaitHolder(t, nil, 0)
+		next := sim.awaitHolder(t, nil, 0)
 		after, losses := token(t, next), next.count("lease-losses")
 		if after>>32 != 2 || after <= before {
 			t.Errorf("token %d after %d", after, before)
 		}
-		_, bounds, err := w.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
+		_, bounds, err := sim.log.ReadLatest(t.Context(), quetzalroad.LogStreamLeases)
 		if err == nil {
-			_, err = w.log.PutKeyedAt(t.Context(), quetzalroad.LogStreamLeases, records[0].Key, records[0].Value, bounds.End)
+			_, err = sim.log.PutKeyedAt(t.Context(), quetzalroad.LogStreamLeases, records[0].Key, records[0].Value, bounds.End)
 		}
 		if err != nil {
 			t.Fatal(err)
--- a/state/leaser/random_test.go
+++ b/state/leaser/random_test.go
@@ -10,40 +10,40 @@
 )
 
 // disturb makes one thing go wrong, or ends one that did.
-func (w *world) disturb(i int, copies []faker.LogCopy) {
-	p := w.processes[i]
-	if holder := w.holder(); holder != nil && w.chance(0.6) {
+func (sim *simulation) disturb(i int, copies []faker.LogCopy) {
+	p := sim.processes[i]
+	if holder := sim.holder(); holder != nil && sim.chance(0.6) {
 		p = holder
 	}
-	switch kind := int(w.upTo(10)); kind {
+	switch kind := int(sim.upTo(10)); kind {
 	case 0:
-		p.freeze(w.upTo(8 * time.Second))
+		p.freeze(sim.upTo(8 * time.Second))
 	case 1, 2:
-		p.cut(duration + w.upTo(5*time.Second))
+		p.cut(duration + sim.upTo(5*time.Second))
 	case 3:
 		p.node.Kill()
-		w.processes[p.index] = w.start(p.index)
+		sim.processes[p.index] = sim.start(p.index)
 	case 4:
-		go p.node.Stop(w.t.Context())
-		w.processes[p.index] = w.start(p.index)
+		go p.node.Stop(sim.t.Context())
+		sim.processes[p.index] = sim.start(p.index)
 	case 5:
-		w.log.SetUnavailable(true)
-		time.Sleep(w.upTo(6 * time.Second))
-		w.log.SetUnavailable(false)
+		sim.log.SetUnavailable(true)
+		time.Sleep(sim.upTo(6 * time.Second))
+		sim.log.SetUnavailable(false)
 	case 6:
-		w.log.Restore(copies[int(w.upTo(time.Duration(len(copies))))])
+		sim.log.Restore(copies[int(sim.upTo(time.Duration(len(copies))))])
 	case 7:
 		p.setLossy(0)
 	case 8:
 		p.stepClock()
 	default:
-		p.setLossy(float64(w.upTo(time.Second)) / float64(time.Second))
+		p.setLossy(float64(sim.upTo(time.Second)) / float64(time.Second))
 	}
 }
 
 // holder returns a process that holds the lease by its own account; nil if there is none.
-func (w *world) holder() *process {
-	for _, p := range w.processes {
+func (sim *simulation) holder() *process {
+	for _, p := range sim.processes {
 		if p.holds() {
 			return p
 		}
@@ -55,26 +55,26 @@
 func runRandomly(t *testing.T, seed uint64, f faults) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
 		const nodes, steps, keptCopies = 6, 200, 5
-		w := newWorld(t, nodes, seed, 0.5, f)
-		defer w.end()
+		sim := newSimulation(t, nodes, seed, 0.5, f)
+		defer sim.end()
 		var copies []faker.LogCopy
 		for range steps {
-			time.Sleep(w.upTo(4 * time.Second))
-			copies = append(copies, w.log.Copy())
+			time.Sleep(sim.upTo(4 * time.Second))
+			copies = append(copies, sim.log.Copy())
 			copies = copies[max(0, len(copies)-keptCopies):]
-			w.disturb(int(w.upTo(nodes)), copies)
+			sim.disturb(int(sim.upTo(nodes)), copies)
 		}
-		for _, p := range w.processes {
+		for _, p := range sim.processes {
 			p.setLossy(0)
 		}
 		time.Sleep(30 * time.Second)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		violations = w.violations
-		if last := w.accepted[len(w.accepted)-1]; time.Since(last.at) > 5*time.Second {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		violations = sim.violations
+		if last := sim.accepted[len(sim.accepted)-1]; time.Since(last.at) > 5*time.Second {
 			t.Errorf("seed %d: the last command arrived %s ago, though nothing fails", seed, time.Since(last.at))
 		}
-		t.Logf("seed %d: %d commands under %d tokens", seed, len(w.accepted), len(w.holders))
+		t.Logf("seed %d: %d commands under %d tokens", seed, len(sim.accepted), len(sim.holders))
 	})
 	return violations
 }
--- a/state/leaser/world_test.go
+++ b/state/leaser/simulation_test.go
@@ -35,11 +35,11 @@
 	maxClockError = 1200 * time.Millisecond
 )
 
-// faults are planted in all processes of a world.
+// faults are planted in all processes of a simulation.
 type faults struct{ noMargin, forgetTokens, unchecked bool }
 
-// world is a platform and the processes of a fleet on it.
-type world struct {
+// simulation is a platform and the processes of a fleet on it.
+type simulation struct {
 	faults
 	t *testing.T
 	// renewEvery is the setting of all nodes. With short intervals, leases are taken over soon after they end.
@@ -67,44 +67,46 @@
 	at    time.Time
 }
 
-func newWorld(t *testing.T, count int, seed uint64, lateShare float64, f faults) *world {
-	w := &world{t: t, faults: f, renewEvery: time.Second, lateShare: lateShare, random: rand.New(rand.NewPCG(seed, 0)), holders: make(map[quetzalroad.FencingToken]*process), values: make(map[int64]string)}
+func newSimulation(t *testing.T, count int, seed uint64, lateShare float64, f faults) *simulation {
+	sim := &simulation{t: t, faults: f, renewEvery: time.Second, lateShare: lateShare, random: rand.New(rand.NewPCG(seed, 0)), holders: make(map[quetzalroad.FencingToken]*process), values: make(map[int64]string)}
 	if seed%2 == 1 {
-		w.renewEvery = 300 * time.Millisecond
+		sim.renewEvery = 300 * time.Millisecond
 	}
 	for i := range count {
-		w.names = append(w.names, quetzalroad.NodeName(fmt.Sprintf("node-%d", i)))
+		sim.names = append(sim.names, quetzalroad.NodeName(fmt.Sprintf("node-%d", i)))
 	}
 	for i := range count {
-		w.processes = append(w.processes, w.start(i))
+		sim.processes = append(sim.processes, sim.start(i))
 	}
-	return w
+	return sim
 }
 
 // chance reports true with a probability, and upTo returns a random part of a duration.
-func (w *world) chance(p float64) bool {
-	return w.upTo(time.Hour) < time.Duration(p*float64(time.Hour))
+func (sim *simulation) chance(p float64) bool {
+	return sim.upTo(time.Hour) < time.Duration(p*float64(time.Hour))
 }
 
-func (w *world) upTo(d time.Duration) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Duration(w.random.Float64() * float64(d))
+func (sim *simulation) upTo(d time.Duration) time.Duration {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return time.Duration(sim.random.Float64() * float64(d))
 }
 
 // receive checks the rules of the platform for a command.
-func (w *world) receive(c command, window int64, value string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (sim *simulation) receive(c command, window int64, value string) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	c.at = time.Now()
-	breach := func(format string, args ...any) { w.violations = append(w.violations, fmt.Sprintf(format, args...)) }
-	if first := w.holders[c.token]; first != nil && first != c.from {
+	breach := func(format string, args ...any) {
+		sim.violations = append(sim.violations, fmt.Sprintf(format, args...))
+	}
+	if first := sim.holders[c.token]; first != nil && first != c.from {
 		breach("%s and %s sent token %d", first.name, c.from.name, c.token)
 	}
-	w.holders[c.token] = c.from
+	sim.holders[c.token] = c.from
 	another := false
-	for i := len(w.accepted) - 1; i >= 0; i-- {
-		earlier := w.accepted[i]
+	for i := len(sim.accepted) - 1; i >= 0; i-- {
+		earlier := sim.accepted[i]
 		another = another || earlier.from != c.from
 		if earlier.from == c.from && another && c.at.Sub(earlier.at) < duration {
 			breach("%s acted again %s after another holder", c.from.name, c.at.Sub(earlier.at))
@@ -116,16 +118,16 @@
 			break
 		}
 	}
-	if first, sent := w.values[window]; sent && first != value {
+	if first, sent := sim.values[window]; sent && first != value {
 		breach("window %d was reported as %s and as %s", window, first, value)
 	}
-	w.values[window] = value
-	w.accepted = append(w.accepted, c)
+	sim.values[window] = value
+	sim.accepted = append(sim.accepted, c)
 }
 
 // process is a node, its link to the log, and its duty.
 type process struct {
-	*world
+	*simulation
 	node  *kernel.Node
 	name  quetzalroad.NodeName
 	index int
@@ -139,40 +141,40 @@
 	clockError time.Duration
 }
 
-func (w *world) start(i int) *process {
-	p := &process{world: w, name: w.names[i], index: i}
+func (sim *simulation) start(i int) *process {
+	p := &process{simulation: sim, name: sim.names[i], index: i}
 	margin := takeOver - duration
-	if w.noMargin {
+	if sim.noMargin {
 		margin = 0
 	}
 	overrides := []kernel.Override{{Slot: kernel.SlotKeyedLog, Component: p}}
 	for _, s := range unusedSlots {
-		overrides = append(overrides, kernel.Override{Slot: s, Component: fleet(w.names)})
+		overrides = append(overrides, kernel.Override{Slot: s, Component: fleet(sim.names)})
 	}
 	config := kernel.NewConfig(overrides...)
-	settings := fmt.Sprintf(`{"node": {"name": %q, "data-centre": "d", "region": "r", "balancer-lag": "1s", "stop-timeout": "7s"}, "leases": {"plugin": "log", "margin": "%s", "renew-every": "%s"}}`, p.name, margin, w.renewEvery)
+	settings := fmt.Sprintf(`{"node": {"name": %q, "data-centre": "d", "region": "r", "balancer-lag": "1s", "stop-timeout": "7s"}, "leases": {"plugin": "log", "margin": "%s", "renew-every": "%s"}}`, p.name, margin, sim.renewEvery)
 	if err := config.Load("settings", []byte(settings)); err != nil {
-		w.t.Fatal(err)
+		sim.t.Fatal(err)
 	}
 	var err error
 	if p.node, err = config.Build(slog.New(slog.DiscardHandler)); err != nil {
-		w.t.Fatal(err)
+		sim.t.Fatal(err)
 	}
 	p.node.Leaser.AddDuty(p)
 	p.node.Start()
-	w.started = append(w.started, p)
+	sim.started = append(sim.started, p)
 	return p
 }
 
 // end kills all processes and fails the test if one of them counted a violation of an invariant.
-func (w *world) end() {
-	for _, p := range w.started {
+func (sim *simulation) end() {
+	for _, p := range sim.started {
 		p.node.Kill()
 		if err := p.node.Wait(); err != nil {
-			w.t.Error(err)
+			sim.t.Error(err)
 		}
-		if got := p.node.Vars.Get("invariant-breaches").String(); got != "{}" && w.faults == (faults{}) {
-			w.t.Errorf("%s: %s", p.name, got)
+		if got := p.node.Vars.Get("invariant-breaches").String(); got != "{}" && sim.faults == (faults{}) {
+			sim.t.Errorf("%s: %s", p.name, got)
 		}
 	}
 }
