Leave the load of upstreams out of activity reports

Cause: with 3,000 upstreams the reports, written once a second, became the largest part of what the store carries; their size grew with the upstreams. Change: the load is that of callers' requests in flight, which all nodes report by service. The occupancy of upstreams counted the same requests.

--- a/codecs/activitymapper/report.go
+++ b/codecs/activitymapper/report.go
@@ -14,11 +14,10 @@
 
 // reportJSON is an activity report. Its key is the name of the node.
 type reportJSON struct {
-	DataCentre string         `json:"data-centre"`
-	WrittenAt  time.Time      `json:"written"`
-	Usage      []usageJSON    `json:"usage,omitempty"`
-	Demand     []demandJSON   `json:"demand,omitempty"`
-	Upstreams  []upstreamJSON `json:"upstreams,omitempty"`
+	DataCentre string       `json:"data-centre"`
+	WrittenAt  time.Time    `json:"written"`
+	Usage      []usageJSON  `json:"usage,omitempty"`
+	Demand     []demandJSON `json:"demand,omitempty"`
 }
 
 // usageJSON is what a node counted. Its incarnation is the time of its start in microseconds since 1970.
@@ -38,13 +37,6 @@
 	Refused  float64 `json:"refused,omitempty"`
 }
 
-type upstreamJSON struct {
-	Upstream     string `json:"upstream"`
-	InterTokenUs int64  `json:"inter-token-us,omitempty"`
-	Occupancy    int    `json:"occupancy"`
-	ReportAgeUs  int64  `json:"report-age-us,omitempty"`
-}
-
 // EncodeReport encodes a report as the value of the record whose key is the publisher's name.
 func EncodeReport(r quetzalroad.ActivityReport) ([]byte, error) {
 	j := reportJSON{DataCentre: string(r.DataCentre), WrittenAt: r.WrittenAt}
@@ -54,11 +46,6 @@
 	for _, d := range r.Demand {
 		j.Demand = append(j.Demand, demandJSON{Service: string(d.Service), Requests: d.Requests, InFlight: d.InFlight, Late: d.Late, Refused: d.Refused})
 	}
-	for _, u := range r.Upstreams {
-		j.Upstreams = append(j.Upstreams, upstreamJSON{
-			Upstream: string(u.Upstream), InterTokenUs: u.InterTokenLatency.Microseconds(), Occupancy: u.Occupancy, ReportAgeUs: u.ReportAge.Microseconds(),
-		})
-	}
 	data, err := json.Marshal(j)
 	return data, errors.Wrap(err, "encode activity report")
 }
@@ -89,22 +76,9 @@
 		}
 		report.Demand = append(report.Demand, quetzalroad.ServiceActivity{Service: quetzalroad.ServiceName(d.Service), Requests: d.Requests, InFlight: d.InFlight, Late: d.Late, Refused: d.Refused})
 	}
-	for _, u := range j.Upstreams {
-		if !isDuration(u.InterTokenUs) || !isDuration(u.ReportAgeUs) || u.Occupancy < 0 {
-			return quetzalroad.ActivityReport{}, errors.Newf("activity report of %s: invalid load of upstream %q", r.Key, u.Upstream)
-		}
-		report.Upstreams = append(report.Upstreams, quetzalroad.UpstreamObservation{
-			Upstream: quetzalroad.UpstreamName(u.Upstream), Occupancy: u.Occupancy,
-			InterTokenLatency: time.Duration(u.InterTokenUs) * time.Microsecond, ReportAge: time.Duration(u.ReportAgeUs) * time.Microsecond,
-		})
-	}
 	return report, nil
 }
 
-func isDuration(us int64) bool {
-	return us >= 0 && us <= math.MaxInt64/int64(time.Microsecond)
-}
-
 func isAmount(x float64) bool {
 	return x >= 0 && !math.IsInf(x, 1)
 }
--- a/decisions/scaler/demand.go
+++ b/decisions/scaler/demand.go
@@ -40,43 +40,20 @@
 }
 
 // of returns the recent demand for a service, or nil if no node reported recently.
-func (d *demandTracker) of(now time.Time, lifetime time.Duration, s quetzalroad.ServiceName, upstreams []quetzalroad.Upstream) *planner.Demand {
+func (d *demandTracker) of(now time.Time, lifetime time.Duration, s quetzalroad.ServiceName) *planner.Demand {
 	var demand *planner.Demand
-	occupancies := make(map[quetzalroad.UpstreamName]observedOccupancy)
 	for _, r := range d.reports {
-		age := now.Sub(r.receivedAt)
-		if r.receivedAt.IsZero() || age >= lifetime {
+		if r.receivedAt.IsZero() || now.Sub(r.receivedAt) >= lifetime {
 			continue
 		}
 		if demand == nil {
 			demand = new(planner.Demand)
 		}
 		addActivity(demand, s, r.report.Demand)
-		for _, o := range r.report.Upstreams {
-			observed := observedOccupancy{requests: o.Occupancy, age: o.ReportAge + age}
-			if known, ok := occupancies[o.Upstream]; o.ReportAge > 0 && observed.age < lifetime && (!ok || observed.age < known.age) {
-				occupancies[o.Upstream] = observed
-			}
-		}
-	}
-	if demand == nil {
-		return nil
-	}
-	observed := 0
-	for _, u := range upstreams {
-		observed += occupancies[u.Name].requests
 	}
-	// Callers' requests include those that wait at nodes, upstreams' those of callers that have given up.
-	demand.Running = max(demand.Running, float64(observed))
 	return demand
 }
 
-// observedOccupancy is the number of requests that an upstream reported, and the age of the report.
-type observedOccupancy struct {
-	requests int
-	age      time.Duration
-}
-
 func addActivity(demand *planner.Demand, s quetzalroad.ServiceName, activities []quetzalroad.ServiceActivity) {
 	for _, a := range activities {
 		if a.Service != s {
--- a/decisions/scaler/term.go
+++ b/decisions/scaler/term.go
@@ -153,7 +153,7 @@
 	upstreams := t.upstreams(now, service.Name)
 	in := planner.Input{
 		Now: now, Scaling: *service.Scaling, Upstreams: upstreams,
-		Demand:  t.demand.of(now, t.scaler.demandLifetime, service.Name, upstreams),
+		Demand:  t.demand.of(now, t.scaler.demandLifetime, service.Name),
 		Pending: t.queue.groups(service.Name),
 	}
 	state, decision := t.scaler.policy.Plan(in, state)
--- a/sharing.go
+++ b/sharing.go
@@ -59,8 +59,6 @@
 type LogSharing interface {
 	// HasReader reports whether another node reads the log for this one, and collects its observations.
 	HasReader() bool
-	// CollectedObservations returns the sum of the observations of this node and of those that it reads the log for.
-	CollectedObservations(now time.Time) Observations
 }
 
 // UpstreamObservation is what nodes have recently seen of an upstream.
--- a/state/activitypublisher/publisher.go
+++ b/state/activitypublisher/publisher.go
@@ -161,8 +161,7 @@
 // jitterShare is the part of the interval by which delays differ, as a divisor.
 const jitterShare = 8
 
-// isSameActivity reports whether two reports are the same, except for the load of upstreams, which is of use only
-// together with demand.
+// isSameActivity reports whether two reports are the same.
 func isSameActivity(a, b quetzalroad.ActivityReport) bool {
 	return slices.Equal(a.Demand, b.Demand) && slices.EqualFunc(a.Usage, b.Usage, func(a, b quetzalroad.NodeUsage) bool {
 		return a.Node == b.Node && a.StartedAt.Equal(b.StartedAt) && a.Window == b.Window && slices.Equal(a.Teams, b.Teams)
@@ -185,12 +184,6 @@
 	sum.add(p.demand(now))
 	p.peers.addTo(sum, now)
 	report.Demand = sum.list()
-	switch {
-	case p.node.LogSharing != nil:
-		report.Upstreams = p.node.LogSharing.CollectedObservations(now).Upstreams
-	case p.node.LoadTracker != nil:
-		report.Upstreams = p.node.LoadTracker.LocalObservations(now)
-	}
 	return report
 }
 
--- a/state/distributor/activity.go
+++ b/state/distributor/activity.go
@@ -74,9 +74,3 @@
 func (d *Distributor) HasReader() bool {
 	return d.ownRole().hasReader()
 }
-
-// CollectedObservations implements quetzalroad.LogSharing.
-func (d *Distributor) CollectedObservations(now time.Time) quetzalroad.Observations {
-	d.aggregator.Update(d.self.Name, now, d.localObservations(now))
-	return d.aggregator.Sum(now, "")
-}
--- a/usage.go
+++ b/usage.go
@@ -87,8 +87,6 @@
 	WrittenAt time.Time
 	Usage     []NodeUsage
 	Demand    []ServiceActivity
-	// Upstreams are the last load reports of upstreams that these nodes received.
-	Upstreams []UpstreamObservation
 }
 
 // ActivityExchange publishes activity reports, and reads those of others at the holder of the lease.
