--- a/state/activitypublisher/publisher_test.go
+++ b/state/activitypublisher/publisher_test.go
@@ -22,11 +22,17 @@
 
 // newPublisher returns a started publisher on a log, and what stops it.
 func newPublisher(t *testing.T, log *faker.KeyedLog, name quetzalroad.NodeName, hasReader bool) (*Publisher, func()) {
+	t.Helper()
+	return newMeteredPublisher(t, log, name, hasReader, nil)
+}
+
+// newMeteredPublisher returns a started publisher of what a meter counts; nil for none.
+func newMeteredPublisher(t *testing.T, log *faker.KeyedLog, name quetzalroad.NodeName, hasReader bool, meter quetzalroad.UsageMeter) (*Publisher, func()) {
 	t.Helper()
 	n := &kernel.Node{Identity: kernel.Identity{Name: name, DataCentre: "dc"}, Logger: slog.New(slog.DiscardHandler), Vars: new(expvar.Map), LogSharing: sharing(hasReader)}
 	p := new(Publisher)
 	p.Declare(new(configloader.Section))
-	n.KeyedLog, n.KeyedWriter = log, log
+	n.KeyedLog, n.KeyedWriter, n.UsageMeter = log, log, meter
 	if err := p.Build(n); err != nil {
 		t.Fatal(err)
 	}
@@ -61,12 +67,10 @@
 		usage := func(startedAt int64, requests int) []quetzalroad.NodeUsage {
 			return []quetzalroad.NodeUsage{{Node: "n", StartedAt: time.UnixMilli(startedAt).UTC(), Window: 7, Teams: []quetzalroad.TeamUsage{{Team: "team", Requests: requests}}}}
 		}
-		before, kill := newPublisher(t, log, "n", false)
-		before.node.UsageMeter = &countedUsage{own: usage(1000, 5)}
+		_, kill := newMeteredPublisher(t, log, "n", false, &countedUsage{own: usage(1000, 5)})
 		time.Sleep(3 * time.Second)
 		kill()
-		after, stop := newPublisher(t, log, "n", false)
-		after.node.UsageMeter = &countedUsage{own: usage(2000, 3)}
+		after, stop := newMeteredPublisher(t, log, "n", false, &countedUsage{own: usage(2000, 3)})
 		time.Sleep(3 * time.Second)
 		reports, err := after.Refresh(t.Context())
 		if err != nil || len(reports) != 1 {
