Leave the weighing of cached prompts off in the deployment's template

Change: the template and the replayed patterns use the default, 0; the tests of the weighing set it themselves.

--- a/proofs/placer/fleet_test.go
+++ b/proofs/placer/fleet_test.go
@@ -148,7 +148,7 @@
 			merged := map[string]string{
 				"node":     fmt.Sprintf(`{"name": "node-%d-%d", "data-centre": %q, "region": %q}`, d, i, dataCentreName(d), regionName(d)),
 				"load":     `{"report-interval": "0s", "report-lifetime": "200ms", "reach": "all"}`,
-				"balancer": `{"plugin": "separator", "request-cost": 350, "hold-weight": 1}`,
+				"balancer": `{"plugin": "separator", "request-cost": 350}`,
 			}
 			for name, text := range sections {
 				merged[name] = strings.ReplaceAll(text, seedOfNode, strconv.Itoa(1+len(f.nodes)))
--- a/proofs/placer/placement_test.go
+++ b/proofs/placer/placement_test.go
@@ -100,9 +100,10 @@
 }
 
 const (
-	routerBalancer = `{"plugin": "separator", "request-cost": 350, "hold-weight": 1, "seed": ` + seedOfNode + `}`
-	// ownerBalancer disregards room and pace of the owners of prefixes.
-	ownerBalancer = `{"plugin": "separator", "request-cost": 350, "seed": ` + seedOfNode + `}`
+	// routerBalancer is that of the deployments.
+	routerBalancer = `{"plugin": "separator", "request-cost": 350, "seed": ` + seedOfNode + `}`
+	// weighingBalancer weighs room, pace and memory of the owners of prefixes.
+	weighingBalancer = `{"plugin": "separator", "request-cost": 350, "hold-weight": 1, "seed": ` + seedOfNode + `}`
 )
 
 // The router holds the targets of each load pattern. Beside its outcome stands, with -v, that of round robin, and
@@ -172,7 +173,7 @@
 func TestLongPromptsLeaveFullOwnersWithoutPrefillingMuchAgain(t *testing.T) {
 	const mayPrefillAgain = 0.05
 	p := patterns["one prefix in two fifths of the long prompts"].pattern
-	weighed, preferred := play(t, p, routerBalancer), play(t, p, ownerBalancer)
+	weighed, preferred := play(t, p, weighingBalancer), play(t, p, routerBalancer)
 	got, without := weighed.countOutcomes(draft, calm, calm+trouble), preferred.countOutcomes(draft, calm, calm+trouble)
 	t.Logf("weighed: %s; owners preferred: %s", got, without)
 	if got.inTimeShare() <= without.inTimeShare() {
@@ -192,9 +193,9 @@
 		}
 		return 0
 	}}
-	unknown := play(t, p, routerBalancer)
+	unknown := play(t, p, weighingBalancer)
 	p.publishedTokens = p.cacheTokens
-	known := play(t, p, routerBalancer)
+	known := play(t, p, weighingBalancer)
 	got, without := known.countOutcomes(draft, calm, calm+trouble), unknown.countOutcomes(draft, calm, calm+trouble)
 	again, againWithout := known.rereadShare(calm, calm+trouble), unknown.rereadShare(calm, calm+trouble)
 	t.Logf("memory known: %s, prefilled again %.3f; unknown: %s, %.3f", got, again, without, againWithout)
