End reads of the log that stall, not those that are long

Cause: the timeouts of reads covered the whole transfer: 0.3 s from a reader, 0.4 to 0.8 s from the store. A large config does not fit through a narrow link in that time, so that each read of it ended before its end and the next one began anew. The nodes then asked others with narrow links to read for them, and the store. A deadline of a transfer whose size has no bound turns a slow link into an outage.

Change: support/stalltimer ends a call once nothing has arrived for a while. The clients of the store and of other nodes advance it with each part that arrives. The former timeouts now hold for the first part and for each further one, and the load timeout for the whole.

Evidence: TestLargeStateIsInForceBehindNarrowLinks, TestLargeStateIsInForceAtNodesThatReadTheLogThemselves and TestReadOverASlowLinkIsNotGivenUp (store client, read transport) failed before.

--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -53,11 +53,17 @@
 type peerConn struct {
 	mu sync.Mutex
 	// conn is guarded by mu and nil while there is no connection.
-	conn *drpcconn.Conn
+	conn *clientConn
+}
+
+// clientConn is a connection to a peer on which this node sends calls.
+type clientConn struct {
+	*drpcconn.Conn
+	metered *meteredConn
 }
 
 // meter has a new connection reserve memory for its messages.
-func (m *Manager) meter(conn net.Conn) net.Conn {
+func (m *Manager) meter(conn net.Conn) *meteredConn {
 	m.budgetOnce.Do(func() { m.budget.MaxBytes = maxBufferedBytes })
 	return newMeteredConn(conn, &m.budget)
 }
@@ -126,7 +132,7 @@
 }
 
 // Call calls the function with the connection to a peer, which carries one call at
-// a time. After an error the connection is closed, since the peer may be unreachable
+// a time. Data that arrives advances the stalltimer of ctx. After an error the connection is closed, since the peer may be unreachable
 // on it, and the next call dials again.
 func (m *Manager) Call(ctx context.Context, to netip.AddrPort, call func(drpc.Conn) error) error {
 	p := m.peerConn(to)
@@ -138,7 +144,8 @@
 		}
 		conn = p.setIfUnset(dialed)
 	}
-	err := call(conn)
+	defer conn.metered.beginCall(ctx)()
+	err := call(conn.Conn)
 	if err != nil {
 		p.close(conn)
 	}
@@ -146,7 +153,7 @@
 }
 
 // current returns the connection, or nil if there is none.
-func (p *peerConn) current() *drpcconn.Conn {
+func (p *peerConn) current() *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.conn
@@ -154,7 +161,7 @@
 
 // setIfUnset stores a new connection and returns it. If another call has stored one
 // in the meantime, it closes the new one and returns the other.
-func (p *peerConn) setIfUnset(conn *drpcconn.Conn) *drpcconn.Conn {
+func (p *peerConn) setIfUnset(conn *clientConn) *clientConn {
 	p.mu.Lock()
 	existing := p.conn
 	if existing == nil {
@@ -170,7 +177,7 @@
 }
 
 // close closes and unsets a connection; nil means the current one.
-func (p *peerConn) close(conn *drpcconn.Conn) {
+func (p *peerConn) close(conn *clientConn) {
 	p.mu.Lock()
 	existing := p.conn
 	if conn == nil || existing == conn {
@@ -200,21 +207,21 @@
 	return p
 }
 
-func (m *Manager) dial(ctx context.Context, to netip.AddrPort) (*drpcconn.Conn, error) {
+func (m *Manager) dial(ctx context.Context, to netip.AddrPort) (*clientConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.DialTimeout)
 	defer cancel()
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	netConn, err := dialer.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
-	conn = m.meter(conn)
+	conn := m.meter(netConn)
 	if m.Key != "" {
 		if err := dialerHandshake(conn, []byte(m.Key), m.DialTimeout); err != nil {
 			return nil, errors.CombineErrors(err, conn.Close())
 		}
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: m.drpcOptions()}), nil
+	return &clientConn{Conn: drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: m.drpcOptions()}), metered: conn}, nil
 }
 
 // Disconnect closes the connection to a peer.
--- a/peers/connmanager/meteredconn.go
+++ b/peers/connmanager/meteredconn.go
@@ -1,11 +1,13 @@
 package connmanager
 
 import (
+	"context"
 	"net"
 	"sync"
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 const (
@@ -25,6 +27,10 @@
 	messageBytes, longest int
 	reservation           bufferer.Reservation
 	closed                bool
+	// calls holds the contexts of the calls that wait for data on the connection, by their number. It is allocated on
+	// first use.
+	calls    map[int]context.Context
+	lastCall int
 }
 
 func newMeteredConn(conn net.Conn, budget *bufferer.Budget) *meteredConn {
@@ -35,12 +41,41 @@
 // connection.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.advanceCalls()
+	}
 	if !c.reserve(n) {
 		return n, quetzalroad.ErrBuffersFull
 	}
 	return n, err
 }
 
+// beginCall has data that arrives advance the timer of a call, until the returned function is called. Calls that wait
+// for their turn on the connection are advanced too.
+func (c *meteredConn) beginCall(ctx context.Context) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls == nil {
+		c.calls = make(map[int]context.Context)
+	}
+	c.lastCall++
+	number := c.lastCall
+	c.calls[number] = ctx
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.calls, number)
+	}
+}
+
+func (c *meteredConn) advanceCalls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ctx := range c.calls {
+		stalltimer.Advance(ctx)
+	}
+}
+
 func (c *meteredConn) reserve(bytes int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/proofs/faker/readnetwork.go
+++ b/proofs/faker/readnetwork.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,15 @@
 	handlers      map[netip.AddrPort]quetzalroad.ReadHandler
 	stalled       map[netip.AddrPort]bool
 	requestCounts map[netip.AddrPort]int
+	// stateTransfer is how long the transfer of a published state takes.
+	stateTransfer time.Duration
+}
+
+// SetStateTransfer sets how long the transfer of a published state takes.
+func (n *ReadNetwork) SetStateTransfer(duration time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stateTransfer = duration
 }
 
 // SetStalled makes requests to a node block until their context is done, or work again.
@@ -100,7 +110,7 @@
 		n.requestCounts = make(map[netip.AddrPort]int)
 	}
 	n.requestCounts[to]++
-	h, stalled := n.handlers[to], n.stalled[to]
+	h, stalled, transfer := n.handlers[to], n.stalled[to], n.stateTransfer
 	n.mu.Unlock()
 	switch {
 	case stalled:
@@ -109,5 +119,11 @@
 	case h == nil:
 		return quetzalroad.SharedReadResponse{}, errors.New("no node listens at this address")
 	}
-	return h.HandleRead(q), nil
+	response := h.HandleRead(q)
+	if q.Stream == quetzalroad.LogStreamOperators && len(response.Records) > 0 {
+		if err := Transfer(ctx, transfer); err != nil {
+			return quetzalroad.SharedReadResponse{}, err
+		}
+	}
+	return response, nil
 }
--- a/state/distributor/cluster_test.go
+++ b/state/distributor/cluster_test.go
@@ -29,6 +29,8 @@
 	unavailable atomic.Bool
 	// losesNext makes the next read get no response.
 	losesNext atomic.Bool
+	// stateTransfer is how long the transfer of a published state takes.
+	stateTransfer atomic.Int64
 	// reads counts the reads that were answered, writes the writes that were tried, and calls all calls.
 	reads, writes, calls atomic.Int64
 }
@@ -57,7 +59,8 @@
 		return nil, quetzalroad.StreamBounds{}, faker.ErrUnavailable
 	}
 	l.reads.Add(1)
-	return l.KeyedLog.ReadLatest(ctx, s)
+	records, bounds, err := l.KeyedLog.ReadLatest(ctx, s)
+	return records, bounds, l.transfer(ctx, s, records, err)
 }
 
 func (l *nodeLog) ReadKeyed(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
@@ -70,7 +73,16 @@
 		return nil, quetzalroad.StreamBounds{}, ctx.Err()
 	}
 	l.reads.Add(1)
-	return l.KeyedLog.ReadKeyed(ctx, s, from, wait)
+	records, bounds, err := l.KeyedLog.ReadKeyed(ctx, s, from, wait)
+	return records, bounds, l.transfer(ctx, s, records, err)
+}
+
+// transfer takes the time of the transfer of a response, unless the read failed.
+func (l *nodeLog) transfer(ctx context.Context, s quetzalroad.LogStream, records []quetzalroad.KeyedRecord, err error) error {
+	if err != nil || s != quetzalroad.LogStreamOperators || len(records) == 0 {
+		return err
+	}
+	return faker.Transfer(ctx, time.Duration(l.stateTransfer.Load()))
 }
 
 // cluster holds the nodes of a data centre on one log.
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -21,6 +21,7 @@
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 func init() {
@@ -79,8 +80,8 @@
 	s.Float("capacity", &d.self.ReadCapacity, 0, 0, 1e12, "Relative capacity of this node to serve reads; the nodes with the highest read the log for the others.")
 	s.Duration("reader-wait", &d.readerPollWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a reader's call to the log waits for new records.")
 	s.Duration("ask-every", &d.pollInterval, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Interval between two reads from the reader.")
-	s.Duration("ask-timeout", &d.readTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a read from the reader.")
-	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a read of the latest record of every key from the reader; longer, as many nodes may read at once.")
+	s.Duration("ask-timeout", &d.readTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of the first part of a read from the reader, and of each further part.")
+	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read from the reader, and of its first part if it is a read of the latest record of every key, as many nodes may read at once.")
 	s.Duration("oldest", &d.maxAge, 2*time.Second, 10*time.Millisecond, time.Hour, "Maximum age of a reader's response.")
 	s.Duration("fallback-retry", &d.fallbackRetryDelay, 2*time.Second, 0, time.Minute, "How long a node whose readers respond with an old view does not ask the log again after it failed.")
 	s.Duration("avoid-for", &d.avoidDuration, 10*time.Second, 10*time.Millisecond, time.Hour, "How long to avoid a reader that failed to respond.")
@@ -189,10 +190,11 @@
 	return records, bounds, nil
 }
 
-// readLog reads from the log, with a margin for the response beside the wait. Callers allow for the longer wait of a
-// node that reads for itself only; a response that was lost must not delay the next read by it.
+// readLog reads from the log, with a margin for the first part of the response beside the wait, and for each further
+// part. Callers allow for the longer wait of a node that reads for itself only; a response that was lost must not delay
+// the next read by it.
 func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait, margin time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	ctx, cancel := stalltimer.WithTimeout(ctx, wait+margin, margin)
 	defer cancel()
 	return d.log.ReadKeyed(ctx, s, from, wait)
 }
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -119,13 +119,11 @@
 // readEvidence reads the registrations that were written since the last read, and waits for one. It
 // reports whether the log responded.
 func (d *Distributor) readEvidence(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, evidencePollWait+d.callTimeout)
-	defer cancel()
 	var from quetzalroad.Position
 	if next := d.evidence.next.Load(); next != nil {
 		from = *next
 	}
-	records, bounds, err := d.log.ReadKeyed(callCtx, quetzalroad.LogStreamNodes, from, evidencePollWait)
+	records, bounds, err := d.readLog(ctx, quetzalroad.LogStreamNodes, from, evidencePollWait, d.callTimeout)
 	switch {
 	case err != nil && isReload(err):
 		d.refreshMembers(ctx)
--- a/state/distributor/sharedread.go
+++ b/state/distributor/sharedread.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 // isReload reports whether an error of a read means that the latest record of every key has to be read.
@@ -73,14 +74,19 @@
 
 // readShared reads from the cache of a reader.
 func (d *Distributor) readShared(ctx context.Context, reader quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
-	timeout := d.readTimeout
+	first := d.readTimeout
 	complete := q.From.Offset == quetzalroad.NoOffset
 	if complete {
-		timeout = d.loadTimeout
+		first = d.loadTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, d.loadTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, first, d.readTimeout)
+	defer stopTimer()
 	response, err := d.transport.RequestRead(ctx, reader.Address, q)
+	if err != nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		d.members.recordFailure(reader.Name, time.Now(), d.avoidDuration, d.registrationTTL)
 	} else {
--- a/state/watcher/streamreader.go
+++ b/state/watcher/streamreader.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 // confirmation is the time of the last confirmation by the log. The zero value
@@ -173,8 +174,10 @@
 
 // readNew reads and applies the records added since the last read.
 func (r *streamReader) readNew(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.pollWait+r.watcher.callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.pollWait+r.watcher.loadTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, r.pollWait+r.watcher.callTimeout, r.watcher.callTimeout)
+	defer stopTimer()
 	sentAt := boottimer.Now()
 	wait := r.pollWait
 	if r.failing() {
--- a/state/watcher/watcher.go
+++ b/state/watcher/watcher.go
@@ -70,8 +70,8 @@
 	s.Duration("leave-within", &w.drainDeadline, 3*time.Second, 100*time.Millisecond, time.Hour, "Time within which new work to a draining upstream must stop. The read interval of registrations is the longest that still meets it after one failed read.")
 	s.Duration("retry-every", &w.initialBackoff, 250*time.Millisecond, time.Millisecond, time.Minute, "Delay after the first failed read; it doubles with each further failure.")
 	s.Duration("retry-most", &w.maxBackoff, time.Second, time.Millisecond, time.Minute, "Longest delay after a failed read.")
-	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "Timeout of a read, in addition to the time it waits for a change.")
-	s.Duration("load-timeout", &w.loadTimeout, 5*time.Second, time.Millisecond, time.Hour, "Timeout of a read of the latest record of every key.")
+	s.Duration("call-timeout", &w.callTimeout, 800*time.Millisecond, time.Millisecond, time.Minute, "Timeout of the first part of a read, in addition to the time it waits for a change, and of each further part.")
+	s.Duration("load-timeout", &w.loadTimeout, 5*time.Second, time.Millisecond, time.Hour, "Timeout of a read of the latest record of every key, and of the transfer of any read.")
 	s.Duration("revoke-within", &w.revocationDeadline, 0, 0, time.Hour, "Time within which a revoked key must stop working; zero for no limit.")
 	s.Duration("revoke-margin", &w.revocationMargin, 200*time.Millisecond, 0, time.Minute, "Part of revoke-within reserved for the delay between the check and sending the request.")
 	s.Duration("lapse-grace", &w.expiryGrace, 2300*time.Millisecond, 0, time.Minute, "How long after a log outage an upstream whose registration is missing is kept.")
@@ -175,7 +175,7 @@
 
 // maxReadGap returns the longest time between the ends of two reads of a stream, whether they succeed or fail.
 func (w *Watcher) maxReadGap() time.Duration {
-	read := max(w.loadTimeout, w.statePollWait+w.callTimeout)
+	read := w.statePollWait + max(w.loadTimeout, w.callTimeout)
 	return read + w.loadTimeout + max(w.maxBackoff, w.initialBackoff, w.registrationReadInterval()) + readGapMargin
 }
 
