Let other long transfers of the control path finish too

They now end if nothing arrives for that long, and at the latest after 3 s (activity reports) or 30 s.

--- a/peers/gossiper/gossiper.go
+++ b/peers/gossiper/gossiper.go
@@ -18,6 +18,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 func init() {
@@ -215,14 +216,19 @@
 	}
 }
 
+// catchUpTimeout bounds the transfers of a catch-up, which end earlier if they stall.
+const catchUpTimeout = 30 * time.Second
+
 // catchUp fetches missing records from a peer, or a snapshot if the peer no longer holds them.
 func (g *Gossiper) catchUp(r quetzalroad.StreamReplicator, peerOffset quetzalroad.Offset, peer netip.AddrPort) {
 	defer g.fetching.Store(false)
 	if r.AppliedOffset() >= peerOffset {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), g.callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, g.callTimeout, g.callTimeout)
+	defer stopTimer()
 	records, err := g.transport.FetchRecords(ctx, peer, r.Stream(), r.AppliedOffset()+1)
 	if err != nil {
 		return
--- a/state/activitypublisher/publisher.go
+++ b/state/activitypublisher/publisher.go
@@ -52,7 +52,8 @@
 	s.Duration("interval", &p.interval, time.Second, 10*time.Millisecond, time.Minute, "Interval between two reports of this node while they change; half of it in fleets of up to 8 nodes.")
 	s.Duration("idle-interval", &p.idleInterval, 4*time.Second, 10*time.Millisecond, time.Minute, "Interval between two reports while nothing changes.")
 	s.Duration("read-interval", &p.reader.interval, 500*time.Millisecond, 0, time.Minute, "Minimum time between two reads of the reports of all nodes.")
-	s.Duration("call-timeout", &p.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a call to the log.")
+	s.Duration("call-timeout", &p.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a write to the log, and of the first and each further part of a read.")
+	s.Duration("load-timeout", &p.reader.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read of the reports of all nodes.")
 }
 
 // Build implements kernel.Component.
--- a/state/activitypublisher/reader.go
+++ b/state/activitypublisher/reader.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/codecs/activitymapper"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 )
 
 // reader follows the reports of all nodes, one read at a time.
@@ -20,6 +21,8 @@
 	logger      *slog.Logger
 	interval    time.Duration
 	callTimeout time.Duration
+	// loadTimeout is the timeout of a whole read.
+	loadTimeout time.Duration
 	// idle holds the state while no read is in progress.
 	idle chan readState
 }
@@ -40,8 +43,10 @@
 
 // refresh returns the latest report of each publisher, sorted by name. Calls within the interval share a read.
 func (r *reader) refresh(ctx context.Context) ([]quetzalroad.ActivityReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.loadTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, r.callTimeout, r.callTimeout)
+	defer stopTimer()
 	var state readState
 	select {
 	case state = <-r.idle:
--- a/state/logclient/client.go
+++ b/state/logclient/client.go
@@ -26,6 +26,7 @@
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
@@ -44,8 +45,10 @@
 	// maxResponseBytes limits the size of a response body, and maxBufferedBytes the memory of all that are being read.
 	maxResponseBytes = 12 << 20
 	maxBufferedBytes = 24 << 20
-	// readTimeoutMargin is the timeout of a read in addition to its wait.
+	// readTimeoutMargin is the timeout of the first part of a response in addition to the read's wait, and of each
+	// further part. transferTimeout is that of the whole response.
 	readTimeoutMargin = time.Second
+	transferTimeout   = 30 * time.Second
 )
 
 // Client implements quetzalroad.Log over HTTP.
@@ -130,8 +133,10 @@
 
 // Read implements quetzalroad.Log. If the records don't fit into one response, it asks for fewer.
 func (c *Client) Read(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Offset, wait time.Duration) ([]quetzalroad.Record, quetzalroad.StreamBounds, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+transferTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, wait+readTimeoutMargin, readTimeoutMargin)
+	defer stopTimer()
 	var response readResponse
 	for limit := maxReadRecords; ; limit = max(1, limit/limitDivisor) {
 		query := "?from=" + strconv.FormatInt(int64(from), 10) + "&wait=" + wait.String() + "&limit=" + strconv.Itoa(limit)
@@ -162,7 +167,7 @@
 	defer response.Body.Close()
 	reservation := bufferer.Reservation{Budget: &c.budget}
 	defer reservation.Release()
-	data, err := reservation.ReadAll(response.Body, maxResponseBytes)
+	data, err := reservation.ReadAll(&stalltimer.Reader{Context: ctx, Source: response.Body}, maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/state/vmclient/client.go
+++ b/state/vmclient/client.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalroad/quetzalroad/kernel"
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/stalltimer"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
@@ -36,6 +37,9 @@
 // maxResponseBytes limits the size of a response body.
 const maxResponseBytes = 4 << 20
 
+// transferTimeout bounds the transfer of a list, which ends earlier if it stalls.
+const transferTimeout = 30 * time.Second
+
 // Client implements quetzalroad.VMList over HTTP. It polls the list and marks
 // upstreams whose VMs the platform reports as leaving.
 type Client struct {
@@ -55,7 +59,7 @@
 // Declare implements kernel.Component.
 func (c *Client) Declare(s *configloader.Section) {
 	s.Address("address", &c.address, "", "Address of the platform's list of VMs.")
-	s.Duration("timeout", &c.timeout, 2*time.Second, 10*time.Millisecond, time.Minute, "Timeout of one read of the list.")
+	s.Duration("timeout", &c.timeout, 2*time.Second, 10*time.Millisecond, time.Minute, "Timeout of the first part of a list, and of each further part.")
 	s.Duration("interval", &c.interval, time.Second, 50*time.Millisecond, time.Minute, "Interval at which the list is polled for leaving upstreams.")
 }
 
@@ -93,8 +97,10 @@
 }
 
 func (c *Client) readVMs(ctx context.Context) ([]quetzalroad.VM, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
+	ctx, stopTimer := stalltimer.WithTimeout(ctx, c.timeout, c.timeout)
+	defer stopTimer()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address.String()+"/v1/vms", http.NoBody)
 	if err != nil {
 		return nil, err
@@ -112,7 +118,7 @@
 		c.recorder.CountReceived(quetzalroad.ControlVMs, len(etag))
 		return cachedVMs, nil
 	}
-	data, err := new(bufferer.Reservation).ReadAll(response.Body, maxResponseBytes)
+	data, err := new(bufferer.Reservation).ReadAll(&stalltimer.Reader{Context: ctx, Source: response.Body}, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
