Resume a stream only at the software version that began it

Cause: nothing held the version of an upstream, and Resumes was not read, so that a resumed stream was sent to any upstream. Who began a stream was known to the node that relayed it at most. Class: state that has to outlive the process was kept nowhere.

Change: the registration's version is part of an upstream. The first event that is relayed binds a request to its version. state/streamtracker answers where a stream began that a caller resumes: the log holds which versions a service has had lately and, while there are several, which streams began where.

--- a/cmd/quetzalroad/plugins.go
+++ b/cmd/quetzalroad/plugins.go
@@ -44,6 +44,7 @@
 	_ "github.com/quetzalroad/quetzalroad/state/follower"
 	_ "github.com/quetzalroad/quetzalroad/state/leaser"
 	_ "github.com/quetzalroad/quetzalroad/state/logclient"
+	_ "github.com/quetzalroad/quetzalroad/state/streamtracker"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/vmclient"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -151,7 +151,7 @@
 	now := time.Now()
 	candidates := d.findCandidates(now, r, held, tried)
 	if len(candidates) == 0 {
-		return quetzalroad.Upstream{}, noUpstreamRefusal()
+		return quetzalroad.Upstream{}, noCandidateRefusal(r)
 	}
 	return d.acquireUpstream(now, r, candidates)
 }
@@ -162,8 +162,12 @@
 	if len(tried) > 0 || len(candidates) == 0 {
 		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, tried)
 	}
+	candidates = ofVersion(r, candidates)
 	if len(candidates) == 0 {
-		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil)
+		candidates = ofVersion(r, d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil))
+	}
+	if len(candidates) == 0 && r.HasVersion {
+		candidates = d.remainingOfVersion(r)
 	}
 	return candidates
 }
@@ -175,6 +179,14 @@
 	return quetzalroad.NewRefusal(quetzalroad.ReasonNoUpstream, "no upstream of the service can take work", noUpstreamRetryAfter)
 }
 
+// noCandidateRefusal returns the refusal of a request that no upstream can run now.
+func noCandidateRefusal(r *quetzalroad.Request) *quetzalroad.Refusal {
+	if r.HasVersion {
+		return quetzalroad.NewRefusal(quetzalroad.ReasonNoUpstreamOfVersion, "no upstream of the software version that began the stream can take work", noUpstreamRetryAfter)
+	}
+	return noUpstreamRefusal()
+}
+
 // contextRefusal returns the refusal for a request whose context has ended.
 func (d *Dispatcher) contextRefusal(ctx context.Context, outcome quetzalroad.Outcome) *quetzalroad.Refusal {
 	switch {
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -25,6 +25,9 @@
 		return noUpstreamRefusal()
 	}
 	f.Service = service
+	if refusal := d.findOrigin(deadlineCtx, f); refusal != nil {
+		return refusal
+	}
 	d.beginDemand(f)
 	err := d.forwardToService(ctx, deadlineCtx, f, sink)
 	d.endDemand(f, err)
@@ -51,7 +54,9 @@
 		runCtx, cancelRun = d.begin(context.WithoutCancel(ctx), &f.Request)
 		defer cancelRun()
 	}
-	return run.runAttempts(runCtx)
+	err = run.runAttempts(runCtx)
+	run.recordStreamEnd(err)
+	return err
 }
 
 // pickService chooses one of a route's services at random, by weight.
@@ -90,6 +95,8 @@
 	lastEventID int64
 	// eventCount counts the events relayed; each is charged to the team as one token.
 	eventCount int
+	// streamRecorded is set once it was recorded at which software version the stream began.
+	streamRecorded bool
 	// unnumberedEvents counts the relayed events that have no id.
 	unnumberedEvents int
 	// head is that of the last response that was received.
--- a/decisions/dispatcher/forward_test.go
+++ b/decisions/dispatcher/forward_test.go
@@ -45,12 +45,12 @@
 }
 
 // runForwardTestWithSettings runs f on a node with the given settings sections.
-func runForwardTestWithSettings(t *testing.T, sections map[string]string, f func(t *testing.T, x *forwardFixture)) {
+func runForwardTestWithSettings(t *testing.T, sections map[string]string, f func(t *testing.T, x *forwardFixture), overrides ...kernel.Override) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		x := new(forwardFixture)
-		node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), sections,
-			kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
+		overrides = append(overrides, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &x.KeyedLog}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &x.ForwardClient})
+		node, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), sections, overrides...)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -157,6 +157,7 @@
 	if event.EventID == 0 {
 		r.unnumberedEvents++
 	}
+	r.recordStream(u)
 	r.lastEventID = max(r.lastEventID, event.EventID)
 	r.eventCount++
 	return r.write(head, event.Data)
--- a/forward.go
+++ b/forward.go
@@ -31,6 +31,23 @@
 	// LastEventID is the id of the last event the caller has received; zero if
 	// none.
 	LastEventID int64
+	// ResumedRequestID is the id of the request with which the caller received the first event of the stream; empty if
+	// it names none, or resumes no stream.
+	ResumedRequestID RequestID
+}
+
+// Resumes reports whether the caller goes on with a stream of which it has events.
+func (f *ForwardRequest) Resumes() bool {
+	return f.Route.Streaming && f.Route.Resumable && f.LastEventID > 0
+}
+
+// StreamID returns the id under which it is known where the stream began: that of the request that brought its first
+// event.
+func (f *ForwardRequest) StreamID() RequestID {
+	if f.Resumes() {
+		return f.ResumedRequestID
+	}
+	return f.ID
 }
 
 // SharedSegments returns the segments that other requests may have in common with this one.
@@ -156,6 +173,8 @@
 	MaxTokens      int
 	PromptSegments []PromptSegment
 	LastEventID    int64
+	// ResumedRequestID is the id of the request that brought the first event of the stream; empty if not sent.
+	ResumedRequestID RequestID
 	// Header holds the fields to forward.
 	Header http.Header
 }
@@ -234,6 +253,8 @@
 	LogStreamUpstreams LogStream = "upstreams"
 	// LogStreamNodes is where the router's nodes register themselves.
 	LogStreamNodes LogStream = "nodes"
+	// LogStreamStreams is where nodes record at which software version streams began.
+	LogStreamStreams LogStream = "streams"
 )
 
 // KeyedWriter writes to the router's own log streams.
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -76,6 +76,8 @@
 	PlatformClient quetzalroad.PlatformClient
 	UsageMeter     quetzalroad.UsageMeter
 	Activity       quetzalroad.ActivityExchange
+	// StreamTracker is nil if streams are resumed whatever version of the software began them.
+	StreamTracker quetzalroad.StreamTracker
 	// DemandMeter is nil if demand isn't measured, and LogSharing if each node reads the log itself.
 	DemandMeter   quetzalroad.DemandMeter
 	LogSharing    quetzalroad.LogSharing
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -27,6 +27,7 @@
 	SlotLeaser          Slot = "leases"
 	SlotPlatformClient  Slot = "platform-commands"
 	SlotActivity        Slot = "activity"
+	SlotStreamTracker   Slot = "stream-origins"
 	SlotUsage           Slot = "usage"
 	SlotStateCodec      Slot = "entries"
 	SlotReadTransport   Slot = "read-transport"
@@ -74,6 +75,7 @@
 	{slot: SlotLeaser, doc: "The lease whose holder performs the duties of one node at a time.", optional: true},
 	{slot: SlotPlatformClient, doc: "The client for commands to the platform that only the holder of the lease sends.", optional: true},
 	{slot: SlotActivity, doc: "Exchange of what all nodes recently did, through the platform's log.", optional: true},
+	{slot: SlotStreamTracker, doc: "Tracking at which software version streams began, for callers that resume them at another node.", optional: true},
 	{slot: SlotUsage, doc: "Counting the requests of teams and reporting them to the platform.", optional: true},
 	{slot: SlotStateCodec, doc: "Decoding of what operators and upstreams publish on the platform.", optional: true},
 	{slot: SlotReadTransport, doc: "The connections for reading the platform's log through other nodes.", optional: true},
--- a/refusal.go
+++ b/refusal.go
@@ -47,6 +47,8 @@
 	ReasonTooManyHeaderLines      RefusalReason = "too-many-header-lines"
 	ReasonHeaderTooLarge          RefusalReason = "header-too-large"
 	ReasonRequestMemoryFull       RefusalReason = "request-memory-full"
+	ReasonStreamOriginUnknown     RefusalReason = "stream-origin-unknown"
+	ReasonNoUpstreamOfVersion     RefusalReason = "no-upstream-of-version"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/request.go
+++ b/request.go
@@ -14,6 +14,9 @@
 	Team    Team
 	Profile Profile
 	Service Service
+	// Version is the only software version that may run the request; valid only if HasVersion is set.
+	Version    SoftwareVersion
+	HasVersion bool
 	// Model is the requested model; empty for plain services.
 	Model ModelName
 	// Arrived is when the node had read the request's header.
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -88,7 +88,7 @@
 		f.CallerDeadline = f.Arrived.Add(metadata.Timeout)
 	}
 	f.Model, f.PromptTokens, f.MaxTokens = metadata.Model, metadata.PromptTokens, metadata.MaxTokens
-	f.PromptSegments, f.LastEventID, f.Header = metadata.PromptSegments, metadata.LastEventID, metadata.Header
+	f.PromptSegments, f.LastEventID, f.ResumedRequestID, f.Header = metadata.PromptSegments, metadata.LastEventID, metadata.ResumedRequestID, metadata.Header
 	f.PrefixHash, f.SharedPromptTokens = prefixhasher.Shared(metadata.PromptSegments)
 	f.Method, f.RequestTarget, f.Host = x.request.Method, x.request.RequestURI, x.request.Host
 	if err := x.matchRoute(); err != nil {
--- a/state.go
+++ b/state.go
@@ -105,6 +105,8 @@
 	// InstanceID identifies this start of the back end if another one may take over
 	// its address; empty if unknown.
 	InstanceID string
+	// Version is that of its software.
+	Version SoftwareVersion
 	// MaxConcurrency is the number of requests it runs at once within its targets.
 	// It is positive.
 	MaxConcurrency int
--- /dev/null
+++ b/state/streamtracker/checker.go
@@ -0,0 +1,196 @@
+package streamtracker
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/streammapper"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+// checkVersions keeps up which versions are in use, until the node stops.
+func (t *Tracker) checkVersions(ctx context.Context) error {
+	c := versionChecker{tracker: t, sightings: make(versionSightings), records: make(map[string]recordSighting)}
+	for {
+		if err := sleeper.Sleep(ctx, t.checkInterval); err != nil {
+			return err
+		}
+		if err := c.check(ctx); err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			t.writeFailures.Add(1)
+			t.logger.Info("failed to keep up the software versions in use", "error", err)
+			if err := sleeper.Sleep(ctx, t.callTimeout); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// versionChecker compares the registered versions with those in the records.
+type versionChecker struct {
+	tracker   *Tracker
+	sightings versionSightings
+	// records holds when this node first saw the records of streams as they are, by key.
+	records map[string]recordSighting
+}
+
+// recordSighting is when a record was first seen at an offset.
+type recordSighting struct {
+	offset quetzalroad.Offset
+	at     boottimer.Instant
+}
+
+func (c *versionChecker) check(ctx context.Context) error {
+	t := c.tracker
+	t.streams.forget(time.Now(), t.retention)
+	registered := t.registeredVersions()
+	c.sightings.update(registered)
+	c.updateMixed()
+	if t.node.LogEpochs != nil && t.reader.isLoaded() && t.reader.epoch() != t.node.LogEpochs.Epoch() {
+		// The restored log may lack the records of this node.
+		if err := t.reader.refresh(ctx); err != nil {
+			return err
+		}
+		all, _ := t.streams.ofServices(func(quetzalroad.ServiceName) bool { return true })
+		t.streams.setRecorded(all, false)
+		signal(t.wanted)
+	}
+	for service, versions := range registered {
+		for version := range versions {
+			if err := c.announce(ctx, quetzalroad.StreamOrigin{Service: service, Version: version}); err != nil {
+				return err
+			}
+		}
+	}
+	if err := c.retireVersions(ctx); err != nil {
+		return err
+	}
+	return c.deleteStaleRecords(ctx)
+}
+
+// updateMixed stores the versions in use, and has the streams recorded of services that have several.
+func (c *versionChecker) updateMixed() {
+	t := c.tracker
+	versions := t.versionsInUse()
+	before := t.mixed.Swap(&versions)
+	for service := range versions {
+		if versions.isMixed(service) && !before.isMixed(service) {
+			t.logger.Info("service has several software versions", "service", string(service), "versions", len(versions[service]))
+			signal(t.urgent)
+		}
+	}
+}
+
+// maxSpread bounds the time over which the nodes of a large fleet spread writes that one of them has to make.
+const maxSpread = 2 * time.Second
+
+// refreshInTurn reads the records at a random moment, so that most nodes find what another one has written.
+func (c *versionChecker) refreshInTurn(ctx context.Context) error {
+	t := c.tracker
+	spread := min(maxSpread, time.Duration(t.fleetSize())*t.nodeInterval)
+	if err := sleeper.Sleep(ctx, rand.N(spread+1)); err != nil {
+		return err
+	}
+	return t.reader.refresh(ctx)
+}
+
+// announce records that a version is in use, unless another node has done so.
+func (c *versionChecker) announce(ctx context.Context, o quetzalroad.StreamOrigin) error {
+	t := c.tracker
+	if t.reader.has(o) {
+		return nil
+	}
+	if err := c.refreshInTurn(ctx); err != nil || t.reader.has(o) {
+		return err
+	}
+	data, err := streammapper.EncodeVersion(o)
+	if err != nil {
+		return err
+	}
+	t.logger.Info("software version in use", "service", string(o.Service), "version", string(o.Version))
+	if err := c.put(ctx, versionKey(o), data); err != nil {
+		return err
+	}
+	return t.reader.refresh(ctx)
+}
+
+// retireVersions deletes the records of versions of which no upstream has been registered for the retention.
+func (c *versionChecker) retireVersions(ctx context.Context) error {
+	t := c.tracker
+	for _, o := range t.reader.inUse() {
+		if !c.sightings.hasLeft(o, t.retention) {
+			continue
+		}
+		if err := c.refreshInTurn(ctx); err != nil {
+			return err
+		}
+		if !t.reader.has(o) {
+			continue
+		}
+		t.logger.Info("software version no longer in use", "service", string(o.Service), "version", string(o.Version))
+		if err := c.put(ctx, versionKey(o), nil); err != nil {
+			return err
+		}
+		if err := t.reader.refresh(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deleteStaleRecords deletes the records of streams that no caller resumes any more: those that did not change for the
+// retention, of this node's processes and of nodes that are gone. The nodes of a fleet take turns at random.
+func (c *versionChecker) deleteStaleRecords(ctx context.Context) error {
+	t := c.tracker
+	for key, offset := range t.reader.recordOffsets() {
+		seen, ok := c.records[key]
+		if !ok || seen.offset != offset {
+			c.records[key] = recordSighting{offset: offset, at: boottimer.Now()}
+			continue
+		}
+		if seen.at.Age() <= t.retention || !c.isOwnOrOrphaned(key) || rand.IntN(max(1, t.fleetSize())) > 0 {
+			continue
+		}
+		if err := t.reader.refresh(ctx); err != nil {
+			return err
+		}
+		if current, ok := t.reader.recordOffsets()[key]; !ok || current != offset {
+			continue
+		}
+		if err := c.put(ctx, key, nil); err != nil {
+			return err
+		}
+		delete(c.records, key)
+		if err := t.reader.refresh(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isOwnOrOrphaned reports whether a record is that of a process of this node, or of a node that is gone.
+func (c *versionChecker) isOwnOrOrphaned(key string) bool {
+	n := c.tracker.node
+	rest := strings.TrimPrefix(key, nodePrefix)
+	name := quetzalroad.NodeName(rest[:max(0, strings.LastIndex(rest, "/"))])
+	if name == n.Name {
+		return true
+	}
+	return n.Fleet != nil && len(n.Fleet.Nodes()) > 0 && !slices.Contains(n.Fleet.Nodes(), name)
+}
+
+func (c *versionChecker) put(ctx context.Context, key string, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.tracker.callTimeout)
+	defer cancel()
+	_, err := c.tracker.writer.PutKeyed(ctx, quetzalroad.LogStreamStreams, key, data)
+	return errors.Wrapf(err, "write %s", key)
+}
--- /dev/null
+++ b/state/streamtracker/publisher.go
@@ -0,0 +1,112 @@
+package streamtracker
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/codecs/streammapper"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+const (
+	// maxRecordedStreams bounds the streams in a record, and maxIDBytes their ids. A record has to fit into one of the
+	// log, which takes 256 KB.
+	maxRecordedStreams = 1500
+	maxIDBytes         = 128
+	// urgentDivisor is the part of the interval between two records after which an urgent one is written.
+	urgentDivisor = 4
+)
+
+// recordStreams records the streams of this node until it stops.
+func (t *Tracker) recordStreams(ctx context.Context) error {
+	var last time.Time
+	for {
+		select {
+		case <-t.wanted:
+		case <-t.urgent:
+			signal(t.urgent)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := t.awaitTurn(ctx, last); err != nil {
+			return err
+		}
+		last = time.Now()
+		if err := t.write(ctx); err != nil {
+			t.writeFailures.Add(1)
+			t.logger.Info("failed to record streams", "error", err)
+			signal(t.wanted)
+		}
+	}
+}
+
+// awaitTurn waits until a record may follow the last one. An urgent one may do so earlier.
+func (t *Tracker) awaitTurn(ctx context.Context, last time.Time) error {
+	interval := max(t.writeInterval, time.Duration(t.fleetSize())*t.nodeInterval)
+	timer := time.NewTimer(time.Until(last.Add(interval)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-t.urgent:
+		return sleeper.Sleep(ctx, time.Until(last.Add(interval/urgentDivisor)))
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *Tracker) fleetSize() int {
+	if t.node.Fleet == nil {
+		return 1
+	}
+	return len(t.node.Fleet.Nodes())
+}
+
+// write records the streams of services with several versions, unless the log has them all.
+func (t *Tracker) write(ctx context.Context) error {
+	t.streams.forget(time.Now(), t.retention)
+	streams, unrecorded := t.streams.ofServices(t.mustRecord)
+	if !unrecorded {
+		return nil
+	}
+	streams = latestStreams(streams)
+	data, err := streammapper.EncodeStreams(originsOf(streams))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.callTimeout)
+	defer cancel()
+	if _, err := t.writer.PutKeyed(ctx, quetzalroad.LogStreamStreams, t.key, data); err != nil {
+		return err
+	}
+	t.streams.setRecorded(streams, true)
+	t.recordsWritten.Add(1)
+	return nil
+}
+
+// latestStreams returns the streams that began last, at most maxRecordedStreams.
+func latestStreams(streams map[quetzalroad.RequestID]stream) map[quetzalroad.RequestID]stream {
+	if len(streams) <= maxRecordedStreams {
+		return streams
+	}
+	ids := slices.SortedFunc(maps.Keys(streams), func(a, b quetzalroad.RequestID) int {
+		return cmp.Or(streams[b].begunAt.Compare(streams[a].begunAt), cmp.Compare(a, b))
+	})
+	latest := make(map[quetzalroad.RequestID]stream, maxRecordedStreams)
+	for _, id := range ids[:maxRecordedStreams] {
+		latest[id] = streams[id]
+	}
+	return latest
+}
+
+func originsOf(streams map[quetzalroad.RequestID]stream) map[quetzalroad.RequestID]quetzalroad.StreamOrigin {
+	origins := make(map[quetzalroad.RequestID]quetzalroad.StreamOrigin, len(streams))
+	for id, s := range streams {
+		origins[id] = s.origin
+	}
+	return origins
+}
--- /dev/null
+++ b/state/streamtracker/tracker.go
@@ -0,0 +1,171 @@
+// Package streamtracker tracks at which software version of a service each resumable stream began.
+//
+// The events of two versions don't fit together, and a caller may resume its stream at a node that never saw it, or after
+// all nodes were killed. So the log holds which versions each service has had in use lately. While there are several,
+// every node records there where its streams began. A stream that nobody recorded can be resumed only while its service
+// has had one version.
+package streamtracker
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/quetzalroad/quetzalroad"
+	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/configloader"
+	"github.com/quetzalroad/quetzalroad/support/sleeper"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Slot: kernel.SlotStreamTracker, Name: "log",
+		New: func() kernel.Component { return new(Tracker) },
+	})
+}
+
+// Tracker implements quetzalroad.StreamTracker on a stream of the log. Declare describes its settings.
+type Tracker struct {
+	// node gives access to components whose slots are filled after this one.
+	node   *kernel.Node
+	writer quetzalroad.KeyedWriter
+	logger *slog.Logger
+
+	retention     time.Duration
+	checkInterval time.Duration
+	writeInterval time.Duration
+	nodeInterval  time.Duration
+	resultDelay   time.Duration
+	callTimeout   time.Duration
+
+	streams localStreams
+	reader  reader
+	// mixed holds the versions in use as of the last check.
+	mixed atomic.Pointer[versionSets]
+	// key is that of this process's record.
+	key string
+	// wanted is signalled when a stream is to be recorded, and urgent when it may be resumed right away. Both are
+	// buffered.
+	wanted, urgent chan struct{}
+
+	recordsWritten, writeFailures, readFailures, unknown expvar.Int
+}
+
+// Declare implements kernel.Component.
+func (t *Tracker) Declare(s *configloader.Section) {
+	s.Duration("retention", &t.retention, 30*time.Second, time.Second, time.Hour, "How long it is remembered where a stream began that was interrupted, and that a service has had a software version. It exceeds the time in which callers resume streams.")
+	s.Duration("check-interval", &t.checkInterval, 250*time.Millisecond, 10*time.Millisecond, time.Minute, "Interval between two checks of the software versions of the registered upstreams.")
+	s.Duration("write-interval", &t.writeInterval, 250*time.Millisecond, 10*time.Millisecond, time.Minute, "Minimum time between two records of the streams of this node, while a service has several software versions.")
+	s.Duration("node-interval", &t.nodeInterval, 7500*time.Microsecond, 0, time.Second, "Minimum time between the records of any two nodes on average, which bounds the writes of a large fleet.")
+	s.Duration("result-delay", &t.resultDelay, 400*time.Millisecond, 0, time.Minute, "How long to wait for the record of a stream that another node may be about to write.")
+	s.Duration("call-timeout", &t.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a write, and of the first and each further part of a read.")
+	s.Duration("load-timeout", &t.reader.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read.")
+}
+
+// Build implements kernel.Component.
+func (t *Tracker) Build(n *kernel.Node) error {
+	if n.KeyedLog == nil || n.KeyedWriter == nil {
+		return errors.New("the stream tracker requires the slot keyed-log")
+	}
+	t.node, t.writer, t.logger = n, n.KeyedWriter, n.Logger
+	t.reader.callTimeout = t.callTimeout
+	t.reader.open(n.KeyedLog, n.Logger)
+	t.mixed.Store(new(versionSets))
+	t.wanted, t.urgent = make(chan struct{}, 1), make(chan struct{}, 1)
+	// A process must not replace the record of the one before it, whose streams may still be resumed.
+	t.key = nodePrefix + string(n.Name) + "/" + strconv.FormatInt(time.Now().UnixMilli(), 36)
+	n.StreamTracker = t
+	n.Vars.Set("stream-records-written", &t.recordsWritten)
+	n.Vars.Set("stream-write-failures", &t.writeFailures)
+	n.Vars.Set("stream-read-failures", &t.readFailures)
+	n.Vars.Set("stream-origins-unknown", &t.unknown)
+	n.AddTask("check software versions", t.checkVersions)
+	n.AddTask("record streams", t.recordStreams)
+	return nil
+}
+
+// RecordBegun implements quetzalroad.StreamTracker.
+func (t *Tracker) RecordBegun(now time.Time, id quetzalroad.RequestID, o quetzalroad.StreamOrigin) {
+	if len(id) > maxIDBytes {
+		return
+	}
+	t.streams.begin(now, id, o)
+	if t.mustRecord(o.Service) {
+		signal(t.wanted)
+	}
+}
+
+// RecordEnd implements quetzalroad.StreamTracker.
+func (t *Tracker) RecordEnd(now time.Time, id quetzalroad.RequestID, complete bool) {
+	o, unrecorded := t.streams.end(now, id, complete)
+	if unrecorded && !complete && t.mustRecord(o.Service) {
+		signal(t.urgent)
+	}
+}
+
+// mustRecord reports whether the streams of a service are recorded, as it has several versions in use.
+func (t *Tracker) mustRecord(s quetzalroad.ServiceName) bool {
+	return t.mixed.Load().isMixed(s)
+}
+
+// signal signals a buffered channel.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Origin implements quetzalroad.StreamTracker.
+func (t *Tracker) Origin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
+	if o, ok := t.streams.find(id); ok {
+		return o, nil
+	}
+	o, err := t.recordedOrigin(ctx, id, s)
+	if errors.Is(err, quetzalroad.ErrOriginUnknown) && id != "" {
+		// The node that the caller was connected to may be about to record the stream.
+		if err := sleeper.Sleep(ctx, t.resultDelay); err != nil {
+			return o, err
+		}
+		o, err = t.recordedOrigin(ctx, id, s)
+	}
+	if err != nil {
+		t.unknown.Add(1)
+	}
+	return o, err
+}
+
+// recordedOrigin returns where a stream began according to the records. If there is none of it, it began at the only
+// version that the service has had lately.
+func (t *Tracker) recordedOrigin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
+	readErr := errLogFailing
+	if !t.reader.isFailing() || t.mustRecord(s) {
+		readErr = t.reader.refresh(ctx)
+	}
+	if readErr != nil {
+		t.readFailures.Add(1)
+		t.logger.Info("failed to read the origins of streams", "error", readErr)
+	}
+	if o, ok := t.reader.find(id); ok {
+		return o, nil
+	}
+	versions := slices.Collect(maps.Keys(t.versionsInUse()[s]))
+	switch {
+	case len(versions) == 1 && t.reader.isLoaded():
+		// If the log can't be read, hardly another node has begun streams at a version that this one doesn't know.
+		return quetzalroad.StreamOrigin{Service: s, Version: versions[0]}, nil
+	case readErr != nil:
+		return quetzalroad.StreamOrigin{}, readErr
+	}
+	return quetzalroad.StreamOrigin{}, quetzalroad.ErrOriginUnknown
+}
+
+// errLogFailing is returned instead of reading a log that has just failed.
+var errLogFailing = errors.New("the log has just failed")
