Take no response for whole whose request was cut off by a reset

What callers see: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is written.

Cause: the kernel reports the reset of a connection once. If the write of the upload gets to see it, the read finds an ordinary end, and the end of the connection is all that ends such a body. The write's error was dropped, in the belief that the read would fail too. Class: an error that is reported to one of two users of a resource, and not passed on to the other.

Change: at the end of an unframed body, the forward client and the HTTP client of the product's own services ask whether the whole request was sent. If not, the connection is lost, and the attempt is treated as such.

--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -39,6 +39,8 @@
 	// once all of it was.
 	written atomic.Bool
 	sent    atomic.Bool
+	// writeEnded is closed once a request that is written concurrently was written, or could not be; nil for others.
+	writeEnded chan struct{}
 	// complete is set once the response was read to its end.
 	complete bool
 	closed   bool
@@ -63,6 +65,7 @@
 	data, size := x.encode()
 	if size > maxInlineWriteBytes {
 		x.written.Store(true)
+		x.writeEnded = make(chan struct{})
 		go x.writeInBackground(data)
 		return nil
 	}
@@ -77,10 +80,27 @@
 }
 
 func (x *exchange) writeInBackground(data net.Buffers) {
+	defer close(x.writeEnded)
 	if _, err := data.WriteTo(x.conn.Conn); err == nil {
 		x.sent.Store(true)
 	}
-	// A write error isn't returned: the concurrent read on the same connection fails too.
+	// A write error isn't returned: the concurrent read on the same connection fails too, or finds its end.
+}
+
+// checkEnd returns an error if a response may have broken off although it ends like a whole one. A reset of the
+// connection is reported once: if the write of the request has seen it, the read finds an ordinary end, which is all that
+// ends an unframed response.
+func (x *exchange) checkEnd() error {
+	if !x.isUnframed() || x.writeEnded == nil {
+		return nil
+	}
+	// What the upstream has not received by now, it won't. If this fails, the connection is closed, and the write ends.
+	_ = x.conn.SetWriteDeadline(time.Now())
+	<-x.writeEnded
+	if x.sent.Load() {
+		return nil
+	}
+	return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was sent")
 }
 
 // encode returns the request in its HTTP/1.1 wire format, and its size. A body that is written in the background isn't
@@ -256,12 +276,15 @@
 
 // bodyError maps a body's read error to the errors specified for ForwardResponse.Next.
 func (x *exchange) bodyError(err error) error {
-	switch {
-	case err == nil:
+	if errors.Is(err, io.EOF) {
+		err = x.checkEnd()
+		x.complete = err == nil
+		if x.complete {
+			return io.EOF
+		}
+	}
+	if err == nil {
 		return nil
-	case errors.Is(err, io.EOF):
-		x.complete = true
-		return io.EOF
 	}
 	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, RetryReason: retryReason(err), Cause: err}
 }
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -107,18 +108,26 @@
 	reused atomic.Bool
 	// requestID is the request's RequestIDHeader.
 	requestID string
+	// sent is closed once the whole request was written.
+	sent     chan struct{}
+	sentOnce sync.Once
 }
 
 // Do sends a request on a new connection if unpooled is set, else on a pooled
 // one. The exchange is never nil; the caller must close it if err is nil.
 func (c *Client) Do(ctx context.Context, request *http.Request, unpooled bool) (*Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	e := &Exchange{cancel: cancel, readTimeout: c.ReadTimeout, requestID: request.Header.Get(RequestIDHeader)}
+	e := &Exchange{cancel: cancel, readTimeout: c.ReadTimeout, requestID: request.Header.Get(RequestIDHeader), sent: make(chan struct{})}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			e.written.Store(true)
 			e.reused.Store(info.Reused)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				e.sentOnce.Do(func() { close(e.sent) })
+			}
+		},
 	}
 	if c.ReadTimeout > 0 {
 		e.readTimer = time.AfterFunc(c.ReadTimeout, func() { cancel(ErrReadTimeout) })
@@ -172,7 +181,29 @@
 	return err
 }
 
-// timedBody is a response body that resets the read timer whenever data arrives.
+// maxSendDelay bounds how much later than the end of the response it may be known that the request was sent.
+const maxSendDelay = time.Second
+
+// isSent reports whether the whole request was written, also if that becomes known only now.
+func (e *Exchange) isSent() bool {
+	timer := time.NewTimer(maxSendDelay)
+	defer timer.Stop()
+	select {
+	case <-e.sent:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// isUnframed reports whether nothing but the end of the connection ends the body.
+func (e *Exchange) isUnframed() bool {
+	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+}
+
+// timedBody is a response body that resets the read timer whenever data arrives. The end of an unframed one is
+// unexpected if the request was not sent: a reset of the connection is reported once, and if the write of the request has
+// seen it, the read finds an ordinary end.
 type timedBody struct {
 	io.ReadCloser
 	exchange *Exchange
@@ -185,6 +216,9 @@
 	if n > 0 {
 		b.exchange.resetReadTimer()
 	}
+	if errors.Is(err, io.EOF) && b.exchange.isUnframed() && !b.exchange.isSent() {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = b.exchange.withContextCause(b.ctx, err)
 	}
