Take a status that is none of HTTP for a malformed response

What callers see: a server in trouble sends a response whose status is 000. On the roads of the product's own services any three digits were passed on, and a status below 100 ended the caller's connection in a panic.

Cause: net/http takes any three digits for a status, and nothing checked it.

Change: both clients refuse a status outside of 100 to 599 as a malformed response, whose request may have run.

Evidence: TestStatusThatIsNoneOfHTTPIsNoResponse failed before for 000, 001 and 099 (a response with status 200 and the next body), 600 and 999 (passed on), and holds now in both clients.

--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/headerfilter"
+	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
 // exchange is one request and its response. It implements quetzalroad.ForwardResponse.
@@ -186,8 +187,13 @@
 			x.headBegun = x.conn.limiter.received
 			return nil, errors.Wrap(x.conn.limiter.lost, "read the head of the response")
 		}
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case !httpclient.IsStatus(response.StatusCode):
+			return nil, errors.Wrapf(httpclient.ErrInvalidStatus, "status %q", response.Status)
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
 		}
 	}
 }
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -142,6 +142,12 @@
 		e.Close()
 		return e, err
 	}
+	if !IsStatus(response.StatusCode) {
+		// The body is not read: the connection is of no further use.
+		_ = response.Body.Close()
+		e.Close()
+		return e, errors.Wrapf(ErrInvalidStatus, "status %q", response.Status)
+	}
 	e.Response = response
 	response.Body = &timedBody{ReadCloser: response.Body, exchange: e, ctx: ctx}
 	e.resetReadTimer()
@@ -232,6 +238,8 @@
 	switch {
 	case errors.Is(err, ErrReadTimeout):
 		failure.RetryReason = quetzalroad.RetryReadTimeout
+	case errors.Is(err, ErrInvalidStatus):
+		failure.RetryReason = quetzalroad.RetryMalformedResponse
 	case failure.NotRun:
 		failure.RetryReason = quetzalroad.RetryDialFailed
 	}
