Upgrade servers and kill all nodes in the soak

Half of the seeds upgrade servers of streams to another software version and back. Unless all of a seed's faults are planned, one kill of all nodes comes beside them. Callers name the request that brought the first event of the stream that they resume. The checker reports a server that goes on with a stream which another version began; the schedules of the other kinds stay as they are.

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -55,6 +55,10 @@
 	Deadly   bool
 	// RetryAfter is how long the server asks to be sent nothing.
 	RetryAfter time.Duration
+	// Version is that of the server's software, and ResumeAfter the id of the event after which the request resumes a
+	// stream; zero if it begins one.
+	Version     string
+	ResumeAfter int
 }
 
 // Server is one server. Its exported fields are set before its first use.
@@ -85,6 +89,28 @@
 	lastHeader       http.Header
 	// garbledCount is the number of responses that were garbled since the faults were set.
 	garbledCount uint64
+	// version is that of the server's software; empty for firstVersion.
+	version string
+}
+
+// firstVersion is the version of a server's software before SetVersion is called.
+const firstVersion = "v1"
+
+// SetVersion sets the version of the server's software.
+func (s *Server) SetVersion(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+}
+
+// Version returns the version of the server's software.
+func (s *Server) Version() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == "" {
+		return firstVersion
+	}
+	return s.version
 }
 
 // SetFaults replaces the injected faults.
@@ -124,8 +150,8 @@
 
 // Registration returns the server's registration record for the store.
 func (s *Server) Registration(state string, sequence int, startedAt time.Time) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
-		s.Service, s.Address, s.Zone, s.MaxConcurrency, state, sequence, startedAt.UnixMilli())
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		s.Service, s.Address, s.Zone, s.Version(), s.MaxConcurrency, state, sequence, startedAt.UnixMilli())
 }
 
 // begin reserves a slot and counts the execution; it returns false if the server rejects the request.
@@ -196,6 +222,7 @@
 	received := ReceivedRequest{
 		Server: s, ID: id, Method: r.Method, Target: r.RequestURI, Body: body,
 		Team: r.Header.Get("Tenant"), HasKey: r.Header.Get("Authorization") != "", Executed: executed, Deadly: isDeadly(r.Header),
+		Version: s.Version(), ResumeAfter: resumeAfter(r),
 	}
 	if !executed {
 		received.RetryAfter = faults.RetryAfter
@@ -256,13 +283,21 @@
 	return strings.Join(remainingEvents(r), "")
 }
 
+// resumeAfter returns the id of the event after which a request resumes a stream; zero if it begins one.
+func resumeAfter(r *http.Request) int {
+	id, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
 // remainingEvents returns the events that a request for a stream asks for.
 func remainingEvents(r *http.Request) []string {
 	_, eventCount, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
 	total, _ := strconv.Atoi(eventCount)
-	resumeAfter, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	var events []string
-	for i := resumeAfter + 1; i <= total; i++ {
+	for i := resumeAfter(r) + 1; i <= total; i++ {
 		events = append(events, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
 	}
 	return events
@@ -294,11 +329,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	resumeAfter, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	begin := resumeAfter(r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := resumeAfter + 1; i <= total; i++ {
-		if faults.TruncateAfter > 0 && i > resumeAfter+faults.TruncateAfter {
+	for i := begin + 1; i <= total; i++ {
+		if faults.TruncateAfter > 0 && i > begin+faults.TruncateAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
--- a/cmd/quetzalemu/requester/requester.go
+++ b/cmd/quetzalemu/requester/requester.go
@@ -32,6 +32,8 @@
 	Events int
 	// LastEventID is the id of the event after which the caller resumes a stream; zero if it begins one.
 	LastEventID int
+	// Resumes is the id of the request that brought the first event of that stream.
+	Resumes string
 	// Timeout is how long the caller waits for the response.
 	Timeout time.Duration
 }
@@ -106,7 +108,7 @@
 		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 3000,%d\r\nPrompt-Prefix: %s\r\n", request.Events, prefix)
 	}
 	if request.LastEventID > 0 {
-		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", request.LastEventID)
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", request.LastEventID, request.Resumes)
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(request.Body), request.Body)
 	return b.Bytes()
--- a/cmd/quetzalsoak/checker/checker.go
+++ b/cmd/quetzalsoak/checker/checker.go
@@ -78,6 +78,10 @@
 	HasKey      bool
 	RequestLine string
 	Body        string
+	// Version is that of the server's software, and ResumeAfter the id of the event after which the request resumes a
+	// stream; zero if it begins one.
+	Version     string
+	ResumeAfter int
 }
 
 // Violation is a violated guarantee.
--- a/cmd/quetzalsoak/checker/rules.go
+++ b/cmd/quetzalsoak/checker/rules.go
@@ -34,6 +34,7 @@
 	c.checkDeadly(report)
 	c.checkAnnouncedDrains(report)
 	c.checkPauses(report)
+	c.checkVersions(report)
 	slices.SortFunc(violations, func(a, b Violation) int { return strings.Compare(a.Rule+a.RequestID, b.Rule+b.RequestID) })
 	return violations
 }
--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -49,25 +49,57 @@
 // DrainServer marks a server as draining, removes its registration a second after the drain delay, and restarts it
 // after the downtime. It does nothing if the server is draining or down.
 func (d *Deployment) DrainServer(ctx context.Context, s *Server, downtime time.Duration) {
+	if !d.drain(s) || !sleep(ctx, Bounds.DrainDelay+time.Second) {
+		return
+	}
+	d.deregister(s)
+	if sleep(ctx, downtime) {
+		d.restart(s)
+	}
+}
+
+// drain marks a server as draining. It returns false if the server is draining or down.
+func (d *Deployment) drain(s *Server) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.isServing() {
-		s.mu.Unlock()
-		return
+		return false
 	}
 	s.state = "draining"
 	s.sequence++
 	d.Store.PutServer(s.ID, s.Registration(s.state, s.sequence, s.startedAt))
 	s.drainingSince = time.Now()
-	s.mu.Unlock()
-	if !sleep(ctx, Bounds.DrainDelay+time.Second) {
+	return true
+}
+
+// upgradeDowntime is how long a server is away that is upgraded. A node that did not hear of its drain meanwhile sends it
+// nothing with a key.
+const upgradeDowntime = time.Second
+
+// UpgradeServer drains a server and restarts it with the other software version. It does nothing if the server is
+// draining or down.
+func (d *Deployment) UpgradeServer(ctx context.Context, s *Server) {
+	if !d.drain(s) || !sleep(ctx, Bounds.DrainDelay+time.Second) {
 		return
 	}
 	d.deregister(s)
-	if sleep(ctx, downtime) {
-		d.restart(s)
+	if !sleep(ctx, upgradeDowntime) {
+		return
+	}
+	if s.Version() == olderVersion {
+		s.SetVersion(newerVersion)
+	} else {
+		s.SetVersion(olderVersion)
 	}
+	d.restart(s)
 }
 
+// The software versions between which servers are upgraded, back and forth.
+const (
+	olderVersion = "v1"
+	newerVersion = "v2"
+)
+
 // CrashServer resets and refuses a server's connections and stops its heartbeats, and restarts it after the downtime.
 // Its registration expires if the downtime exceeds registrationTTL. It does nothing if the server is draining or down.
 func (d *Deployment) CrashServer(ctx context.Context, s *Server, downtime time.Duration) {
--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -243,7 +243,7 @@
 	d.Checker.RecordArrival(checker.Arrival{
 		RequestID: a.ID, Server: s.ID, Service: s.Service, ReceivedAt: time.Now(), Executed: a.Executed, DrainingSince: s.DrainingSince(),
 		LeavingSince: s.announcedSince(), RetryAfter: a.RetryAfter, Deadly: a.Deadly,
-		Team: a.Team, HasKey: a.HasKey, RequestLine: a.Method + " " + a.Target, Body: a.Body,
+		Team: a.Team, HasKey: a.HasKey, RequestLine: a.Method + " " + a.Target, Body: a.Body, Version: a.Version, ResumeAfter: a.ResumeAfter,
 	})
 }
 
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -49,6 +49,11 @@
 	case scheduler.NodeKill:
 		i.recordDisruption(nodeIndex, f, now.Add(time.Second))
 		node.Signal(syscall.SIGKILL, true)
+	case scheduler.AllNodesKill:
+		i.recordDisruption(allNodes, f, now.Add(time.Second))
+		for _, n := range i.Nodes {
+			n.Signal(syscall.SIGKILL, true)
+		}
 	case scheduler.NodePause:
 		i.recordDisruption(nodeIndex, f, now.Add(f.Duration))
 		node.Signal(syscall.SIGSTOP, false)
@@ -70,6 +75,9 @@
 		i.injectServerFault(ctx, f)
 	case scheduler.ServerDrain:
 		i.DrainServer(ctx, server, f.Duration)
+	case scheduler.ServerUpgrade:
+		servers := i.ServersOfStreams(true)
+		i.UpgradeServer(ctx, servers[f.Target%len(servers)])
 	case scheduler.ServerCrash:
 		i.recordDisruption(allNodes, f, now.Add(f.Duration))
 		i.CrashServer(ctx, server, f.Duration)
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -98,6 +98,9 @@
 		return checker.Exchange{}, false
 	}
 	resumed := checker.Exchange{Request: last.Request, Class: last.Class, Node: nodeIndex, Team: last.Team}
+	if resumed.Resumes == "" {
+		resumed.Resumes = last.ID
+	}
 	resumed.ID, resumed.LastEventID = l.newID(), ids[len(ids)-1]
 	return resumed, true
 }
--- a/cmd/quetzalsoak/runner/runner_test.go
+++ b/cmd/quetzalsoak/runner/runner_test.go
@@ -38,24 +38,36 @@
 	}
 }
 
-// shortSeed is the seed of the short soak, whose schedule has servers that garble streams.
-const shortSeed = 1
-
 func TestShortSoakHasNoViolations(t *testing.T) {
-	var out strings.Builder
-	o := shortOptions(t, &out)
-	if !slices.ContainsFunc(scheduler.Generate(shortSeed, o.faultPeriod), func(f scheduler.Fault) bool { return f.Kind == scheduler.ServerGarblesStreams }) {
-		t.Errorf("seed %d has no %s", shortSeed, scheduler.ServerGarblesStreams)
-	}
-	violations, err := runSeed(t.Context(), o, shortSeed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(violations) > 0 {
-		t.Error(out.String())
-	}
-	if _, err := os.Stat(filepath.Join(o.reportDirectory, "seed-1.html")); err != nil {
-		t.Error(err)
+	for _, c := range []struct {
+		seed        uint64
+		faultPeriod time.Duration
+		kinds       []scheduler.Kind
+	}{
+		{1, 6 * time.Second, []scheduler.Kind{scheduler.ServerGarblesStreams}},
+		{78, 9 * time.Second, []scheduler.Kind{scheduler.ServerUpgrade, scheduler.AllNodesKill}},
+	} {
+		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
+			var out strings.Builder
+			o := shortOptions(t, &out)
+			o.faultPeriod = c.faultPeriod
+			faults := scheduler.Generate(c.seed, o.faultPeriod)
+			for _, k := range c.kinds {
+				if !slices.ContainsFunc(faults, func(f scheduler.Fault) bool { return f.Kind == k }) {
+					t.Errorf("the schedule has no %s", k)
+				}
+			}
+			violations, err := runSeed(t.Context(), o, c.seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(violations) > 0 {
+				t.Error(out.String())
+			}
+			if _, err := os.Stat(filepath.Join(o.reportDirectory, "seed-"+strconv.FormatUint(c.seed, 10)+".html")); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
@@ -66,7 +78,7 @@
 		Class: checker.Class{Name: "draft", Retryable: true}, Node: 1, Team: "team",
 	}
 	resumed, ok := new(loadGenerator).resumeStream(broken, 2)
-	want := checker.Exchange{Request: requester.Request{ID: "r1", Events: 20, LastEventID: 5}, Class: broken.Class, Node: 2, Team: "team"}
+	want := checker.Exchange{Request: requester.Request{ID: "r1", Events: 20, LastEventID: 5, Resumes: "r0"}, Class: broken.Class, Node: 2, Team: "team"}
 	if diff := cmp.Diff(want, resumed); !ok || diff != "" {
 		t.Errorf("resumed: %v (-want +got):\n%s", ok, diff)
 	}
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -54,6 +54,9 @@
 
 	ServerGarblesStreams   Kind = "server-garbles-streams"
 	ServerGarblesResponses Kind = "server-garbles-answers"
+
+	ServerUpgrade Kind = "server-upgraded"
+	AllNodesKill  Kind = "all-nodes-killed"
 )
 
 // plannedKinds lists the operations that operators plan, which must not cause any request to fail.
@@ -65,8 +68,14 @@
 	laterKinds        = []Kind{ServerAsksForPause, DeadlyRequests, ServerGarblesStreams, ServerGarblesResponses}
 )
 
+// The random sequences of the kinds that come with upgrades.
+const (
+	upgradeStream uint64 = 1<<32 + iota
+	allNodesKillStream
+)
+
 // Kinds lists all kinds of faults.
-var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore}, laterPlannedKinds, laterKinds, drawnKinds)
+var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore, ServerUpgrade, AllNodesKill}, laterPlannedKinds, laterKinds, drawnKinds)
 
 // drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
 // existing seeds depend.
@@ -78,7 +87,7 @@
 
 // IsPlanned reports whether a kind is a planned operation.
 func (k Kind) IsPlanned() bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains(laterPlannedKinds, k)
+	return k == ServerUpgrade || slices.Contains(plannedKinds, k) || slices.Contains(laterPlannedKinds, k)
 }
 
 // Fault is a fault of a schedule.
@@ -147,6 +156,7 @@
 		faults = append(faults, generateOneKind(StoreRestore, seed, ^seed, period)...)
 	}
 	faults = append(faults, generateLaterKinds(seed, period, plannedOnly)...)
+	faults = append(faults, generateUpgrades(seed, period, plannedOnly)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
@@ -176,6 +186,23 @@
 	return faults
 }
 
+// upgradeDivisor is the part of the seeds in which servers are upgraded to another software version, as a divisor.
+const upgradeDivisor = 2
+
+// generateUpgrades returns the upgrades of servers, and the kills of all nodes beside them. A seed without upgrades has
+// none of both.
+func generateUpgrades(seed uint64, period time.Duration, plannedOnly bool) []Fault {
+	if seed%upgradeDivisor != 0 {
+		return nil
+	}
+	faults := generateOneKind(ServerUpgrade, upgradeStream, seed, period)
+	if plannedOnly {
+		return faults
+	}
+	kills := generateOneKind(AllNodesKill, allNodesKillStream, seed, period)
+	return append(faults, kills[:min(1, len(kills))]...)
+}
+
 // generateOneKind returns the faults of a kind that was added later. It has a random sequence of its own,
 // so that the other faults of existing seeds stay the same.
 func generateOneKind(k Kind, stream, seed uint64, period time.Duration) []Fault {
