Write no software versions before the fleet is known

The nodes of a fleet that starts would all have written the versions of all services at once: without the list of nodes the time over which they spread their writes was zero. They read the records at once, and write once they know how many they are. TestNodeThatDoesNotKnowItsFleetWritesNothing failed before.

--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -52,17 +52,15 @@
 func (c *versionChecker) check(ctx context.Context) error {
 	t := c.tracker
 	t.streams.forget(time.Now(), t.retention)
+	if err := c.keepLoaded(ctx); err != nil {
+		return err
+	}
 	registered := t.registeredVersions()
 	c.sightings.update(registered)
 	c.updateMixed()
-	if t.node.LogEpochs != nil && t.reader.isLoaded() && t.reader.epoch() != t.node.LogEpochs.Epoch() {
-		// The restored log may lack the records of this node.
-		if err := t.reader.refresh(ctx); err != nil {
-			return err
-		}
-		all, _ := t.streams.ofServices(func(quetzalroad.ServiceName) bool { return true })
-		t.streams.setRecorded(all, false)
-		signal(t.wanted)
+	if t.fleetIsUnknown() {
+		// The nodes of a fleet that starts would all write at once.
+		return nil
 	}
 	for service, versions := range registered {
 		for version := range versions {
@@ -77,6 +75,25 @@
 	return c.deleteStaleRecords(ctx)
 }
 
+// keepLoaded reads the records if this node has not done so, or if the log was restored since. A restored log may lack
+// the record of this node, which is then written again.
+func (c *versionChecker) keepLoaded(ctx context.Context) error {
+	t := c.tracker
+	if !t.reader.isLoaded() {
+		return c.refreshInTurn(ctx)
+	}
+	if t.node.LogEpochs == nil || t.reader.epoch() == t.node.LogEpochs.Epoch() {
+		return nil
+	}
+	if err := c.refreshInTurn(ctx); err != nil {
+		return err
+	}
+	all, _ := t.streams.ofServices(func(quetzalroad.ServiceName) bool { return true })
+	t.streams.setRecorded(all, false)
+	signal(t.wanted)
+	return nil
+}
+
 // updateMixed stores the versions in use, and has the streams recorded of services that have several.
 func (c *versionChecker) updateMixed() {
 	t := c.tracker
@@ -157,7 +174,7 @@
 			c.records[key] = recordSighting{offset: offset, at: boottimer.Now()}
 			continue
 		}
-		if seen.at.Age() <= t.retention || !c.isOwnOrOrphaned(key) || rand.IntN(max(1, t.fleetSize())) > 0 {
+		if seen.at.Age() <= t.retention || !c.isOwnOrOrphaned(key) || rand.IntN(t.fleetSize()) > 0 {
 			continue
 		}
 		if err := t.reader.refresh(ctx); err != nil {
--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -59,11 +59,17 @@
 	}
 }
 
+// fleetSize returns the number of nodes, at least one.
 func (t *Tracker) fleetSize() int {
 	if t.node.Fleet == nil {
 		return 1
 	}
-	return len(t.node.Fleet.Nodes())
+	return max(1, len(t.node.Fleet.Nodes()))
+}
+
+// fleetIsUnknown reports whether the list of nodes has not been read yet.
+func (t *Tracker) fleetIsUnknown() bool {
+	return t.node.Fleet != nil && len(t.node.Fleet.Nodes()) == 0
 }
 
 // write records the streams of services with several versions, unless the log has them all.
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -195,6 +195,19 @@
 	})
 }
 
+// Guards against the nodes of a fleet that starts, which would all write the same versions.
+func TestNodeThatDoesNotKnowItsFleetWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		startNode(t, log, "a", fleet{}, "v1", "v2")
+		time.Sleep(time.Minute)
+		records, _, err := log.ReadLatest(t.Context(), quetzalroad.LogStreamStreams)
+		if err != nil || len(records) > 0 {
+			t.Errorf("records %v, error %v, want none", records, err)
+		}
+	})
+}
+
 // Guards against versions that count as in use for good, so that streams are recorded without need.
 func TestVersionThatLeftIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
