Turn from a reader whose link is narrow in time

With timeouts of stalls alone, a node waited up to 3 s for a reader that sends a changed state slowly, and had it in force more than 4 s after its publication. A read of changes from a reader may now take 1.5 s as a whole. TestNodesTurnFromAReaderWithANarrowLinkInTime failed before.

--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -47,6 +47,7 @@
 	readerPollWait     time.Duration
 	pollInterval       time.Duration
 	readTimeout        time.Duration
+	transferTimeout    time.Duration
 	loadTimeout        time.Duration
 	maxAge             time.Duration
 	avoidDuration      time.Duration
@@ -81,7 +82,8 @@
 	s.Duration("reader-wait", &d.readerPollWait, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "How long a reader's call to the log waits for new records.")
 	s.Duration("ask-every", &d.pollInterval, 500*time.Millisecond, 10*time.Millisecond, time.Minute, "Interval between two reads from the reader.")
 	s.Duration("ask-timeout", &d.readTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of the first part of a read from the reader, and of each further part.")
-	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read from the reader, and of its first part if it is a read of the latest record of every key, as many nodes may read at once.")
+	s.Duration("transfer-timeout", &d.transferTimeout, 1500*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a whole read of changes from the reader, whose link may be narrower than that to the log.")
+	s.Duration("load-timeout", &d.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a read of the latest record of every key from the reader; longer, as many nodes may read at once.")
 	s.Duration("oldest", &d.maxAge, 2*time.Second, 10*time.Millisecond, time.Hour, "Maximum age of a reader's response.")
 	s.Duration("fallback-retry", &d.fallbackRetryDelay, 2*time.Second, 0, time.Minute, "How long a node whose readers respond with an old view does not ask the log again after it failed.")
 	s.Duration("avoid-for", &d.avoidDuration, 10*time.Second, 10*time.Millisecond, time.Hour, "How long to avoid a reader that failed to respond.")
--- a/state/distributor/narrowlink_test.go
+++ b/state/distributor/narrowlink_test.go
@@ -43,3 +43,15 @@
 		}
 	})
 }
+
+// Guards against nodes that wait for a reader whose link is so narrow that the state is in force too late.
+func TestNodesTurnFromAReaderWithANarrowLinkInTime(t *testing.T) {
+	runInCluster(t, 8, func(t *testing.T, c *cluster) {
+		c.network.SetStateTransfer(10 * time.Second)
+		for _, l := range c.logs {
+			l.stateTransfer.Store(int64(500 * time.Millisecond))
+		}
+		c.log.Put(quetzalroad.LogStreamOperators, "config", publishedState(2))
+		c.eventually(t, applyDeadline, "at the published version", func(n *kernel.Node) bool { return n.Freshness.Version() == 2 })
+	})
+}
--- a/state/distributor/sharedread.go
+++ b/state/distributor/sharedread.go
@@ -74,12 +74,12 @@
 
 // readShared reads from the cache of a reader.
 func (d *Distributor) readShared(ctx context.Context, reader quetzalroad.NodeRegistration, q quetzalroad.SharedReadRequest) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
-	first := d.readTimeout
+	first, whole := d.readTimeout, d.transferTimeout
 	complete := q.From.Offset == quetzalroad.NoOffset
 	if complete {
-		first = d.loadTimeout
+		first, whole = d.loadTimeout, d.loadTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.loadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, whole)
 	defer cancel()
 	ctx, stopTimer := stalltimer.WithTimeout(ctx, first, d.readTimeout)
 	defer stopTimer()
