Keep ids that are no text out of the records of streams

A caller whose requests have ids that are no text could make the record of all streams of a node unreadable: in JSON such ids become the same, and a record that lists an id twice is refused. Callers of all other streams would not have been able to resume them while several versions serve. Such streams, like those with ids over 64 bytes, are resumed at their own node only. A record holds at most 500 streams, so that a node can hold those of a large fleet.

--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// maxRecordedStreams bounds the streams in a record, and maxIDBytes their ids. A record has to fit into one of the
-	// log, which takes 256 KB.
-	maxRecordedStreams = 1500
-	maxIDBytes         = 128
+	// maxRecordedStreams bounds the streams in a record, and maxIDBytes their ids, so that a node can hold the records of
+	// a large fleet.
+	maxRecordedStreams = 500
+	maxIDBytes         = 64
 	// urgentDivisor is the part of the interval between two records after which an urgent one is written.
 	urgentDivisor = 4
 )
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -93,7 +94,8 @@
 
 // RecordBegun implements quetzalroad.StreamTracker.
 func (t *Tracker) RecordBegun(now time.Time, id quetzalroad.RequestID, o quetzalroad.StreamOrigin) {
-	if len(id) > maxIDBytes {
+	if len(id) > maxIDBytes || !utf8.ValidString(string(id)) {
+		// In a record, ids that are no text could be told from each other no more.
 		return
 	}
 	t.streams.begin(now, id, o)
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -273,6 +273,21 @@
 	})
 }
 
+// Guards against callers whose ids make the record of all streams of a node unreadable.
+func TestIDThatIsNoTextSpoilsNoRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		a := startNode(t, log, "a", fleet{"a", "b"}, "v1", "v2")
+		time.Sleep(time.Second)
+		for _, id := range []quetzalroad.RequestID{"first", "\xfe", "\xff"} {
+			a.RecordBegun(time.Now(), id, originAt("v1"))
+		}
+		b := startNode(t, log, "b", fleet{"a", "b"}, "v1", "v2")
+		b.checkOrigin(t, "first", "v1")
+		b.checkOrigin(t, "\xff", "")
+	})
+}
+
 // Guards against records that grow beyond what the log takes, and ids without a bound.
 func TestRecordFitsIntoTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
