Keep the record of a stream for as long as it is relayed

A process deleted its own record of streams once no stream had begun for the retention (30 s), also if one of them was still relayed. After the end of the process nobody would have known its origin. TestRecordOfAnOpenStreamIsKept failed before.

--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -194,9 +194,15 @@
 	return nil
 }
 
-// isOwnOrOrphaned reports whether a record is that of a process of this node, or of a node that is gone.
+// isOwnOrOrphaned reports whether a record is that of a process of this node, or of a node that is gone. This process
+// keeps its own as long as streams are to be recorded in it.
 func (c *versionChecker) isOwnOrOrphaned(key string) bool {
-	n := c.tracker.node
+	t := c.tracker
+	if key == t.key {
+		streams, _ := t.streams.ofServices(t.mustRecord)
+		return len(streams) == 0
+	}
+	n := t.node
 	rest := strings.TrimPrefix(key, nodePrefix)
 	name := quetzalroad.NodeName(rest[:max(0, strings.LastIndex(rest, "/"))])
 	if name == n.Name {
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -232,6 +232,21 @@
 	})
 }
 
+// Guards against a long stream whose record is deleted because no other stream began since.
+func TestRecordOfAnOpenStreamIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		a := startNode(t, log, "a", fleet{"a", "b"}, "v1", "v2")
+		time.Sleep(time.Second)
+		a.RecordBegun(time.Now(), "first", originAt("v1"))
+		time.Sleep(time.Second)
+		a.checkOrigin(t, "second", "")
+		time.Sleep(3 * a.retention)
+		b := startNode(t, log, "b", fleet{"a", "b"}, "v1", "v2")
+		b.checkOrigin(t, "first", "v1")
+	})
+}
+
 // Guards against a log restored from an older copy, which lacks what was recorded since.
 func TestStreamsAreRecordedAgainInARestoredLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
