--- a/cmd/quetzalsoak/deployer/change.go
+++ b/cmd/quetzalsoak/deployer/change.go
@@ -72,8 +72,8 @@
 	return true
 }
 
-// upgradeDowntime is how long a server is away that is upgraded. A node that did not hear of its drain meanwhile sends it
-// nothing with a key.
+// upgradeDowntime is how long a server is away that is upgraded. A node that did not hear of its drain meanwhile
+// sends it nothing with a key.
 const upgradeDowntime = time.Second
 
 // UpgradeServer drains a server and restarts it with the other software version. It does nothing if the server is
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -189,8 +189,8 @@
 // upgradeDivisor is the part of the seeds in which servers are upgraded to another software version, as a divisor.
 const upgradeDivisor = 2
 
-// generateUpgrades returns the upgrades of servers, and the kills of all nodes beside them. A seed without upgrades has
-// none of both.
+// generateUpgrades returns the upgrades of servers, and the kills of all nodes beside them. A seed without
+// upgrades has none of both.
 func generateUpgrades(seed uint64, period time.Duration, plannedOnly bool) []Fault {
 	if seed%upgradeDivisor != 0 {
 		return nil
--- a/codecs/streammapper/streammapper.go
+++ b/codecs/streammapper/streammapper.go
@@ -54,8 +54,8 @@
 	return data, errors.Wrap(err, "encode streams")
 }
 
-// DecodeStreams decodes where streams began. A record that lists a stream twice, or streams without a service, is an
-// error as a whole.
+// DecodeStreams decodes where streams began. A record that lists a stream twice, or streams without a service, is
+// an error as a whole.
 func DecodeStreams(data []byte) (map[quetzalroad.RequestID]quetzalroad.StreamOrigin, error) {
 	var list []streamsJSON
 	if err := json.Unmarshal(data, &list); err != nil {
--- a/decisions/dispatcher/streamorigin.go
+++ b/decisions/dispatcher/streamorigin.go
@@ -13,8 +13,8 @@
 // originRetryAfter is the retry delay suggested to callers while it can't be read where their stream began.
 const originRetryAfter = time.Second
 
-// findOrigin restricts a request that resumes a stream to the service and the software version that began it. It returns
-// a refusal if they are not known.
+// findOrigin restricts a request that resumes a stream to the service and the software version that began it. It
+// returns a refusal if they are not known.
 func (d *Dispatcher) findOrigin(ctx context.Context, f *quetzalroad.ForwardRequest) *quetzalroad.Refusal {
 	tracker := d.node.StreamTracker
 	if tracker == nil || !f.Resumes() {
@@ -49,8 +49,8 @@
 	return d.node.Directory.Service(name)
 }
 
-// recordStream restricts further attempts to the software version of the upstream whose event is the first to be relayed,
-// and records that the stream began there.
+// recordStream restricts further attempts to the software version of the upstream whose event is the first to be
+// relayed, and records that the stream began there.
 func (r *forwardRun) recordStream(u quetzalroad.Upstream) {
 	f := r.request
 	if r.streamRecorded || !f.Route.Streaming {
@@ -87,8 +87,8 @@
 	return matching
 }
 
-// remainingOfVersion returns all upstreams of the request's software version that don't drain, also those that get no
-// other work now.
+// remainingOfVersion returns all upstreams of the request's software version that don't drain, also those that get
+// no other work now.
 func (d *Dispatcher) remainingOfVersion(r *quetzalroad.Request) []quetzalroad.Upstream {
 	all := ofVersion(r, d.node.Directory.UpstreamsOf(r.Service.Name))
 	return slices.DeleteFunc(slices.Clone(all), func(u quetzalroad.Upstream) bool { return u.Draining })
--- a/forward.go
+++ b/forward.go
@@ -41,8 +41,8 @@
 	return f.Route.Streaming && f.Route.Resumable && f.LastEventID > 0
 }
 
-// StreamID returns the id under which it is known where the stream began: that of the request that brought its first
-// event.
+// StreamID returns the id under which it is known where the stream began: that of the request that brought its
+// first event.
 func (f *ForwardRequest) StreamID() RequestID {
 	if f.Resumes() {
 		return f.ResumedRequestID
--- a/peers/connmanager/manager.go
+++ b/peers/connmanager/manager.go
@@ -131,9 +131,9 @@
 	_ = rpc.ServeOne(ctx, conn)
 }
 
-// Call calls the function with the connection to a peer, which carries one call at a time. Data that arrives advances
-// the stalltimer of ctx. After an error the connection is closed, since the peer may be unreachable on it, and the next
-// call dials again.
+// Call calls the function with the connection to a peer, which carries one call at a time. Data that arrives
+// advances the stalltimer of ctx. After an error the connection is closed, since the peer may be unreachable on
+// it, and the next call dials again.
 func (m *Manager) Call(ctx context.Context, to netip.AddrPort, call func(drpc.Conn) error) error {
 	p := m.peerConn(to)
 	conn := p.current()
--- a/peers/connmanager/meteredconn.go
+++ b/peers/connmanager/meteredconn.go
@@ -50,8 +50,8 @@
 	return n, err
 }
 
-// beginCall has data that arrives advance the timer of a call, until the returned function is called. Calls that wait
-// for their turn on the connection are advanced too.
+// beginCall has data that arrives advance the timer of a call, until the returned function is called. Calls that
+// wait for their turn on the connection are advanced too.
 func (c *meteredConn) beginCall(ctx context.Context) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/proofs/prover/streamversions_test.go
+++ b/proofs/prover/streamversions_test.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// open sends streams to all nodes in turn, one each interval, until the duration has passed. The returned function waits
-// for the ends of all.
+// open sends streams to all nodes in turn, one each interval, until the duration has passed. The returned function
+// waits for the ends of all.
 func (f *versionedFleet) open(duration, interval time.Duration) (streams []*versionedStream, wait func()) {
 	var open sync.WaitGroup
 	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(interval) {
@@ -263,7 +263,8 @@
 	})
 }
 
-// Guards against streams that their callers resume at another software version, as no node remembers which began them.
+// Guards against streams that their callers resume at another software version, as no node remembers which began
+// them.
 func TestStreamsResumedAfterAllNodesWereKilledAreNotJoined(t *testing.T) {
 	runVersionedFleet(t, func(t *testing.T, f *versionedFleet) {
 		f.setEngines("v2", 3)
@@ -290,7 +291,8 @@
 	})
 }
 
-// Guards against streams that are resumed at the one version that is left, as nothing tells that another began them.
+// Guards against streams that are resumed at the one version that is left, as nothing tells that another began
+// them.
 func TestStreamsOfAVersionThatHasLeftAreNotJoined(t *testing.T) {
 	runVersionedFleet(t, func(t *testing.T, f *versionedFleet) {
 		time.Sleep(3 * time.Second)
--- a/state/distributor/distributor.go
+++ b/state/distributor/distributor.go
@@ -192,9 +192,9 @@
 	return records, bounds, nil
 }
 
-// readLog reads from the log, with a margin for the first part of the response beside the wait, and for each further
-// part. Callers allow for the longer wait of a node that reads for itself only; a response that was lost must not delay
-// the next read by it.
+// readLog reads from the log, with a margin for the first part of the response beside the wait, and for each
+// further part. Callers allow for the longer wait of a node that reads for itself only; a response that was lost
+// must not delay the next read by it.
 func (d *Distributor) readLog(ctx context.Context, s quetzalroad.LogStream, from quetzalroad.Position, wait, margin time.Duration) ([]quetzalroad.KeyedRecord, quetzalroad.StreamBounds, error) {
 	ctx, cancel := stalltimer.WithTimeout(ctx, wait+margin, margin)
 	defer cancel()
--- a/state/distributor/narrowlink_test.go
+++ b/state/distributor/narrowlink_test.go
@@ -11,7 +11,8 @@
 // applyDeadline is the time within which a published state has to be in force.
 const applyDeadline = 4 * time.Second
 
-// Guards against nodes that never get a large state through a narrow link, as each read of it ends before its transfer.
+// Guards against nodes that never get a large state through a narrow link, as each read of it ends before its
+// transfer.
 func TestLargeStateIsInForceBehindNarrowLinks(t *testing.T) {
 	runInCluster(t, 8, func(t *testing.T, c *cluster) {
 		reader := c.readerNode(t)
--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -75,8 +75,8 @@
 	return c.deleteStaleRecords(ctx)
 }
 
-// keepLoaded reads the records if this node has not done so, or if the log was restored since. A restored log may lack
-// the record of this node, which is then written again.
+// keepLoaded reads the records if this node has not done so, or if the log was restored since. A restored log may
+// lack the record of this node, which is then written again.
 func (c *versionChecker) keepLoaded(ctx context.Context) error {
 	t := c.tracker
 	if !t.reader.isLoaded() {
@@ -164,8 +164,8 @@
 	return nil
 }
 
-// deleteStaleRecords deletes the records of streams that no caller resumes any more: those that did not change for the
-// retention, of this node's processes and of nodes that are gone. The nodes of a fleet take turns at random.
+// deleteStaleRecords deletes the records of streams that no caller resumes any more: those that did not change for
+// the retention, of this node's processes and of nodes that are gone. The nodes of a fleet take turns at random.
 func (c *versionChecker) deleteStaleRecords(ctx context.Context) error {
 	t := c.tracker
 	for key, offset := range t.reader.recordOffsets() {
@@ -194,8 +194,8 @@
 	return nil
 }
 
-// isOwnOrOrphaned reports whether a record is that of a process of this node, or of a node that is gone. This process
-// keeps its own as long as streams are to be recorded in it.
+// isOwnOrOrphaned reports whether a record is that of a process of this node, or of a node that is gone. This
+// process keeps its own as long as streams are to be recorded in it.
 func (c *versionChecker) isOwnOrOrphaned(key string) bool {
 	t := c.tracker
 	if key == t.key {
--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxRecordedStreams bounds the streams in a record, and maxIDBytes their ids, so that a node can hold the records of
-	// a large fleet.
+	// maxRecordedStreams bounds the streams in a record, and maxIDBytes their ids, so that a node can hold the
+	// records of a large fleet.
 	maxRecordedStreams = 500
 	maxIDBytes         = 64
 	// urgentDivisor is the part of the interval between two records after which an urgent one is written.
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -1,9 +1,9 @@
 // Package streamtracker tracks at which software version of a service each resumable stream began.
 //
-// The events of two versions don't fit together, and a caller may resume its stream at a node that never saw it, or after
-// all nodes were killed. So the log holds which versions each service has had in use lately. While there are several,
-// every node records there where its streams began. A stream that nobody recorded can be resumed only while its service
-// has had one version.
+// The events of two versions don't fit together, and a caller may resume its stream at a node that never saw it,
+// or after all nodes were killed. So the log holds which versions each service has had in use lately. While there
+// are several, every node records there where its streams began. A stream that nobody recorded can be resumed only
+// while its service has had one version.
 package streamtracker
 
 import (
@@ -144,8 +144,8 @@
 	return o, err
 }
 
-// recordedOrigin returns where a stream began according to the records. If there is none of it, it began at the only
-// version that the service has had lately.
+// recordedOrigin returns where a stream began according to the records. If there is none of it, it began at the
+// only version that the service has had lately.
 func (t *Tracker) recordedOrigin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
 	readErr := errLogFailing
 	if !t.reader.isFailing() || t.mustRecord(s) {
--- a/state/streamtracker/versions.go
+++ b/state/streamtracker/versions.go
@@ -36,8 +36,8 @@
 	return versions
 }
 
-// versionsInUse returns the versions of which streams may go on: those of registered upstreams, and those that were in
-// use lately according to the records.
+// versionsInUse returns the versions of which streams may go on: those of registered upstreams, and those that
+// were in use lately according to the records.
 func (t *Tracker) versionsInUse() versionSets {
 	versions := t.registeredVersions()
 	for _, o := range t.reader.inUse() {
@@ -59,8 +59,8 @@
 	}
 }
 
-// hasLeft reports whether no upstream of a version has been registered for a time. A version that this node never saw
-// counts from the first time that it is asked for.
+// hasLeft reports whether no upstream of a version has been registered for a time. A version that this node never
+// saw counts from the first time that it is asked for.
 func (s versionSightings) hasLeft(o quetzalroad.StreamOrigin, retention time.Duration) bool {
 	seen, ok := s[o]
 	if !ok {
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// SoftwareVersion names a version of the software of an upstream; empty if the upstream states none. The events that two
-// versions generate don't fit together, and upstreams don't check which version began a stream.
+// SoftwareVersion names a version of the software of an upstream; empty if the upstream states none. The events
+// that two versions generate don't fit together, and upstreams don't check which version began a stream.
 type SoftwareVersion string
 
 // StreamOrigin is where a stream began. All its events have to come from there.
@@ -25,8 +25,8 @@
 	RecordBegun(now time.Time, id RequestID, o StreamOrigin)
 	// RecordEnd records that this node passes on no more events of the stream, and whether its last one was.
 	RecordEnd(now time.Time, id RequestID, complete bool)
-	// Origin returns where the stream began whose first event came with a request, which is to be resumed at a service.
-	// It may wait for other nodes to record it. The error is ErrOriginUnknown if nobody did although the service has had
-	// several versions lately, and another one if the records can't be read.
+	// Origin returns where the stream began whose first event came with a request, which is to be resumed at a
+	// service. It may wait for other nodes to record it. The error is ErrOriginUnknown if nobody did although the
+	// service has had several versions lately, and another one if the records can't be read.
 	Origin(ctx context.Context, id RequestID, s ServiceName) (StreamOrigin, error)
 }
--- a/support/stalltimer/stalltimer.go
+++ b/support/stalltimer/stalltimer.go
@@ -1,5 +1,5 @@
-// Package stalltimer ends calls whose transfer stalls. How long a whole transfer takes depends on its size and on the
-// links: a timeout of the whole would fail a large one each time that it is tried.
+// Package stalltimer ends calls whose transfer stalls. How long a whole transfer takes depends on its size and on
+// the links: a timeout of the whole would fail a large one each time that it is tried.
 package stalltimer
 
 import (
@@ -24,8 +24,8 @@
 
 type timerKey struct{}
 
-// WithTimeout returns a context that ends with ErrStalled as its cause unless Advance is called within first, and within
-// timeout after each call. Advance may be called with any context that derives from it.
+// WithTimeout returns a context that ends with ErrStalled as its cause unless Advance is called within first, and
+// within timeout after each call. Advance may be called with any context that derives from it.
 func WithTimeout(parent context.Context, first, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	outer, _ := parent.Value(timerKey{}).(*timer)
--- a/upstreams/forwardclient/request.go
+++ b/upstreams/forwardclient/request.go
@@ -56,13 +56,14 @@
 }
 
 // checkEnd returns an error if a response may have broken off although it ends like a whole one. A reset of the
-// connection is reported once: if the write of the request has seen it, the read finds an ordinary end, which is all that
-// ends an unframed response.
+// connection is reported once: if the write of the request has seen it, the read finds an ordinary end, which is
+// all that ends an unframed response.
 func (x *exchange) checkEnd() error {
 	if !x.isUnframed() || x.writeEnded == nil {
 		return nil
 	}
-	// What the upstream has not received by now, it won't. If this fails, the connection is closed, and the write ends.
+	// What the upstream has not received by now, it won't. If this fails, the connection is closed, and the write
+	// ends.
 	_ = x.conn.SetWriteDeadline(time.Now())
 	<-x.writeEnded
 	if x.sent.Load() {
@@ -71,8 +72,8 @@
 	return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was sent")
 }
 
-// encode returns the request in its HTTP/1.1 wire format, and its size. A body that is written in the background isn't
-// copied.
+// encode returns the request in its HTTP/1.1 wire format, and its size. A body that is written in the background
+// isn't copied.
 func (x *exchange) encode() (net.Buffers, int) {
 	request := x.attempt.Request
 	header := request.Header.Clone()
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -208,8 +208,8 @@
 }
 
 // timedBody is a response body that resets the read timer whenever data arrives. The end of an unframed one is
-// unexpected if the request was not sent: a reset of the connection is reported once, and if the write of the request has
-// seen it, the read finds an ordinary end.
+// unexpected if the request was not sent: a reset of the connection is reported once, and if the write of the
+// request has seen it, the read finds an ordinary end.
 type timedBody struct {
 	io.ReadCloser
 	exchange *Exchange
--- a/upstreams/httpclient/earlyreset_test.go
+++ b/upstreams/httpclient/earlyreset_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// Guards against a part of an unframed body that is taken for the whole. The reset of a connection is reported once: if
-// the write of a long request gets to see it, the read finds an ordinary end.
+// Guards against a part of an unframed body that is taken for the whole. The reset of a connection is reported
+// once: if the write of a long request gets to see it, the read finds an ordinary end.
 func TestUnframedResponseThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
 	const attempts = 100
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
