Load the stream tracker in the test of the deploy template

The test imports the plug-ins that the template selects by itself, so that it failed for the plug-in of the slot stream-origins. The node's own program has had it all along.

--- a/cmd/quetzalroad/checker/template_test.go
+++ b/cmd/quetzalroad/checker/template_test.go
@@ -28,6 +28,7 @@
 	_ "github.com/quetzalroad/quetzalroad/state/activitypublisher"
 	_ "github.com/quetzalroad/quetzalroad/state/distributor"
 	_ "github.com/quetzalroad/quetzalroad/state/leaser"
+	_ "github.com/quetzalroad/quetzalroad/state/streamtracker"
 	_ "github.com/quetzalroad/quetzalroad/state/tracker"
 	_ "github.com/quetzalroad/quetzalroad/state/watcher"
 	_ "github.com/quetzalroad/quetzalroad/support/limitsetter"
