--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -15,7 +15,7 @@
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
-// checkVersions keeps up which versions are in use, until the node stops.
+// checkVersions updates which versions are in use, until the node stops.
 func (t *Tracker) checkVersions(ctx context.Context) error {
 	c := versionChecker{tracker: t, sightings: make(versionSightings), records: make(map[string]recordSighting)}
 	for {
@@ -27,7 +27,7 @@
 				return ctx.Err()
 			}
 			t.writeFailures.Add(1)
-			t.logger.Info("failed to keep up the software versions in use", "error", err)
+			t.logger.Info("failed to update the software versions in use", "error", err)
 			if err := sleeper.Sleep(ctx, t.callTimeout); err != nil {
 				return err
 			}
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -95,7 +95,7 @@
 // RecordBegun implements quetzalroad.StreamTracker.
 func (t *Tracker) RecordBegun(now time.Time, id quetzalroad.RequestID, o quetzalroad.StreamOrigin) {
 	if len(id) > maxIDBytes || !utf8.ValidString(string(id)) {
-		// In a record, ids that are no text could be told from each other no more.
+		// JSON can't tell ids that are no valid UTF-8 from each other.
 		return
 	}
 	t.streams.begin(now, id, o)
