Record no stream that its caller does not name

A caller may resume a stream without Resumes. Such a stream was recorded under an empty name: another one without a name was then taken for it, and a record that lists it can't be read, so that callers of all other streams of the node could not resume them while several versions serve. TestStreamWithoutANameIsNotRecorded failed before.

--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -94,8 +94,7 @@
 
 // RecordBegun implements quetzalroad.StreamTracker.
 func (t *Tracker) RecordBegun(now time.Time, id quetzalroad.RequestID, o quetzalroad.StreamOrigin) {
-	if len(id) > maxIDBytes || !utf8.ValidString(string(id)) {
-		// JSON can't tell ids that are no valid UTF-8 from each other.
+	if !isRecordable(id) {
 		return
 	}
 	t.streams.begin(now, id, o)
@@ -104,6 +103,12 @@
 	}
 }
 
+// isRecordable reports whether a stream can be told from others by its id. Callers may resume streams without naming
+// them, and JSON can't tell ids that are no valid UTF-8 from each other.
+func isRecordable(id quetzalroad.RequestID) bool {
+	return id != "" && len(id) <= maxIDBytes && utf8.ValidString(string(id))
+}
+
 // RecordEnd implements quetzalroad.StreamTracker.
 func (t *Tracker) RecordEnd(now time.Time, id quetzalroad.RequestID, complete bool) {
 	o, unrecorded := t.streams.end(now, id, complete)
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -288,6 +288,23 @@
 	})
 }
 
+// Guards against streams that are resumed without a name: one of them tells nothing about another, and a record that
+// lists one can't be read.
+func TestStreamWithoutANameIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		a := startNode(t, log, "a", fleet{"a", "b"}, "v1")
+		time.Sleep(time.Second)
+		a.RecordBegun(time.Now(), "", originAt("v1"))
+		a.RecordBegun(time.Now(), "first", originAt("v1"))
+		a.setVersions("v1", "v2")
+		time.Sleep(time.Second)
+		a.checkOrigin(t, "", "")
+		b := startNode(t, log, "b", fleet{"a", "b"}, "v1", "v2")
+		b.checkOrigin(t, "first", "v1")
+	})
+}
+
 // Guards against callers whose ids make the record of all streams of a node unreadable.
 func TestIDThatIsNoTextSpoilsNoRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
