--- a/review/standin/upgraded.go
+++ b/review/standin/upgraded.go
@@ -14,7 +14,7 @@
 	// serverRestartDelay is the time between a server's end and its next start, and streamRetryDelay that between the
 	// end of a stream and the client's retry.
 	serverRestartDelay = 300 * time.Millisecond
-	streamRetryDelay   = 500 * time.Millisecond
+	streamRetryDelay   = 400 * time.Millisecond
 )
 
 // runUpgraded has a server crash and start again under its id with the next version of its software. The clients whose
