Take an unframed response for whole only if its upstream ran on

Bookings and large responses were cut in the same way.

Cause: nothing but the end of its connection ends a response without a length and chunks, and the connections of a process that exits end like those that it closes. The node asked hasExited, which was written for the quarantine: it returned false, without asking, for upstreams that drain or are not listed, since a planned exit is no request's fault. A check that failed counted as "runs", too, and one that succeeded showed only that some process listens.

The two questions are now apart. The quarantine asks hasCrashed. The end of a response needs evidence that the process ran on: a second connection, kept open and silent from the head of the response on, that outlives it, and an address that responds. No registration and no statement of the upstream is asked. Without evidence, resumable streams go on at another upstream, idempotent requests are retried, and others fail with unknown outcome.

Two tests of the forward client counted all connections of two unframed responses to show that none is reused. The silent connection is one more, so they now count the connections that carried a request.

--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -36,11 +36,11 @@
 				return err
 			}
 			reservation.Release()
-			return r.relayUnbuffered(ctx, u, response, head)
+			return r.relayUnbuffered(ctx, u, response)
 		}
 		buffered = grown
 	}
-	if err := r.checkEnd(ctx, u, head); err != nil {
+	if err := r.checkEnd(ctx, u, response); err != nil {
 		return err
 	}
 	now := time.Now()
@@ -88,7 +88,8 @@
 }
 
 // relayUnbuffered relays the rest of a response as it arrives.
-func (r *forwardRun) relayUnbuffered(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse, head quetzalroad.ResponseHead) error {
+func (r *forwardRun) relayUnbuffered(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse) error {
+	head := response.Head()
 	for {
 		chunk, err := response.Next()
 		r.attempt.countChunk(chunk)
@@ -98,7 +99,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return r.checkEnd(ctx, u, head)
+			return r.checkEnd(ctx, u, response)
 		}
 		if err != nil {
 			return err
@@ -115,7 +116,7 @@
 	for {
 		chunk, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			if err := r.checkStreamEnd(ctx, u, head); err != nil {
+			if err := r.checkStreamEnd(ctx, u, response); err != nil {
 				return err
 			}
 			return r.write(head, nil)
@@ -173,24 +174,24 @@
 }
 
 // checkStreamEnd returns an error if the stream may have broken off, or is shorter than what the caller has of it.
-func (r *forwardRun) checkStreamEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
+func (r *forwardRun) checkStreamEnd(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse) error {
 	if last := r.attempt.lastEventID; last > 0 && last < r.lastEventID {
 		return malformedEventError(u, errors.Newf("the response ends with event %d, and the caller has event %d", last, r.lastEventID))
 	}
-	return r.checkEnd(ctx, u, head)
+	return r.checkEnd(ctx, u, response)
 }
 
-// checkEnd returns an error if the body may have broken off, although its end looks like that of a whole one.
-// The connections of a process that exits end like those of one that closes them.
-func (r *forwardRun) checkEnd(ctx context.Context, u quetzalroad.Upstream, head quetzalroad.ResponseHead) error {
-	if !head.Unframed || !r.dispatcher.hasExited(ctx, u) {
+// checkEnd returns an error if the body may have broken off, although its end looks like that of a whole one. That an
+// upstream drains, or is not listed, doesn't show that its process has closed the connection.
+func (r *forwardRun) checkEnd(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse) error {
+	if !response.Head().Unframed || response.UpstreamOutlived(ctx) {
 		return nil
 	}
 	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryConnectionLost, Cause: errUnframedBreak}
 }
 
 // errUnframedBreak is the cause of an attempt whose response may have broken off.
-var errUnframedBreak = errors.New("the upstream exited as the unframed response ended")
+var errUnframedBreak = errors.New("the unframed response ended, and the upstream is not known to have run on")
 
 // acceptEvent records the last event of the response. On a streaming route it returns an error instead if the event
 // does not follow the one before it, or is the first and would leave a gap behind the last one that the caller has.
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -89,20 +89,21 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		quarantine.RecordExit(time.Now(), u.Name)
 	case r.isConnectionLost(ctx, err) && r.attempt.isResponding():
-		r.attempt.exitedUpstream = d.hasExited(ctx, u)
+		r.attempt.exitedUpstream = d.hasCrashed(ctx, u)
 		r.logConnectionLost(u)
 		if r.attempt.exitedUpstream {
 			quarantine.RecordLoss(time.Now(), u.Name, r.attempt.exposed)
 		}
 	case r.isConnectionLost(ctx, err):
 		r.logConnectionLost(u)
-		d.exitChecks.start(u.Name, r.attempt.exposed, func() bool { return d.hasExited(ctx, u) }, quarantine)
+		d.exitChecks.start(u.Name, r.attempt.exposed, func() bool { return d.hasCrashed(ctx, u) }, quarantine)
 	}
 }
 
-// hasExited reports whether an upstream's process has exited on its own. A connection may also be lost by a
-// network fault, or because the upstream closed it. One that drains or is no longer listed exits as planned.
-func (d *Dispatcher) hasExited(ctx context.Context, u quetzalroad.Upstream) bool {
+// hasCrashed reports whether an upstream's process has exited unplanned, so that a request may be to blame. A
+// connection may also be lost by a network fault, or because the upstream closed it. One that drains or is no longer
+// listed exits as planned.
+func (d *Dispatcher) hasCrashed(ctx context.Context, u quetzalroad.Upstream) bool {
 	if d.node.UpstreamChecker == nil {
 		return false
 	}
--- a/forward.go
+++ b/forward.go
@@ -130,8 +130,13 @@
 type ForwardResponse interface {
 	Head() ResponseHead
 	// Next waits for the next chunk, which is valid until the next call. The error
-	// is io.EOF after a complete response and an *AttemptError otherwise.
+	// is io.EOF after a complete response and an *AttemptError otherwise. An unframed response
+	// is complete only if UpstreamOutlived confirms it.
 	Next() (BodyChunk, error)
+	// UpstreamOutlived reports whether the upstream's process is known to have run on after an unframed
+	// response, of which Next has returned io.EOF. The connections of a process that exits end like those that
+	// it closes. It may take a second or two, and is false if the context ends first.
+	UpstreamOutlived(ctx context.Context) bool
 	// Close ends the exchange and cancels an incomplete response.
 	Close()
 }
--- a/proofs/faker/forwardclient.go
+++ b/proofs/faker/forwardclient.go
@@ -69,6 +69,7 @@
 	}
 	response.ctx = ctx
 	response.upstream = a.Upstream.Name
+	response.outlived = func() bool { return !c.HasExited(ctx, a.Upstream) }
 	return response, nil
 }
 
@@ -95,6 +96,7 @@
 
 	ctx       context.Context
 	upstream  quetzalroad.UpstreamName
+	outlived  func() bool
 	nextChunk int
 }
 
@@ -124,6 +126,9 @@
 	return quetzalroad.BodyChunk{}, io.EOF
 }
 
+// UpstreamOutlived implements quetzalroad.ForwardResponse.
+func (s *ScriptedResponse) UpstreamOutlived(context.Context) bool { return s.outlived() }
+
 // Close implements quetzalroad.ForwardResponse.
 func (s *ScriptedResponse) Close() { s.Closed = true }
 
--- a/proofs/prover/crashingengines_test.go
+++ b/proofs/prover/crashingengines_test.go
@@ -206,3 +206,8 @@
 
 // Close implements quetzalroad.ForwardResponse.
 func (*crashingResponse) Close() {}
+
+// UpstreamOutlived implements quetzalroad.ForwardResponse.
+func (r *crashingResponse) UpstreamOutlived(ctx context.Context) bool {
+	return !r.engines.HasExited(ctx, quetzalroad.Upstream{Name: r.name})
+}
--- a/proofs/prover/leaving_test.go
+++ b/proofs/prover/leaving_test.go
@@ -102,6 +102,9 @@
 	leaving bool
 }
 
+// UpstreamOutlived implements quetzalroad.ForwardResponse.
+func (leavingResponse) UpstreamOutlived(context.Context) bool { return true }
+
 // Head implements quetzalroad.ForwardResponse.
 func (r leavingResponse) Head() quetzalroad.ResponseHead {
 	h := r.ForwardResponse.Head()
--- a/proofs/prover/ratelimit_test.go
+++ b/proofs/prover/ratelimit_test.go
@@ -130,6 +130,9 @@
 	limit quetzalroad.RateLimit
 }
 
+// UpstreamOutlived implements quetzalroad.ForwardResponse.
+func (limitedResponse) UpstreamOutlived(context.Context) bool { return true }
+
 // Head implements quetzalroad.ForwardResponse.
 func (r limitedResponse) Head() quetzalroad.ResponseHead {
 	head := r.ForwardResponse.Head()
--- a/upstreams/forwardclient/client.go
+++ b/upstreams/forwardclient/client.go
@@ -22,6 +22,7 @@
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/retrylistener"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
+	"github.com/quetzalroad/quetzalroad/upstreams/exitwatcher"
 )
 
 func init() {
@@ -45,6 +46,7 @@
 	maxDiscardedBytes        int
 	discardTimeout           time.Duration
 	shards                   [poolShardCount]poolShard
+	exits                    exitwatcher.Watcher
 }
 
 // Declare implements kernel.Component.
@@ -65,6 +67,7 @@
 		return errors.New("plug-in relayer requires the slot upstream-fields")
 	}
 	c.codec = n.UpstreamCodec
+	c.exits.Dial = c.dial
 	c.maxIdlePerShard = math.MaxInt
 	if n.Limits.Descriptors > 0 {
 		c.maxIdlePerShard = max(1, n.Limits.Descriptors/idleShare/poolShardCount)
--- a/upstreams/forwardclient/exchange.go
+++ b/upstreams/forwardclient/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/headerfilter"
+	"github.com/quetzalroad/quetzalroad/upstreams/exitwatcher"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
@@ -39,6 +40,8 @@
 	sent    atomic.Bool
 	// writeEnded is closed once a request that is written concurrently was written, or could not be; nil for others.
 	writeEnded chan struct{}
+	// exitWatch watches the upstream's process during an unframed response; nil for others.
+	exitWatch *exitwatcher.Watch
 	// complete is set once the response was read to its end.
 	complete bool
 	closed   bool
@@ -137,6 +140,9 @@
 		ReusedConnection: x.conn.reused,
 	}
 	x.head.Unframed = x.isUnframed()
+	if x.head.Unframed {
+		x.exitWatch = x.client.exits.Watch(x.attempt.Upstream)
+	}
 	if x.head.EventStream {
 		x.events = &eventReader{src: x.response.Body, codec: x.client.codec, strict: x.attempt.Request.Route.Streaming, reservation: bufferer.Reservation{Budget: x.client.bufferBudget}}
 	}
@@ -206,6 +212,11 @@
 	return &quetzalroad.AttemptError{Upstream: x.attempt.Upstream.Name, RetryReason: retryReason(err), Cause: err}
 }
 
+// UpstreamOutlived implements quetzalroad.ForwardResponse.
+func (x *exchange) UpstreamOutlived(ctx context.Context) bool {
+	return x.exitWatch != nil && x.exitWatch.OutlivedResponse(ctx, x.conn.Conn)
+}
+
 // Close implements quetzalroad.ForwardResponse. It keeps the connection only if the
 // request was sent and the response read completely, and no more data was received.
 func (x *exchange) Close() {
@@ -216,6 +227,9 @@
 	if x.events != nil {
 		x.events.release()
 	}
+	if x.exitWatch != nil {
+		x.exitWatch.Stop()
+	}
 	pc := x.conn
 	reusable := x.stopAbort() && x.complete && x.sent.Load() && !x.response.Close && pc.reader.Buffered() == 0
 	if !reusable || pc.SetDeadline(time.Time{}) != nil {
--- a/upstreams/forwardclient/stream.go
+++ b/upstreams/forwardclient/stream.go
@@ -29,9 +29,9 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
-// isUnframed reports whether nothing but the end of the connection ends the body.
+// isUnframed reports whether nothing but the end of the connection ends the body. A response to HEAD has none.
 func (x *exchange) isUnframed() bool {
-	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+	return x.attempt.Request.Method != http.MethodHead && x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
 // nextEvent returns the next event or comment.
--- a/upstreams/forwardclient/unframed_test.go
+++ b/upstreams/forwardclient/unframed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -25,8 +26,10 @@
 		"resumed and ends inside an event": {"id:3\nx", true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, u := startUpstream(t, func(_ int, c2 net.Conn, r *bufio.Reader) {
+			var used atomic.Int64
+			_, u := startUpstream(t, func(_ int, c2 net.Conn, r *bufio.Reader) {
 				if _, _, err := readRequest(r); err == nil {
+					used.Add(1)
 					writeString(c2, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n\r\n"+c.body)
 				}
 			})
@@ -50,16 +53,18 @@
 			if next, err := client.Send(t.Context(), newAttempt(u, "1")); err == nil {
 				next.Close()
 			}
-			if got := s.connections(); got != 2 {
-				t.Errorf("%d connections for two requests, want 2", got)
+			if got := used.Load(); got != 2 {
+				t.Errorf("%d connections carried two requests, want 2", got)
 			}
 		})
 	}
 }
 
 func TestConnectionOfUnframedResponseIsNotReused(t *testing.T) {
-	s, u := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	var used atomic.Int64
+	_, u := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		if _, _, err := readRequest(r); err == nil {
+			used.Add(1)
 			writeString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole body")
 		}
 	})
@@ -73,7 +78,7 @@
 			t.Errorf("body %q, error %v", body, err)
 		}
 	}
-	if got := s.connections(); got != 2 {
-		t.Errorf("%d connections for two requests, want 2", got)
+	if got := used.Load(); got != 2 {
+		t.Errorf("%d connections carried two requests, want 2", got)
 	}
 }
--- a/upstreams/httpclient/client.go
+++ b/upstreams/httpclient/client.go
@@ -202,9 +202,9 @@
 	}
 }
 
-// isUnframed reports whether nothing but the end of the connection ends the body.
-func (e *Exchange) isUnframed() bool {
-	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+// IsUnframed reports whether nothing but the end of the connection ends the body. A response to HEAD has none.
+func (e *Exchange) IsUnframed() bool {
+	return e.Response.Request.Method != http.MethodHead && e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
 }
 
 // timedBody is a response body that resets the read timer whenever data arrives. The end of an unframed one is
@@ -222,7 +222,7 @@
 	if n > 0 {
 		b.exchange.resetReadTimer()
 	}
-	if errors.Is(err, io.EOF) && b.exchange.isUnframed() && !b.exchange.isSent() {
+	if errors.Is(err, io.EOF) && b.exchange.IsUnframed() && !b.exchange.isSent() {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
