--- a/upstreams/serviceconnector/connector.go
+++ b/upstreams/serviceconnector/connector.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/quetzalroad/quetzalroad/support/bufferer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/headerfilter"
+	"github.com/quetzalroad/quetzalroad/upstreams/exitwatcher"
 	"github.com/quetzalroad/quetzalroad/upstreams/httpclient"
 )
 
@@ -31,6 +34,7 @@
 	// untimedClient has no read timeout, as a non-idempotent request can't be
 	// retried and may use its whole timeout.
 	untimedClient    httpclient.Client
+	exits            exitwatcher.Watcher
 	maxResponseBytes int
 	recorder         quetzalroad.Recorder
 	bufferBudget     quetzalroad.BufferBudget
@@ -48,6 +52,7 @@
 	c.client.Open()
 	c.untimedClient.DialTimeout = c.client.DialTimeout
 	c.untimedClient.Open()
+	c.exits.Dial = c.dial
 	c.recorder = n.Recorder
 	c.bufferBudget = n.BufferBudget
 	n.ServiceClient = c
@@ -59,6 +64,12 @@
 	return nil
 }
 
+// dial opens a connection to a service to find out whether it runs.
+func (c *Connector) dial(ctx context.Context, u quetzalroad.Upstream) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: c.client.DialTimeout}
+	return dialer.DialContext(ctx, "tcp", u.Address.String())
+}
+
 // ForwardableHeader returns a copy of h without its hop-by-hop fields and without
 // the router's own fields, whose names start with Quetzalroad-.
 func ForwardableHeader(h http.Header) http.Header {
@@ -86,7 +97,7 @@
 		return nil, c.attemptError(u.Name, exchange, err)
 	}
 	defer exchange.Close()
-	return c.readResponse(u.Name, serviceRequest, exchange)
+	return c.readResponse(ctx, u, serviceRequest, exchange)
 }
 
 func newRequest(u quetzalroad.Upstream, serviceRequest *quetzalroad.ServiceRequest) (*http.Request, error) {
@@ -114,23 +125,37 @@
 	return failure
 }
 
-func (c *Connector) readResponse(u quetzalroad.UpstreamName, serviceRequest *quetzalroad.ServiceRequest, e *httpclient.Exchange) (*quetzalroad.ServiceResponse, error) {
+func (c *Connector) readResponse(ctx context.Context, u quetzalroad.Upstream, serviceRequest *quetzalroad.ServiceRequest, e *httpclient.Exchange) (*quetzalroad.ServiceResponse, error) {
 	response := e.Response
 	if e.ReportsNotRun() {
-		return nil, &quetzalroad.AttemptError{Upstream: u, NotRun: true, RetryReason: quetzalroad.RetryNotRun, Cause: errors.Newf("status %s", response.Status)}
+		return nil, &quetzalroad.AttemptError{Upstream: u.Name, NotRun: true, RetryReason: quetzalroad.RetryNotRun, Cause: errors.Newf("status %s", response.Status)}
 	}
 	if serviceRequest.Idempotent && (response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) {
-		return nil, &quetzalroad.AttemptError{Upstream: u, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %s", response.Status)}
+		return nil, &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryErrorStatus, Cause: errors.Newf("status %s", response.Status)}
 	}
 	reservation := &bufferer.Reservation{Budget: c.bufferBudget}
-	body, err := reservation.ReadAll(response.Body, c.maxResponseBytes)
+	body, err := c.readBody(ctx, u, e, reservation)
 	if err != nil {
 		reservation.Release()
-		return nil, c.bodyError(u, e, err)
+		return nil, c.bodyError(u.Name, e, err)
 	}
 	return &quetzalroad.ServiceResponse{Status: response.StatusCode, Header: ForwardableHeader(response.Header), Body: body, Release: reservation.Release}, nil
 }
 
+// readBody reads a body. The end of an unframed one is unexpected unless the service ran on after it.
+func (c *Connector) readBody(ctx context.Context, u quetzalroad.Upstream, e *httpclient.Exchange, reservation *bufferer.Reservation) ([]byte, error) {
+	if !e.IsUnframed() {
+		return reservation.ReadAll(e.Response.Body, c.maxResponseBytes)
+	}
+	watch := c.exits.Watch(u)
+	defer watch.Stop()
+	body, err := reservation.ReadAll(e.Response.Body, c.maxResponseBytes)
+	if err == nil && !watch.OutlivedResponse(ctx, nil) {
+		err = errors.Wrap(io.ErrUnexpectedEOF, "the unframed response ended, and the service is not known to have run on")
+	}
+	return body, err
+}
+
 func (c *Connector) bodyError(u quetzalroad.UpstreamName, e *httpclient.Exchange, err error) *quetzalroad.AttemptError {
 	switch {
 	case errors.Is(err, quetzalroad.ErrBuffersFull):
