Resume a stream only by a view of the versions newer than the stream

Cause: a node that could not read the log took the only version that it knew for the origin of every stream. That holds if the log is away for all nodes. During a release the others know more. With a log that responds, the records of the versions in use were read anew, but the registrations, which come first, were up to 1.7 s old.

Both streams of the log are now read after the caller's request arrived. If the log doesn't respond, the node asks up to 15 others, which read it themselves. One to which the log responds settles the question. If it responds to none, more than half of those asked have to say so, and to know one and the same version; then it is away for all, and the stream goes on. Otherwise the request is refused, to come back. The decision is conclude, without I/O.

Streams of the only version still go on while the log is away for all, and at a node that alone is turned away (TestStreamsOfTheOnlyVersionGoOn...).

The reader of the records is split into the reading of a stream of the log and what is read.

--- a/decisions/dispatcher/streamorigin_test.go
+++ b/decisions/dispatcher/streamorigin_test.go
@@ -47,6 +47,10 @@
 	return quetzalroad.StreamOrigin{}, o.err
 }
 
+func (*origins) Report(context.Context, quetzalroad.OriginQuestion) quetzalroad.OriginReport {
+	return quetzalroad.OriginReport{}
+}
+
 // runVersionTest runs f on a node before upstreams "a" and "b" of version 1 and "c" of version 2.
 func runVersionTest(t *testing.T, o *origins, f func(t *testing.T, x *forwardFixture)) {
 	t.Helper()
--- a/decisions/quarantiner/quarantiner_test.go
+++ b/decisions/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -23,6 +24,7 @@
 func (f fleet) Nodes() []quetzalroad.NodeName { return f }
 
 func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+func (fleet) PeerAddresses() []netip.AddrPort       { return nil }
 
 func newQuarantiner(t *testing.T, name quetzalroad.NodeName, nodes ...quetzalroad.NodeName) *Quarantiner {
 	t.Helper()
--- a/decisions/throttler/throttler_test.go
+++ b/decisions/throttler/throttler_test.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 func (f fleet) Nodes() []quetzalroad.NodeName { return f }
 
 func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+func (fleet) PeerAddresses() []netip.AddrPort       { return nil }
 
 func newFleet(t *testing.T, count int) []*Throttler {
 	t.Helper()
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -78,6 +78,8 @@
 	Activity       quetzalroad.ActivityExchange
 	// StreamTracker is nil if streams are resumed whatever version of the software began them.
 	StreamTracker quetzalroad.StreamTracker
+	// OriginTransport is nil if other nodes can't be asked where streams began.
+	OriginTransport quetzalroad.OriginTransport
 	// DemandMeter is nil if demand isn't measured, and LogSharing if each node reads the log itself.
 	DemandMeter   quetzalroad.DemandMeter
 	LogSharing    quetzalroad.LogSharing
--- a/peers/readconnector/connector.go
+++ b/peers/readconnector/connector.go
@@ -1,4 +1,5 @@
-// Package readconnector implements the transport of shared log reads over drpc.
+// Package readconnector implements the transport of shared log reads, and of questions about the origins of streams,
+// over drpc.
 package readconnector
 
 import (
@@ -7,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
@@ -25,9 +27,11 @@
 	})
 }
 
-// Connector is a quetzalroad.ReadTransport over drpc.
+// Connector is a quetzalroad.ReadTransport and a quetzalroad.OriginTransport over drpc.
 type Connector struct {
-	address  netip.AddrPort
+	address netip.AddrPort
+	// node gives access to the stream tracker, whose slot is filled after this one.
+	node     *kernel.Node
 	conns    connmanager.Manager
 	listener net.Listener
 }
@@ -51,7 +55,8 @@
 		return err
 	}
 	c.listener = listener
-	n.ReadTransport = c
+	c.node = n
+	n.ReadTransport, n.OriginTransport = c, c
 	return nil
 }
 
@@ -66,6 +71,9 @@
 	if err := peerwire.DRPCRegisterLogReads(mux, &server{handler: h}); err != nil {
 		return err
 	}
+	if err := peerwire.DRPCRegisterStreamOrigins(mux, &originServer{node: c.node}); err != nil {
+		return err
+	}
 	return c.conns.Serve(ctx, c.listener, mux)
 }
 
@@ -92,3 +100,32 @@
 	})
 	return response, err
 }
+
+// originServer implements the StreamOrigins service.
+type originServer struct {
+	node *kernel.Node
+}
+
+var errNoTracker = errors.New("this node doesn't track streams")
+
+// Find implements peerwire.DRPCStreamOriginsServer.
+func (s *originServer) Find(ctx context.Context, in *peerwire.OriginRequest) (*peerwire.OriginAnswer, error) {
+	if s.node.StreamTracker == nil {
+		return nil, errNoTracker
+	}
+	return nodemapper.EncodeOriginReport(s.node.StreamTracker.Report(ctx, nodemapper.DecodeOriginQuestion(in))), nil
+}
+
+// RequestOrigin implements quetzalroad.OriginTransport.
+func (c *Connector) RequestOrigin(ctx context.Context, to netip.AddrPort, q quetzalroad.OriginQuestion) (quetzalroad.OriginReport, error) {
+	var report quetzalroad.OriginReport
+	err := c.conns.Call(ctx, to, func(conn drpc.Conn) error {
+		out, err := peerwire.NewDRPCStreamOriginsClient(conn).Find(ctx, nodemapper.EncodeOriginQuestion(q))
+		if err != nil {
+			return err
+		}
+		report = nodemapper.DecodeOriginReport(out)
+		return nil
+	})
+	return report, err
+}
--- a/peers/readconnector/connector_test.go
+++ b/peers/readconnector/connector_test.go
@@ -70,3 +70,40 @@
 	}
 	server.listener.Close()
 }
+
+// stubTracker reports the same of each stream.
+type stubTracker struct {
+	quetzalroad.StreamTracker
+	report quetzalroad.OriginReport
+}
+
+func (s stubTracker) Report(_ context.Context, q quetzalroad.OriginQuestion) quetzalroad.OriginReport {
+	s.report.Origin.Service = q.Service
+	return s.report
+}
+
+// Guards against nodes that can't ask each other where a stream began.
+func TestRequestOrigin(t *testing.T) {
+	client, server := newConnector(t), newConnector(t)
+	defer client.listener.Close()
+	want := quetzalroad.OriginReport{Found: true, Origin: quetzalroad.StreamOrigin{Service: "llm", Version: "v2"}, IsCurrent: true}
+	serving, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(serving, &stubHandler{t: t}) }()
+	defer func() {
+		stop()
+		<-done
+	}()
+	q := quetzalroad.OriginQuestion{Stream: "first", Service: "llm"}
+	if _, err := client.RequestOrigin(t.Context(), server.ListenAddress(), q); err == nil {
+		t.Error("a node without a tracker responds")
+	}
+	server.node.StreamTracker = stubTracker{report: want}
+	got, err := client.RequestOrigin(t.Context(), server.ListenAddress(), q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/proofs/faker/readnetwork.go
+++ b/proofs/faker/readnetwork.go
@@ -20,6 +20,7 @@
 	// The fields below are guarded by mu. stalled holds the addresses that
 	// don't respond, requestCounts the number of requests to each.
 	handlers      map[netip.AddrPort]quetzalroad.ReadHandler
+	trackers      map[netip.AddrPort]quetzalroad.StreamTracker
 	stalled       map[netip.AddrPort]bool
 	requestCounts map[netip.AddrPort]int
 	// stateTransfer is how long the transfer of a published state takes.
@@ -56,6 +57,10 @@
 	Address netip.AddrPort
 	// WithoutEpochs leaves the epoch of the log out of this node's responses, as earlier builds do.
 	WithoutEpochs bool
+
+	// node gives access to the stream tracker, whose slot is filled after this one; nil if the transport belongs to no
+	// built node.
+	node *kernel.Node
 }
 
 // epochlessHandler is a handler of a build that knows no epochs.
@@ -76,7 +81,8 @@
 
 // Build implements kernel.Component.
 func (t *ReadTransport) Build(n *kernel.Node) error {
-	n.ReadTransport = t
+	t.node = n
+	n.ReadTransport, n.OriginTransport = t, t
 	return nil
 }
 
@@ -92,12 +98,17 @@
 	n.mu.Lock()
 	if n.handlers == nil {
 		n.handlers = make(map[netip.AddrPort]quetzalroad.ReadHandler)
+		n.trackers = make(map[netip.AddrPort]quetzalroad.StreamTracker)
 	}
 	n.handlers[t.Address] = h
+	if t.node != nil && t.node.StreamTracker != nil {
+		n.trackers[t.Address] = t.node.StreamTracker
+	}
 	n.mu.Unlock()
 	<-ctx.Done()
 	n.mu.Lock()
 	delete(n.handlers, t.Address)
+	delete(n.trackers, t.Address)
 	n.mu.Unlock()
 	return ctx.Err()
 }
@@ -127,3 +138,19 @@
 	}
 	return response, nil
 }
+
+// RequestOrigin implements quetzalroad.OriginTransport.
+func (t *ReadTransport) RequestOrigin(ctx context.Context, to netip.AddrPort, q quetzalroad.OriginQuestion) (quetzalroad.OriginReport, error) {
+	n := t.Network
+	n.mu.Lock()
+	tracker, stalled := n.trackers[to], n.stalled[to] || n.stalled[t.Address]
+	n.mu.Unlock()
+	switch {
+	case stalled:
+		<-ctx.Done()
+		return quetzalroad.OriginReport{}, ctx.Err()
+	case tracker == nil:
+		return quetzalroad.OriginReport{}, errors.New("no node that tracks streams listens at this address")
+	}
+	return tracker.Report(ctx, q), nil
+}
--- a/proofs/prover/streamversions_test.go
+++ b/proofs/prover/streamversions_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -32,6 +33,12 @@
 type versionedFleet struct {
 	log   faker.KeyedLog
 	nodes []*kernel.Node
+	// sharing returns the components of a node that shares the log with others; nil if all nodes read the log alone.
+	sharing func(node int) []kernel.Override
+	// origins are settings of the stream tracker; empty for the defaults.
+	origins string
+	// keyless makes callers send no key.
+	keyless bool
 	// ended is done when the nodes were killed.
 	ended context.Context
 	kill  context.CancelFunc
@@ -45,15 +52,21 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &versionedFleet{crashed: make(map[quetzalroad.UpstreamName]bool)}
-		f.log.Put(quetzalroad.LogStreamOperators, "config", quetzalroad.PublishedState{
-			Version: 1, Services: []quetzalroad.Service{{Name: "service", Kind: quetzalroad.ServiceKindEngine}},
-			Teams: []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("key")}}},
-		})
-		f.setEngines("v1", 3)
-		f.start(t)
-		defer f.killAll(t)
-		check(t, f)
+		f.run(t, check)
+	})
+}
+
+// run publishes a state, starts the nodes and runs a check.
+func (f *versionedFleet) run(t *testing.T, check func(t *testing.T, f *versionedFleet)) {
+	t.Helper()
+	f.log.Put(quetzalroad.LogStreamOperators, "config", quetzalroad.PublishedState{
+		Version: 1, Services: []quetzalroad.Service{{Name: "service", Kind: quetzalroad.ServiceKindEngine}},
+		Teams: []quetzalroad.Team{{Name: "team", KeyHashes: []quetzalroad.KeyHash{quetzalroad.HashKey("key")}}},
 	})
+	f.setEngines("v1", 3)
+	f.start(t)
+	defer f.killAll(t)
+	check(t, f)
 }
 
 // setEngines registers a number of engines of a version, and removes any others of it.
@@ -76,11 +89,19 @@
 	f.ended, f.kill = context.WithCancel(context.Background())
 	f.nodes = nil
 	for i := range 3 {
-		n, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), map[string]string{
+		sections := map[string]string{
 			"node":           fmt.Sprintf(`{"name": "node-%d", "data-centre": "dc-0", "region": "west"}`, i),
-			"stream-origins": `{"plugin": "log"}`,
+			"stream-origins": cmp.Or(f.origins, `{"plugin": "log"}`),
 			"retry":          `{"share": 1, "reserve": 50, "initial": 50, "attempts": 4, "backoff": "0s", "hedge-after": 0}`,
-		}, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &f.log}, kernel.Override{Slot: kernel.SlotForwardClient, Component: &faker.ForwardClient{Script: f.respond}})
+		}
+		overrides := []kernel.Override{{Slot: kernel.SlotForwardClient, Component: &faker.ForwardClient{Script: f.respond}}}
+		if f.sharing != nil {
+			sections["log-sharing"] = `{"plugin": "distributor"}`
+			overrides = append(overrides, f.sharing(i)...)
+		} else {
+			overrides = append(overrides, kernel.Override{Slot: kernel.SlotKeyedLog, Component: &f.log})
+		}
+		n, err := faker.BuildForwardNode(slog.New(slog.DiscardHandler), sections, overrides...)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,13 +123,20 @@
 	}
 }
 
-// crash crashes an engine for good.
+// crash crashes an engine until it recovers.
 func (f *versionedFleet) crash(id quetzalroad.UpstreamName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashed[id] = true
 }
 
+// recover restarts all engines that have crashed.
+func (f *versionedFleet) recover() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.crashed)
+}
+
 func (f *versionedFleet) hasCrashed(id quetzalroad.UpstreamName) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,7 +209,7 @@
 	r := &quetzalroad.ForwardRequest{CallerRequestID: string(id), Method: "POST", RequestTarget: "/x/", LastEventID: int64(len(s.versions))}
 	r.ID, r.Arrived, r.Model = id, time.Now(), "m"
 	r.Team = quetzalroad.Team{Name: "team"}
-	r.Key, r.HasKey = quetzalroad.HashKey("key"), true
+	r.Key, r.HasKey = quetzalroad.HashKey("key"), !f.keyless
 	r.Route = quetzalroad.Route{
 		Name: "route", MaxExecutions: 4, Streaming: true, Resumable: true, TrafficSplit: []quetzalroad.WeightedService{{Service: "service", Weight: 1}},
 		Profile: quetzalroad.Profile{Name: "route", Class: "class", FirstTokenTarget: time.Second, Timeout: 30 * time.Second, Idempotent: true},
--- a/quarantine.go
+++ b/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -128,4 +129,6 @@
 	// capacity, then by the hash of the name. It is empty before the list has been read. The slice is shared and
 	// must not be modified.
 	RankedNodes() []NodeName
+	// PeerAddresses returns the addresses at which the other nodes serve reads, as far as they are known.
+	PeerAddresses() []netip.AddrPort
 }
--- a/state/distributor/evidence.go
+++ b/state/distributor/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,6 +161,20 @@
 	return d.members.rankedNodes
 }
 
+// PeerAddresses implements quetzalroad.Fleet.
+func (d *Distributor) PeerAddresses() []netip.AddrPort {
+	d.members.mu.Lock()
+	registrations := d.members.registrations
+	d.members.mu.Unlock()
+	var addresses []netip.AddrPort
+	for _, r := range registrations {
+		if r.Name != d.self.Name && r.IsNode() && writtenWithin(r, d.registrationTTL) {
+			addresses = append(addresses, r.Address)
+		}
+	}
+	return addresses
+}
+
 var errNodesUnknown = errors.New("the list of nodes has not been read yet")
 
 // Ready implements quetzalroad.Readiness. With the list of nodes come the requests that must not reach
--- a/state/leaser/simulation_test.go
+++ b/state/leaser/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -193,6 +194,7 @@
 func (f fleet) Build(n *kernel.Node) error          { n.Fleet = f; return nil }
 func (f fleet) Nodes() []quetzalroad.NodeName       { return f }
 func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+func (fleet) PeerAddresses() []netip.AddrPort       { return nil }
 
 func (p *process) Declare(*configloader.Section) {}
 func (p *process) Name() quetzalroad.DutyName    { return "report" }
--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -79,10 +79,10 @@
 // lack the record of this node, which is then written again.
 func (c *versionChecker) keepLoaded(ctx context.Context) error {
 	t := c.tracker
-	if !t.reader.isLoaded() {
+	if !t.records.isLoaded() {
 		return c.refreshInTurn(ctx)
 	}
-	if t.node.LogEpochs == nil || t.reader.epoch() == t.node.LogEpochs.Epoch() {
+	if t.node.LogEpochs == nil || t.records.epoch() == t.node.LogEpochs.Epoch() {
 		return nil
 	}
 	if err := c.refreshInTurn(ctx); err != nil {
@@ -117,16 +117,16 @@
 	if err := sleeper.Sleep(ctx, rand.N(spread+1)); err != nil {
 		return err
 	}
-	return t.reader.refresh(ctx)
+	return t.records.refresh(ctx)
 }
 
 // announce records that a version is in use, unless another node has done so.
 func (c *versionChecker) announce(ctx context.Context, o quetzalroad.StreamOrigin) error {
 	t := c.tracker
-	if t.reader.has(o) {
+	if t.records.has(o) {
 		return nil
 	}
-	if err := c.refreshInTurn(ctx); err != nil || t.reader.has(o) {
+	if err := c.refreshInTurn(ctx); err != nil || t.records.has(o) {
 		return err
 	}
 	data, err := streammapper.EncodeVersion(o)
@@ -137,27 +137,27 @@
 	if err := c.put(ctx, versionKey(o), data); err != nil {
 		return err
 	}
-	return t.reader.refresh(ctx)
+	return t.records.refresh(ctx)
 }
 
 // retireVersions deletes the records of versions of which no upstream has been registered for the retention.
 func (c *versionChecker) retireVersions(ctx context.Context) error {
 	t := c.tracker
-	for _, o := range t.reader.inUse() {
+	for _, o := range t.records.inUse() {
 		if !c.sightings.hasLeft(o, t.retention) {
 			continue
 		}
 		if err := c.refreshInTurn(ctx); err != nil {
 			return err
 		}
-		if !t.reader.has(o) {
+		if !t.records.has(o) {
 			continue
 		}
 		t.logger.Info("software version no longer in use", "service", string(o.Service), "version", string(o.Version))
 		if err := c.put(ctx, versionKey(o), nil); err != nil {
 			return err
 		}
-		if err := t.reader.refresh(ctx); err != nil {
+		if err := t.records.refresh(ctx); err != nil {
 			return err
 		}
 	}
@@ -168,7 +168,7 @@
 // the retention, of this node's processes and of nodes that are gone. The nodes of a fleet take turns at random.
 func (c *versionChecker) deleteStaleRecords(ctx context.Context) error {
 	t := c.tracker
-	for key, offset := range t.reader.recordOffsets() {
+	for key, offset := range t.records.recordOffsets() {
 		seen, ok := c.records[key]
 		if !ok || seen.offset != offset {
 			c.records[key] = recordSighting{offset: offset, at: boottimer.Now()}
@@ -177,17 +177,17 @@
 		if seen.at.Age() <= t.retention || !c.isOwnOrOrphaned(key) || rand.IntN(t.fleetSize()) > 0 {
 			continue
 		}
-		if err := t.reader.refresh(ctx); err != nil {
+		if err := t.records.refresh(ctx); err != nil {
 			return err
 		}
-		if current, ok := t.reader.recordOffsets()[key]; !ok || current != offset {
+		if current, ok := t.records.recordOffsets()[key]; !ok || current != offset {
 			continue
 		}
 		if err := c.put(ctx, key, nil); err != nil {
 			return err
 		}
 		delete(c.records, key)
-		if err := t.reader.refresh(ctx); err != nil {
+		if err := t.records.refresh(ctx); err != nil {
 			return err
 		}
 	}
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -3,7 +3,8 @@
 // The events of two versions don't fit together, and a caller may resume its stream at a node that never saw it,
 // or after all nodes were killed. So the log holds which versions each service has had in use lately. While there
 // are several, every node records there where its streams began. A stream that nobody recorded can be resumed only
-// while its service has had one version.
+// while its service has had one version. What a node last read of the log doesn't show that, as other nodes may have
+// read more since: it reads the log again, and asks other nodes if the log doesn't respond.
 package streamtracker
 
 import (
@@ -45,9 +46,11 @@
 	nodeInterval  time.Duration
 	resultDelay   time.Duration
 	callTimeout   time.Duration
+	peerTimeout   time.Duration
 
-	streams localStreams
-	reader  reader
+	streams       localStreams
+	records       records
+	registrations registrations
 	// mixed holds the versions in use as of the last check.
 	mixed atomic.Pointer[versionSets]
 	// key is that of this process's record.
@@ -56,7 +59,7 @@
 	// buffered.
 	wanted, urgent chan struct{}
 
-	recordsWritten, writeFailures, readFailures, unknown expvar.Int
+	recordsWritten, writeFailures, readFailures, unknown, questionsSent expvar.Int
 }
 
 // Declare implements kernel.Component.
@@ -67,17 +70,20 @@
 	s.Duration("node-interval", &t.nodeInterval, 7500*time.Microsecond, 0, time.Second, "Minimum time between the records of any two nodes on average, which bounds the writes of a large fleet.")
 	s.Duration("result-delay", &t.resultDelay, 400*time.Millisecond, 0, time.Minute, "How long to wait for the record of a stream that another node may be about to write.")
 	s.Duration("call-timeout", &t.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a write, and of the first and each further part of a read.")
-	s.Duration("load-timeout", &t.reader.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read.")
+	s.Duration("load-timeout", &t.records.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read.")
+	s.Duration("peer-timeout", &t.peerTimeout, time.Second, 10*time.Millisecond, time.Minute, "Timeout of the questions to other nodes, which are asked where a stream began if the log doesn't respond. It exceeds call-timeout, as they ask the log.")
 }
 
 // Build implements kernel.Component.
 func (t *Tracker) Build(n *kernel.Node) error {
-	if n.KeyedLog == nil || n.KeyedWriter == nil {
-		return errors.New("the stream tracker requires the slot keyed-log")
+	if n.KeyedLog == nil || n.KeyedWriter == nil || n.StateCodec == nil {
+		return errors.New("the stream tracker requires the slots keyed-log and entries")
 	}
 	t.node, t.writer, t.logger = n, n.KeyedWriter, n.Logger
-	t.reader.callTimeout = t.callTimeout
-	t.reader.open(n.KeyedLog, n.Logger)
+	t.records.callTimeout = t.callTimeout
+	t.records.open(n.KeyedLog, n.Logger)
+	t.registrations.callTimeout, t.registrations.loadTimeout = t.callTimeout, t.records.loadTimeout
+	t.registrations.open(n.KeyedLog, n.StateCodec, n.Logger)
 	t.mixed.Store(new(versionSets))
 	t.wanted, t.urgent = make(chan struct{}, 1), make(chan struct{}, 1)
 	// A process must not replace the record of the one before it, whose streams may still be resumed.
@@ -87,6 +93,7 @@
 	n.Vars.Set("stream-write-failures", &t.writeFailures)
 	n.Vars.Set("stream-read-failures", &t.readFailures)
 	n.Vars.Set("stream-origins-unknown", &t.unknown)
+	n.Vars.Set("stream-origin-questions", &t.questionsSent)
 	n.AddTask("check software versions", t.checkVersions)
 	n.AddTask("record streams", t.recordStreams)
 	return nil
@@ -132,16 +139,17 @@
 
 // Origin implements quetzalroad.StreamTracker.
 func (t *Tracker) Origin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
-	if o, ok := t.streams.find(id); ok {
-		return o, nil
+	q := quetzalroad.OriginQuestion{Service: s}
+	if isRecordable(id) {
+		q.Stream = id
 	}
-	o, err := t.recordedOrigin(ctx, id, s)
-	if errors.Is(err, quetzalroad.ErrOriginUnknown) && id != "" {
+	o, err := t.findOrigin(ctx, q)
+	if errors.Is(err, quetzalroad.ErrOriginUnknown) && q.Stream != "" {
 		// The node that the caller was connected to may be about to record the stream.
 		if err := sleeper.Sleep(ctx, t.resultDelay); err != nil {
 			return o, err
 		}
-		o, err = t.recordedOrigin(ctx, id, s)
+		o, err = t.findOrigin(ctx, q)
 	}
 	if err != nil {
 		t.unknown.Add(1)
@@ -149,29 +157,62 @@
 	return o, err
 }
 
-// recordedOrigin returns where a stream began according to the records. If there is none of it, it began at the
-// only version that the service has had lately.
-func (t *Tracker) recordedOrigin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
-	readErr := errLogFailing
-	if !t.reader.isFailing() || t.mustRecord(s) {
-		readErr = t.reader.refresh(ctx)
+// findOrigin asks the log, and other nodes if it doesn't respond.
+func (t *Tracker) findOrigin(ctx context.Context, q quetzalroad.OriginQuestion) (quetzalroad.StreamOrigin, error) {
+	own := t.Report(ctx, q)
+	if settles(own) {
+		return conclude(q.Service, own, nil, 0)
 	}
-	if readErr != nil {
+	others, asked := t.askPeers(ctx, q)
+	if err := ctx.Err(); err != nil {
+		return quetzalroad.StreamOrigin{}, err
+	}
+	o, err := conclude(q.Service, own, others, asked)
+	t.logger.Info("other nodes asked for the origin of a stream", "resumes", string(q.Stream), "service", string(q.Service),
+		"own-versions", own.Versions, "asked", asked, "answered", len(others), "current", slices.ContainsFunc(others, func(r quetzalroad.OriginReport) bool { return r.IsCurrent }),
+		"version", string(o.Version), "error", err)
+	return o, err
+}
+
+// Report implements quetzalroad.StreamTracker.
+func (t *Tracker) Report(ctx context.Context, q quetzalroad.OriginQuestion) quetzalroad.OriginReport {
+	if o, ok := t.streams.find(q.Stream); ok {
+		return quetzalroad.OriginReport{Origin: o, Found: true}
+	}
+	versions, err := t.readVersions(ctx, q.Service)
+	if err != nil {
 		t.readFailures.Add(1)
-		t.logger.Info("failed to read the origins of streams", "error", readErr)
+		t.logger.Info("failed to read the origins of streams", "error", err)
+		versions = t.versionsInUse()
+	}
+	if o, ok := t.records.find(q.Stream); ok {
+		return quetzalroad.OriginReport{Origin: o, Found: true}
+	}
+	report := quetzalroad.OriginReport{IsCurrent: err == nil}
+	if t.records.isLoaded() {
+		report.Versions = slices.Sorted(maps.Keys(versions[q.Service]))
+	}
+	return report
+}
+
+// readVersions reads the records and, unless these show several versions of a service, the registrations of its upstreams:
+// other nodes begin streams at a version from its first registration on, and record it later.
+func (t *Tracker) readVersions(ctx context.Context, s quetzalroad.ServiceName) (versionSets, error) {
+	if t.records.isFailing() && !t.mustRecord(s) {
+		return nil, errLogFailing
+	}
+	if err := t.records.refresh(ctx); err != nil {
+		return nil, err
 	}
-	if o, ok := t.reader.find(id); ok {
-		return o, nil
+	versions := t.versionsInUse()
+	if versions.isMixed(s) {
+		return versions, nil
 	}
-	versions := slices.Collect(maps.Keys(t.versionsInUse()[s]))
-	switch {
-	case len(versions) == 1 && t.reader.isLoaded():
-		// If the log can't be read, hardly another node has begun streams at a version that this one doesn't know.
-		return quetzalroad.StreamOrigin{Service: s, Version: versions[0]}, nil
-	case readErr != nil:
-		return quetzalroad.StreamOrigin{}, readErr
+	if err := t.registrations.refresh(ctx); err != nil {
+		return nil, err
 	}
-	return quetzalroad.StreamOrigin{}, quetzalroad.ErrOriginUnknown
+	t.registrations.addTo(versions)
+	return versions, nil
 }
 
 // errLogFailing is returned instead of reading a log that has just failed.
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,7 @@
 
 func (f fleet) Nodes() []quetzalroad.NodeName       { return f }
 func (f fleet) RankedNodes() []quetzalroad.NodeName { return f }
+func (fleet) PeerAddresses() []netip.AddrPort       { return nil }
 
 // newFleet returns a fleet of a number of nodes.
 func newFleet(size int) fleet {
@@ -64,7 +66,7 @@
 	x := &testNode{Tracker: new(Tracker)}
 	n := &kernel.Node{Identity: kernel.Identity{Name: name}, Logger: slog.New(slog.DiscardHandler), Vars: new(expvar.Map), Directory: &x.store, Fleet: nodes, LogEpochs: e}
 	x.Declare(new(configloader.Section))
-	n.KeyedLog, n.KeyedWriter = log, log
+	n.KeyedLog, n.KeyedWriter, n.StateCodec = log, log, log
 	if err := x.Build(n); err != nil {
 		t.Fatal(err)
 	}
--- a/state/streamtracker/versions.go
+++ b/state/streamtracker/versions.go
@@ -20,6 +20,14 @@
 	v[o.Service][o.Version] = true
 }
 
+// only returns the version of a set of one.
+func (v versionSet) only() quetzalroad.SoftwareVersion {
+	for version := range v {
+		return version
+	}
+	return ""
+}
+
 // isMixed reports whether a service has several versions.
 func (v versionSets) isMixed(s quetzalroad.ServiceName) bool {
 	return len(v[s]) > 1
@@ -40,7 +48,7 @@
 // were in use lately according to the records.
 func (t *Tracker) versionsInUse() versionSets {
 	versions := t.registeredVersions()
-	for _, o := range t.reader.inUse() {
+	for _, o := range t.records.inUse() {
 		versions.add(o)
 	}
 	return versions
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 )
 
@@ -26,7 +27,38 @@
 	// RecordEnd records that this node passes on no more events of the stream, and whether its last one was.
 	RecordEnd(now time.Time, id RequestID, complete bool)
 	// Origin returns where the stream began whose first event came with a request, which is to be resumed at a
-	// service. It may wait for other nodes to record it. The error is ErrOriginUnknown if nobody did although the
-	// service has had several versions lately, and another one if the records can't be read.
+	// service. It may wait for other nodes to record it, and asks some of them if the log doesn't respond. The error is
+	// ErrOriginUnknown if nobody recorded it although the service has had several versions lately, and another one if
+	// that can't be told.
 	Origin(ctx context.Context, id RequestID, s ServiceName) (StreamOrigin, error)
+	// Report returns what this node knows of a stream's origin, for another node. It reads the log, but asks no other
+	// node.
+	Report(ctx context.Context, q OriginQuestion) OriginReport
+}
+
+// OriginQuestion asks where a stream began.
+type OriginQuestion struct {
+	// Stream is the id of the request that brought the stream's first event; empty if unknown.
+	Stream RequestID
+	// Service is where the stream is to be resumed.
+	Service ServiceName
+}
+
+// OriginReport is what a node knows of where a stream began.
+type OriginReport struct {
+	// Origin is where the stream began; valid only if Found is set.
+	Origin StreamOrigin
+	Found  bool
+	// Versions are the software versions of the service that the node knows to be in use, or to have been lately. There
+	// are none if the node has not read from the log yet.
+	Versions []SoftwareVersion
+	// IsCurrent reports whether the log has told the node all versions in use since it got the question. Others may know
+	// versions that a node without a current view doesn't.
+	IsCurrent bool
+}
+
+// OriginTransport asks other nodes where streams began.
+type OriginTransport interface {
+	// RequestOrigin returns the report of the node at an address.
+	RequestOrigin(ctx context.Context, to netip.AddrPort, q OriginQuestion) (OriginReport, error)
 }
