Answer questions about streams quickly while the log is away

Another node now reads within 0.3 s, and not at all once the log has not confirmed its view for 3 s.

--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -47,6 +47,9 @@
 	resultDelay   time.Duration
 	callTimeout   time.Duration
 	peerTimeout   time.Duration
+	// quickTimeout and confirmedWithin bound the reads while the log may be away.
+	quickTimeout    time.Duration
+	confirmedWithin time.Duration
 
 	streams       localStreams
 	records       records
@@ -71,7 +74,9 @@
 	s.Duration("result-delay", &t.resultDelay, 400*time.Millisecond, 0, time.Minute, "How long to wait for the record of a stream that another node may be about to write.")
 	s.Duration("call-timeout", &t.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a write, and of the first and each further part of a read.")
 	s.Duration("load-timeout", &t.records.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read.")
-	s.Duration("peer-timeout", &t.peerTimeout, time.Second, 10*time.Millisecond, time.Minute, "Timeout of the questions to other nodes, which are asked where a stream began if the log doesn't respond. It exceeds call-timeout, as they ask the log.")
+	s.Duration("quick-timeout", &t.quickTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a read for another node, and of one for this node while the log has not confirmed its view for longer than confirmed-within.")
+	s.Duration("confirmed-within", &t.confirmedWithin, 3*time.Second, 10*time.Millisecond, time.Hour, "Age of the view of the published state from which on the log is taken to be away, and not asked for other nodes.")
+	s.Duration("peer-timeout", &t.peerTimeout, 600*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of the questions to other nodes, which are asked where a stream began if the log doesn't respond. It exceeds quick-timeout.")
 }
 
 // Build implements kernel.Component.
@@ -159,7 +164,7 @@
 
 // findOrigin asks the log, and other nodes if it doesn't respond.
 func (t *Tracker) findOrigin(ctx context.Context, q quetzalroad.OriginQuestion) (quetzalroad.StreamOrigin, error) {
-	own := t.Report(ctx, q)
+	own := t.ownReport(ctx, q)
 	if settles(own) {
 		return conclude(q.Service, own, nil, 0)
 	}
@@ -174,8 +179,35 @@
 	return o, err
 }
 
-// Report implements quetzalroad.StreamTracker.
+// isLogAway reports whether the log has not confirmed this node's view for so long that it is not expected to respond.
+func (t *Tracker) isLogAway() bool {
+	return t.node.Freshness != nil && t.node.Freshness.Age() > t.confirmedWithin
+}
+
+// ownReport returns what this node knows, to resume a stream here. While the log is away, it doesn't wait long for it.
+func (t *Tracker) ownReport(ctx context.Context, q quetzalroad.OriginQuestion) quetzalroad.OriginReport {
+	if !t.isLogAway() {
+		return t.report(ctx, q)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.quickTimeout)
+	defer cancel()
+	return t.report(ctx, q)
+}
+
+// Report implements quetzalroad.StreamTracker. While many nodes can't reach the log, they all ask each other, and must not
+// all ask the log for each other.
 func (t *Tracker) Report(ctx context.Context, q quetzalroad.OriginQuestion) quetzalroad.OriginReport {
+	timeout := t.quickTimeout
+	if t.isLogAway() {
+		timeout = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return t.report(ctx, q)
+}
+
+// report returns what this node knows, after a read from the log unless the context has ended.
+func (t *Tracker) report(ctx context.Context, q quetzalroad.OriginQuestion) quetzalroad.OriginReport {
 	if o, ok := t.streams.find(q.Stream); ok {
 		return quetzalroad.OriginReport{Origin: o, Found: true}
 	}
@@ -198,7 +230,7 @@
 // readVersions reads the records and, unless these show several versions of a service, the registrations of its upstreams:
 // other nodes begin streams at a version from its first registration on, and record it later.
 func (t *Tracker) readVersions(ctx context.Context, s quetzalroad.ServiceName) (versionSets, error) {
-	if t.records.isFailing() && !t.mustRecord(s) {
+	if ctx.Err() != nil || (t.records.isFailing() && !t.mustRecord(s)) {
 		return nil, errLogFailing
 	}
 	if err := t.records.refresh(ctx); err != nil {
@@ -215,5 +247,5 @@
 	return versions, nil
 }
 
-// errLogFailing is returned instead of reading a log that has just failed.
+// errLogFailing is returned instead of reading a log that has just failed, or is away.
 var errLogFailing = errors.New("the log has just failed")
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -345,3 +345,32 @@
 		}
 	})
 }
+
+// staleness is the age of the view of the published state.
+type staleness struct {
+	quetzalroad.Freshness
+	age time.Duration
+}
+
+func (s staleness) Age() time.Duration { return s.age }
+
+// Guards against nodes that all ask a log that is away whenever a stream is resumed at one of them.
+func TestNodeDoesNotAskALogThatIsAwayForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		a := startNode(t, log, "a", fleet{"a", "b"}, "v1")
+		time.Sleep(time.Second)
+		for age, asks := range map[time.Duration]bool{a.confirmedWithin: true, a.confirmedWithin + 1: false} {
+			a.node.Freshness = staleness{age: age}
+			before := log.CompletedCalls()
+			report := a.Report(t.Context(), quetzalroad.OriginQuestion{Stream: "first", Service: "llm"})
+			want := quetzalroad.OriginReport{Versions: []quetzalroad.SoftwareVersion{"v1"}, IsCurrent: asks}
+			if diff := cmp.Diff(want, report); diff != "" {
+				t.Errorf("view of age %s (-want +got):\n%s", age, diff)
+			}
+			if got := log.CompletedCalls() > before; got != asks {
+				t.Errorf("view of age %s: the log is asked: %v", age, got)
+			}
+		}
+	})
+}
