Judge how old a response's end is by its last data

The age of its end was the time since the last acknowledgement, and the operating system of the server acknowledges keepalive probes long after the process has exited. The time since the last data doesn't have that fault.

TestEndThatIsReadLateIsNotConfirmedByAnotherProcess, with keepalive probes, failed before. The responses of TestOutlivedResponse now end with data, as that is what is measured.

--- a/upstreams/exitwatcher/evidence.go
+++ b/upstreams/exitwatcher/evidence.go
@@ -34,7 +34,7 @@
 // evidence is what is known of a process after a response has ended.
 type evidence struct {
 	conn connState
-	// dial is the result of a dial after the end, and endAge how long before it the response ended.
+	// dial is the result of a dial after the end, and endAge how long before it the response ended at most.
 	dial   dialResult
 	endAge time.Duration
 }
--- a/upstreams/exitwatcher/process.go
+++ b/upstreams/exitwatcher/process.go
@@ -36,7 +36,7 @@
 
 // question asks whether the process outlived a response.
 type question struct {
-	// endedAt is when the end of the response was read, and endAge how long before that it arrived.
+	// endedAt is when the end of the response was read, and endAge how long before that it arrived at most.
 	endedAt time.Time
 	endAge  time.Duration
 	// answer is buffered.
--- a/upstreams/exitwatcher/sockets.go
+++ b/upstreams/exitwatcher/sockets.go
@@ -31,8 +31,9 @@
 	return open
 }
 
-// endAge returns how long ago the last packet arrived on a connection that the other side has ended; zero if that is
-// unknown. The operating system counts while this process stands still.
+// endAge returns how long ago the last data arrived on a connection that the other side has ended, which is not less than
+// the age of its end; zero if that is unknown. The operating system counts while this process stands still. Packets
+// without data don't matter: it responds to keepalive probes long after a process has exited.
 func endAge(conn net.Conn) time.Duration {
 	if conn == nil {
 		return 0
@@ -41,7 +42,7 @@
 	control(conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
-			age = time.Duration(info.Last_ack_recv) * time.Millisecond
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
 	return age
--- a/upstreams/exitwatcher/watcher_test.go
+++ b/upstreams/exitwatcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -83,6 +84,16 @@
 	}
 }
 
+// closeResponse sends the last part of the response and closes its connection.
+func closeResponse(t *testing.T, f *fakeProcess) {
+	t.Helper()
+	conn := f.connection(t, 0)
+	if _, err := conn.Write([]byte("the last part")); err != nil {
+		t.Error(err)
+	}
+	_ = conn.Close()
+}
+
 // closeIdleConnection closes the silent connection once a check has found it open, and waits for the next one.
 func closeIdleConnection(t *testing.T, f *fakeProcess) {
 	t.Helper()
@@ -114,12 +125,12 @@
 		want   bool
 	}{
 		"closes the response": {
-			end: func(t *testing.T, f *fakeProcess) { _ = f.connection(t, 0).Close() }, want: true,
+			end: closeResponse, want: true,
 		},
 		"closes the response and listens no longer": {
 			end: func(t *testing.T, f *fakeProcess) {
 				f.stopListening()
-				_ = f.connection(t, 0).Close()
+				closeResponse(t, f)
 			}, want: true,
 		},
 		"exits": {
@@ -133,7 +144,7 @@
 		},
 		"had closed the silent connection, as it was idle": {
 			before: closeIdleConnection,
-			end:    func(t *testing.T, f *fakeProcess) { _ = f.connection(t, 0).Close() }, want: true,
+			end:    closeResponse, want: true,
 		},
 		"had closed the silent connection, and exits": {
 			before: closeIdleConnection,
@@ -141,7 +152,7 @@
 		},
 		"keeps no other connection open": {
 			before: closeOtherConnections,
-			end:    func(t *testing.T, f *fakeProcess) { _ = f.connection(t, 0).Close() }, want: true,
+			end:    closeResponse, want: true,
 		},
 		"keeps no other connection open, and exits": {
 			before: closeOtherConnections,
@@ -163,6 +174,9 @@
 				c.before(t, f)
 			}
 			c.end(t, f)
+			if _, err := io.Copy(io.Discard, response); err != nil {
+				t.Fatal(err)
+			}
 			if got := watch.OutlivedResponse(t.Context(), response); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
@@ -173,16 +187,21 @@
 // Guards against a response that was cut before it was read, by a process that was replaced before a second connection
 // to it was open, as happens at a node that stood still.
 func TestEndThatIsReadLateIsNotConfirmedByAnotherProcess(t *testing.T) {
+	// The operating system responds to keepalive probes after the process has exited.
+	const probeInterval = time.Second
 	f := startFakeProcess(t, "127.0.0.1:0")
-	response, err := dial(t.Context(), f.upstream())
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval}}
+	response, err := dialer.DialContext(t.Context(), "tcp", f.upstream().Address.String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Close()
-	f.connection(t, 0)
+	if _, err := f.connection(t, 0).Write([]byte("a part")); err != nil {
+		t.Fatal(err)
+	}
 	f.exit()
 	startFakeProcess(t, f.listener.Addr().String())
-	time.Sleep(maxEndAge + 100*time.Millisecond)
+	time.Sleep(probeInterval + maxEndAge/2)
 	w := Watcher{Dial: dial}
 	watch := w.Watch(f.upstream())
 	defer watch.Stop()
