Ask a node about a stream again on another connection

A question that fails is now sent once more on a new connection; it changes nothing at the other node. The log line names the last failure, which it lacked. TestRequestOrigin, whose node closes a connection that is kept, failed before ("connection reset by peer").

--- a/peers/readconnector/connector.go
+++ b/peers/readconnector/connector.go
@@ -116,8 +116,17 @@
 	return nodemapper.EncodeOriginReport(s.node.StreamTracker.Report(ctx, nodemapper.DecodeOriginQuestion(in))), nil
 }
 
-// RequestOrigin implements quetzalroad.OriginTransport.
+// RequestOrigin implements quetzalroad.OriginTransport. A kept connection may have been closed by the other node while
+// this one stood still, so that a question that fails is sent once more on another connection.
 func (c *Connector) RequestOrigin(ctx context.Context, to netip.AddrPort, q quetzalroad.OriginQuestion) (quetzalroad.OriginReport, error) {
+	report, err := c.requestOriginOnce(ctx, to, q)
+	if err != nil && ctx.Err() == nil {
+		return c.requestOriginOnce(ctx, to, q)
+	}
+	return report, err
+}
+
+func (c *Connector) requestOriginOnce(ctx context.Context, to netip.AddrPort, q quetzalroad.OriginQuestion) (quetzalroad.OriginReport, error) {
 	var report quetzalroad.OriginReport
 	err := c.conns.Call(ctx, to, func(conn drpc.Conn) error {
 		out, err := peerwire.NewDRPCStreamOriginsClient(conn).Find(ctx, nodemapper.EncodeOriginQuestion(q))
--- a/peers/readconnector/connector_test.go
+++ b/peers/readconnector/connector_test.go
@@ -82,28 +82,53 @@
 	return s.report
 }
 
-// Guards against nodes that can't ask each other where a stream began.
+// restartConnector returns a connector that listens at the address of one that has stopped, and tracks the same streams.
+func restartConnector(t *testing.T, stopped *Connector) *Connector {
+	t.Helper()
+	c := new(Connector)
+	c.Declare(new(configloader.Section))
+	c.address = stopped.address
+	if err := c.Build(&kernel.Node{StreamTracker: stopped.node.StreamTracker}); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against nodes that can't ask each other where a stream began, also on a connection that the other one has closed.
 func TestRequestOrigin(t *testing.T) {
 	client, server := newConnector(t), newConnector(t)
 	defer client.listener.Close()
-	want := quetzalroad.OriginReport{Found: true, Origin: quetzalroad.StreamOrigin{Service: "llm", Version: "v2"}, IsCurrent: true}
-	serving, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(serving, &stubHandler{t: t}) }()
-	defer func() {
-		stop()
-		<-done
-	}()
 	q := quetzalroad.OriginQuestion{Stream: "first", Service: "llm"}
+	stop := serve(t, server)
 	if _, err := client.RequestOrigin(t.Context(), server.ListenAddress(), q); err == nil {
 		t.Error("a node without a tracker responds")
 	}
+	want := quetzalroad.OriginReport{Found: true, Origin: quetzalroad.StreamOrigin{Service: "llm", Version: "v2"}, IsCurrent: true}
 	server.node.StreamTracker = stubTracker{report: want}
-	got, err := client.RequestOrigin(t.Context(), server.ListenAddress(), q)
-	if err != nil {
-		t.Fatal(err)
+	for range 2 {
+		got, err := client.RequestOrigin(t.Context(), server.ListenAddress(), q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+		// The other node may close a connection that is kept, for example as this node stood still.
+		stop()
+		server = restartConnector(t, server)
+		stop = serve(t, server)
 	}
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("(-want +got):\n%s", diff)
+	stop()
+}
+
+// serve has a connector serve until the returned function is called.
+func serve(t *testing.T, c *Connector) (stop func()) {
+	t.Helper()
+	serving, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Serve(serving, &stubHandler{t: t}) }()
+	return func() {
+		cancel()
+		<-done
 	}
 }
--- a/state/streamtracker/peers.go
+++ b/state/streamtracker/peers.go
@@ -17,12 +17,21 @@
 	askInterval     = 150 * time.Millisecond
 )
 
-// askPeers asks a random sample of the other nodes until one of them settles the question. asked is the size of the
-// sample, including nodes whose address isn't known.
-func (t *Tracker) askPeers(ctx context.Context, q quetzalroad.OriginQuestion) (reports []quetzalroad.OriginReport, asked int) {
+// peerReports is what other nodes reported.
+type peerReports struct {
+	reports []quetzalroad.OriginReport
+	// asked is the number of nodes that were to be asked, including those whose address isn't known.
+	asked int
+	// failure is why the last question failed; nil if none did.
+	failure error
+}
+
+// askPeers asks a random sample of the other nodes until one of them settles the question.
+func (t *Tracker) askPeers(ctx context.Context, q quetzalroad.OriginQuestion) peerReports {
 	addresses, asked := t.samplePeers()
+	result := peerReports{asked: asked}
 	if len(addresses) == 0 {
-		return nil, asked
+		return result
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.peerTimeout)
 	defer cancel()
@@ -37,23 +46,26 @@
 		select {
 		case r := <-results:
 			pending--
-			if r.err == nil {
-				reports = append(reports, r.report)
+			if r.err != nil {
+				result.failure = r.err
+				break
 			}
-			if r.err == nil && settles(r.report) {
-				return reports, asked
+			result.reports = append(result.reports, r.report)
+			if settles(r.report) {
+				return result
 			}
 		case <-timer.C:
 			isDue = true
 		case <-ctx.Done():
-			return reports, asked
+			result.failure = ctx.Err()
+			return result
 		}
 		if isDue || pending == 0 {
 			t.sendQuestions(ctx, rest, q, results)
 			pending, rest = pending+len(rest), nil
 		}
 	}
-	return reports, asked
+	return result
 }
 
 // peerResult is the result of a question to another node.
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -168,14 +168,14 @@
 	if settles(own) {
 		return conclude(q.Service, own, nil, 0)
 	}
-	others, asked := t.askPeers(ctx, q)
+	others := t.askPeers(ctx, q)
 	if err := ctx.Err(); err != nil {
 		return quetzalroad.StreamOrigin{}, err
 	}
-	o, err := conclude(q.Service, own, others, asked)
+	o, err := conclude(q.Service, own, others.reports, others.asked)
 	t.logger.Info("other nodes asked for the origin of a stream", "resumes", string(q.Stream), "service", string(q.Service),
-		"own-versions", own.Versions, "asked", asked, "answered", len(others), "current", slices.ContainsFunc(others, func(r quetzalroad.OriginReport) bool { return r.IsCurrent }),
-		"version", string(o.Version), "error", err)
+		"own-versions", own.Versions, "asked", others.asked, "answered", len(others.reports), "failure", others.failure,
+		"current", slices.ContainsFunc(others.reports, func(r quetzalroad.OriginReport) bool { return r.IsCurrent }), "version", string(o.Version), "error", err)
 	return o, err
 }
 
