Let a late connection vouch for no earlier response

A node stood still while a server was taken away and replaced at its address. The first cut response that it read then had a second connection opened, which reached the new process; for the other responses, whose ends were read some milliseconds later, that connection counted as one that had been open before their ends.

When an end is read says nothing. A second connection now counts only if it was opened within 0.5 s of a response's last data, which is when the process was certainly there; the same bound replaces that on a dial without one. The decision is evidence.showsProcessRan, without I/O.

TestConnectionThatIsOpenedLateConfirmsNoOtherResponse guards it.

--- a/upstreams/exitwatcher/evidence.go
+++ b/upstreams/exitwatcher/evidence.go
@@ -27,26 +27,28 @@
 	dialAccepted
 )
 
-// maxEndAge is the age up to which the end of a response is recent. A process that exits isn't replaced by another one
-// at its address so soon.
-const maxEndAge = 500 * time.Millisecond
+// replacementTime is the time that passes at least until another process listens at the address of one that exits.
+const replacementTime = 500 * time.Millisecond
 
-// evidence is what is known of a process after a response has ended.
+// evidence is what is known of a process after responses have ended.
 type evidence struct {
 	conn connState
-	// dial is the result of a dial after the end, and endAge how long before it the response ended at most.
-	dial   dialResult
-	endAge time.Duration
+	// openedAt is when the second connection was opened; valid only if conn is connOpen.
+	openedAt time.Time
+	// dial is the result of a dial after the ends.
+	dial dialResult
 }
 
-// showsProcessRan reports whether the process ran on after the end of the response.
-func (e evidence) showsProcessRan() bool {
-	switch e.conn {
-	case connOpen:
+// showsProcessRan reports whether the process ran on after the end of a response. A connection leads to the process of
+// the response only if it was opened soon after the last data at the latest.
+func (e evidence) showsProcessRan(q question) bool {
+	latest := q.lastDataAt().Add(replacementTime)
+	switch {
+	case e.conn == connLost:
+		return false
+	case e.conn == connOpen && !e.openedAt.After(latest):
 		// If the address doesn't respond, the end of the connection may not have arrived.
 		return e.dial != dialSilent
-	case connMissing:
-		return e.dial == dialAccepted && e.endAge <= maxEndAge
 	}
-	return false
+	return e.dial == dialAccepted && !q.readAt.After(latest)
 }
--- a/upstreams/exitwatcher/process.go
+++ b/upstreams/exitwatcher/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,13 +37,18 @@
 
 // question asks whether the process outlived a response.
 type question struct {
-	// endedAt is when the end of the response was read, and endAge how long before that it arrived at most.
-	endedAt time.Time
-	endAge  time.Duration
+	// readAt is when the end of the response was read, and dataAge how long before that its last data arrived.
+	readAt  time.Time
+	dataAge time.Duration
 	// answer is buffered.
 	answer chan bool
 }
 
+// lastDataAt is when the process was certainly there.
+func (q question) lastDataAt() time.Time {
+	return q.readAt.Add(-q.dataAge)
+}
+
 func startProcess(dial DialFunc, u quetzalroad.Upstream) *process {
 	p := &process{upstream: u, dial: dial, questions: make(chan question), stopped: make(chan struct{})}
 	go p.run()
@@ -53,9 +59,9 @@
 	close(p.stopped)
 }
 
-// outlived reports whether the process outlived a response.
-func (p *process) outlived(ctx context.Context, endedAt time.Time, age time.Duration) bool {
-	q := question{endedAt: endedAt, endAge: age, answer: make(chan bool, 1)}
+// outlived reports whether the process outlived a response, whose last data arrived some time before now.
+func (p *process) outlived(ctx context.Context, dataAge time.Duration) bool {
+	q := question{readAt: time.Now(), dataAge: dataAge, answer: make(chan bool, 1)}
 	select {
 	case p.questions <- q:
 	case <-ctx.Done():
@@ -101,26 +107,20 @@
 			pending = false
 		}
 	}
-	latest := first.endedAt
-	for _, q := range asked {
-		if q.endedAt.After(latest) {
-			latest = q.endedAt
-		}
-	}
-	e := p.collect(ctx, c, latest)
+	lastRead := slices.MaxFunc(asked, func(a, b question) int { return a.readAt.Compare(b.readAt) }).readAt
+	e := p.collect(ctx, c, lastRead)
 	for _, q := range asked {
-		e.endAge = q.endAge
-		q.answer <- e.showsProcessRan()
+		q.answer <- e.showsProcessRan(q)
 	}
 }
 
-// collect collects the evidence after responses have ended, the last one at endedAt.
-func (p *process) collect(ctx context.Context, c *secondConn, endedAt time.Time) evidence {
+// collect collects the evidence after the ends of responses were read, the last one at lastRead.
+func (p *process) collect(ctx context.Context, c *secondConn, lastRead time.Time) evidence {
 	if c.state == connLost {
 		return evidence{conn: connLost}
 	}
-	if c.state == connOpen && c.openedAt.After(endedAt) {
-		// The response ended before there was a second connection.
+	if c.state == connOpen && c.openedAt.After(lastRead) {
+		// All the responses had ended before there was a second connection.
 		return evidence{conn: connMissing, dial: dialAccepted}
 	}
 	if err := sleeper.Sleep(ctx, exitTime); err != nil {
@@ -135,7 +135,7 @@
 	if c.state == connOpen && !isOpen(c.conn) {
 		c.lose()
 	}
-	e.conn = c.state
+	e.conn, e.openedAt = c.state, c.openedAt
 	return e
 }
 
@@ -207,7 +207,7 @@
 	}
 	c.lose()
 	switch {
-	case c.confirmedAt.Age() > maxEndAge:
+	case c.confirmedAt.Age() > replacementTime:
 	case !c.foundOpen:
 		c.state = connMissing
 	default:
--- a/upstreams/exitwatcher/sockets.go
+++ b/upstreams/exitwatcher/sockets.go
@@ -31,10 +31,10 @@
 	return open
 }
 
-// endAge returns how long ago the last data arrived on a connection that the other side has ended, which is not less than
-// the age of its end; zero if that is unknown. The operating system counts while this process stands still. Packets
+// dataAge returns how long ago the last data arrived on a connection, also if the other side has ended it since; zero if
+// that is unknown. The operating system counts while this process stands still. Packets
 // without data don't matter: it responds to keepalive probes long after a process has exited.
-func endAge(conn net.Conn) time.Duration {
+func dataAge(conn net.Conn) time.Duration {
 	if conn == nil {
 		return 0
 	}
--- a/upstreams/exitwatcher/watcher.go
+++ b/upstreams/exitwatcher/watcher.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -75,7 +74,7 @@
 // the connection on which the response arrived; nil if unknown. It is false if the process exited then, and also if
 // that can't be told within a second or two, for example because the network is cut.
 func (w *Watch) OutlivedResponse(ctx context.Context, conn net.Conn) bool {
-	return w.process.outlived(ctx, time.Now(), endAge(conn))
+	return w.process.outlived(ctx, dataAge(conn))
 }
 
 // Stop ends the watch. It must be called once.
--- a/upstreams/exitwatcher/watcher_test.go
+++ b/upstreams/exitwatcher/watcher_test.go
@@ -201,7 +201,7 @@
 	}
 	f.exit()
 	startFakeProcess(t, f.listener.Addr().String())
-	time.Sleep(probeInterval + maxEndAge/2)
+	time.Sleep(probeInterval + replacementTime/2)
 	w := Watcher{Dial: dial}
 	watch := w.Watch(f.upstream())
 	defer watch.Stop()
@@ -210,6 +210,30 @@
 	}
 }
 
+// Guards against a cut response that is read late, after another one of the same process had a second connection opened,
+// which reached the process that took the address.
+func TestConnectionThatIsOpenedLateConfirmsNoOtherResponse(t *testing.T) {
+	f := startFakeProcess(t, "127.0.0.1:0")
+	response, err := dial(t.Context(), f.upstream())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	f.connection(t, 0)
+	f.exit()
+	other := startFakeProcess(t, f.listener.Addr().String())
+	time.Sleep(replacementTime + 100*time.Millisecond)
+	w := Watcher{Dial: dial}
+	first, second := w.Watch(f.upstream()), w.Watch(f.upstream())
+	defer first.Stop()
+	defer second.Stop()
+	other.connection(t, 0)
+	time.Sleep(2 * checkInterval)
+	if second.OutlivedResponse(t.Context(), response) {
+		t.Error("the process that took the address counts as the one that responded")
+	}
+}
+
 // Guards against a connection for each of the responses of one process.
 func TestResponsesOfAProcessShareAConnection(t *testing.T) {
 	f := startFakeProcess(t, "127.0.0.1:0")
