Soak: take servers away, and let a node miss a software version

- server-taken-away: a server sends responses without length and chunks, lets nodes know in one of four ways, or not, that it leaves, and is ended in the middle of its responses, whose connections close in order.
- version-joins-unseen: a spare server of another software version registers while a node stands still; callers come to that node with their streams, and it can't reach the store when it goes on.

--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -33,6 +33,10 @@
 	RetryAfter time.Duration
 	// Leaving makes the server state in its responses that it leaves.
 	Leaving bool
+	// Unframed makes responses end with their connection, as they have neither a length nor chunks. PartInterval is the
+	// pause between their parts.
+	Unframed     bool
+	PartInterval time.Duration
 }
 
 // ReceivedRequest is a request that a server received.
@@ -260,7 +264,11 @@
 	h := w.Header()
 	h.Set("Response-Seal", ResponseSeal(s.ID))
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d,100", len(body), s.MaxConcurrency))
-	if r.Header.Get("Model") != "" {
+	switch {
+	case faults.Unframed:
+		writeUnframed(w, r, body, faults.PartInterval)
+		return
+	case r.Header.Get("Model") != "":
 		s.writeStream(w, r, faults)
 		return
 	}
--- a/cmd/quetzalsoak/deployer/deployer.go
+++ b/cmd/quetzalsoak/deployer/deployer.go
@@ -105,6 +105,8 @@
 	Nodes   []*Node
 	Servers []*Server
 	Checker *checker.Checker
+	// spare is a server of streams that JoinSpare registers.
+	spare *Server
 
 	directory string
 	network   byte
@@ -173,10 +175,17 @@
 	}
 	d.serve(ctx, storeListener, &d.Store)
 	for i, service := range []string{EngineService, EngineService, EngineService, ApplicationService, ApplicationService, SecondApplicationService, SecondApplicationService} {
-		if err := d.startServer(ctx, i, service); err != nil {
+		s, err := d.startServer(ctx, i, service)
+		if err != nil {
 			return d, err
 		}
+		d.Servers = append(d.Servers, s)
 	}
+	if d.spare, err = d.startServer(ctx, len(d.Servers), EngineService); err != nil {
+		return d, err
+	}
+	d.spare.state, d.spare.EventInterval = "", spareEventInterval
+	d.spare.SetVersion(newerVersion)
 	d.validKeys = []string{"key-0", "key-1", "key-2"}
 	d.publishConfig()
 	d.writeRegistrations()
@@ -217,25 +226,27 @@
 const (
 	serverConcurrency = 64
 	eventInterval     = 15 * time.Millisecond
-	plainRequestTime  = 15 * time.Millisecond
+	// spareEventInterval makes most callers have a stream of the spare server in progress when they lose their connections.
+	spareEventInterval = 4 * eventInterval
+	plainRequestTime   = 15 * time.Millisecond
 )
 
-func (d *Deployment) startServer(ctx context.Context, index int, service string) error {
+// startServer starts a server, which registers with the next heartbeat.
+func (d *Deployment) startServer(ctx context.Context, index int, service string) (*Server, error) {
 	address := d.address(subnetServers, index, portServer)
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s := &Server{proxyAddress: d.address(subnetServerProxies, index, portServer), startedAt: time.Now(), state: "ready"}
 	s.Server = backendserver.Server{ID: fmt.Sprintf("i-%d", index), Service: service, Address: s.proxyAddress, Zone: dataCentre, MaxConcurrency: serverConcurrency, EventInterval: eventInterval, ProcessingTime: plainRequestTime}
 	s.OnRequest = func(a backendserver.ReceivedRequest) { d.recordArrival(s, a) }
 	s.OnDeadly = func() func() { return d.deadlyCrash(ctx, s) }
 	if s.Proxy, err = d.startProxy(ctx, s.proxyAddress, address); err != nil {
-		return err
+		return nil, err
 	}
 	d.serve(ctx, listener, &s.Server)
-	d.Servers = append(d.Servers, s)
-	return nil
+	return s, nil
 }
 
 // recordArrival reports a request at a server to the checker.
--- a/cmd/quetzalsoak/faultproxy/proxy.go
+++ b/cmd/quetzalsoak/faultproxy/proxy.go
@@ -1,4 +1,4 @@
-// Package faultproxy is a TCP proxy that can delay, reset or refuse connections and drop bytes in either direction.
+// Package faultproxy is a TCP proxy that can delay, reset, close or refuse connections and drop bytes in either direction.
 package faultproxy
 
 import (
@@ -80,6 +80,24 @@
 	}
 }
 
+// HangUp closes all open connections of clients in order, like the operating system of a process that exits.
+func (p *Proxy) HangUp() {
+	p.mu.Lock()
+	open := p.conns
+	p.conns = nil
+	p.mu.Unlock()
+	for c := range open {
+		// The connection may be closed already.
+		_ = c.client.Close()
+		_ = c.target.Close()
+	}
+}
+
+// RefusesConnections reports whether the proxy refuses connections.
+func (p *Proxy) RefusesConnections() bool {
+	return p.currentMode().RefuseConnections
+}
+
 func (p *Proxy) currentMode() Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -77,11 +77,11 @@
 	}
 }
 
-// pickNode returns the index of a random node, preferring ready ones.
+// pickNode returns the index of a random node, preferring ready ones that accept connections.
 func (l *loadGenerator) pickNode(random *rand.Rand) int {
 	first := random.IntN(len(l.Nodes))
 	for i := range l.Nodes {
-		if n := (first + i) % len(l.Nodes); l.ready[n].Load() {
+		if n := (first + i) % len(l.Nodes); l.ready[n].Load() && !l.Nodes[n].CallerProxy.RefusesConnections() {
 			return n
 		}
 	}
--- a/cmd/quetzalsoak/runner/runner_test.go
+++ b/cmd/quetzalsoak/runner/runner_test.go
@@ -46,6 +46,8 @@
 	}{
 		{1, 6 * time.Second, []scheduler.Kind{scheduler.ServerGarblesStreams}},
 		{78, 9 * time.Second, []scheduler.Kind{scheduler.ServerUpgrade, scheduler.AllNodesKill}},
+		{25, 6 * time.Second, []scheduler.Kind{scheduler.ServerTakenAway}},
+		{15, 7 * time.Second, []scheduler.Kind{scheduler.UnseenVersion}},
 	} {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			var out strings.Builder
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -57,6 +57,9 @@
 
 	ServerUpgrade Kind = "server-upgraded"
 	AllNodesKill  Kind = "all-nodes-killed"
+
+	ServerTakenAway Kind = "server-taken-away"
+	UnseenVersion   Kind = "version-joins-unseen"
 )
 
 // plannedKinds lists the operations that operators plan, which must not cause any request to fail.
@@ -72,10 +75,12 @@
 const (
 	upgradeStream uint64 = 1<<32 + iota
 	allNodesKillStream
+	takenAwayStream
+	unseenVersionStream
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore, ServerUpgrade, AllNodesKill}, laterPlannedKinds, laterKinds, drawnKinds)
+var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore, ServerUpgrade, AllNodesKill, ServerTakenAway, UnseenVersion}, laterPlannedKinds, laterKinds, drawnKinds)
 
 // drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
 // existing seeds depend.
@@ -157,6 +162,10 @@
 	}
 	faults = append(faults, generateLaterKinds(seed, period, plannedOnly)...)
 	faults = append(faults, generateUpgrades(seed, period, plannedOnly)...)
+	if !plannedOnly {
+		faults = append(faults, generateOneKind(ServerTakenAway, takenAwayStream, seed, period)...)
+		faults = append(faults, generateUnseenVersion(seed, period)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
@@ -203,6 +212,16 @@
 	return append(faults, kills[:min(1, len(kills))]...)
 }
 
+// generateUnseenVersion returns the begin of another software version while a node is out of step, in a seed without
+// upgrades: all nodes know one version until then.
+func generateUnseenVersion(seed uint64, period time.Duration) []Fault {
+	if seed%upgradeDivisor == 0 {
+		return nil
+	}
+	faults := generateOneKind(UnseenVersion, unseenVersionStream, seed, period)
+	return faults[:min(1, len(faults))]
+}
+
 // generateOneKind returns the faults of a kind that was added later. It has a random sequence of its own,
 // so that the other faults of existing seeds stay the same.
 func generateOneKind(k Kind, stream, seed uint64, period time.Duration) []Fault {
