Ask the other nodes for a stream that no record has

While several versions serve, a stream that nobody recorded was refused at every node but its own. A node that the log turns away can't record its streams, although it is there and knows them: in TestStreamsOfANodeThatTheLogTurnsAwayGoOnAtOtherNodes none of 191 streams went on at another node, and all do now.

Where the sample of other nodes has all of them (fifteen at most), they are asked before such a stream is refused. In larger fleets the sample would hardly find the node, and nothing changes.

--- a/proofs/prover/unseenversions_test.go
+++ b/proofs/prover/unseenversions_test.go
@@ -108,35 +108,31 @@
 	return informed, uninformed
 }
 
-// killNode kills a node. The streams that it relays end without a word.
-func (f *separableFleet) killNode(t *testing.T, node int) {
+// beginAt sends streams to one node, one each interval, and kills it after the duration. It returns the streams that had begun.
+func (f *separableFleet) beginAt(t *testing.T, node int, duration, interval time.Duration) (begun []*versionedStream) {
 	t.Helper()
-	f.kill()
+	begun = f.leaveAt(node, duration, interval)
 	f.nodes[node].Kill()
 	if err := f.nodes[node].Wait(); err != nil {
 		t.Error(err)
 	}
-	f.ended, f.kill = context.WithCancel(context.Background())
+	if len(begun) < 10 {
+		t.Fatalf("%d streams had begun, which is too few for the test", len(begun))
+	}
+	return begun
 }
 
-// beginAt sends streams to one node, one each interval, and kills it after the duration. It returns the streams that had begun.
-func (f *separableFleet) beginAt(t *testing.T, node int, duration, interval time.Duration) (begun []*versionedStream) {
-	t.Helper()
+// leaveAt sends streams to one node, one each interval. Their callers lose their connections after the duration. It
+// returns the streams that had begun.
+func (f *separableFleet) leaveAt(node int, duration, interval time.Duration) (begun []*versionedStream) {
 	nodes := f.nodes
 	f.nodes = nodes[node : node+1]
 	streams, wait := f.open(duration, interval)
 	f.nodes = nodes
-	f.killNode(t, node)
+	f.kill()
 	wait()
-	for _, s := range streams {
-		if len(s.versions) > 0 {
-			begun = append(begun, s)
-		}
-	}
-	if len(begun) < 10 {
-		t.Fatalf("%d streams had begun, which is too few for the test", len(begun))
-	}
-	return begun
+	f.ended, f.kill = context.WithCancel(context.Background())
+	return slices.DeleteFunc(streams, func(s *versionedStream) bool { return len(s.versions) == 0 })
 }
 
 // resumeAt has callers resume streams at a node.
@@ -255,3 +251,17 @@
 		}
 	})
 }
+
+// Guards against streams that are lost while several versions serve, as the node that they began at could not record them.
+func TestStreamsOfANodeThatTheLogTurnsAwayGoOnAtOtherNodes(t *testing.T) {
+	runSeparableFleet(t, "", func(t *testing.T, f *separableFleet) {
+		f.setEngines("v2", 3)
+		time.Sleep(3 * time.Second)
+		f.logs[0].cut.Store(true)
+		streams := f.leaveAt(0, time.Second, streamInterval/10)
+		f.resumeAt(1, streams)
+		if joined, complete := countJoined(streams), countComplete(streams); joined > 0 || complete < len(streams) {
+			t.Errorf("%d of %d streams are joined, and %d complete", joined, len(streams), complete)
+		}
+	})
+}
--- a/state/streamtracker/peers.go
+++ b/state/streamtracker/peers.go
@@ -26,8 +26,8 @@
 	failure error
 }
 
-// askPeers asks a random sample of the other nodes until one of them settles the question.
-func (t *Tracker) askPeers(ctx context.Context, q quetzalroad.OriginQuestion) peerReports {
+// askPeers asks a random sample of the other nodes until a report suffices.
+func (t *Tracker) askPeers(ctx context.Context, q quetzalroad.OriginQuestion, suffices func(quetzalroad.OriginReport) bool) peerReports {
 	addresses, asked := t.samplePeers()
 	result := peerReports{asked: asked}
 	if len(addresses) == 0 {
@@ -51,7 +51,7 @@
 				break
 			}
 			result.reports = append(result.reports, r.report)
-			if settles(r.report) {
+			if suffices(r.report) {
 				return result
 			}
 		case <-timer.C:
@@ -85,6 +85,11 @@
 	}
 }
 
+// canAskAllPeers reports whether the sample of the other nodes has all of them.
+func (t *Tracker) canAskAllPeers() bool {
+	return !t.fleetIsUnknown() && t.fleetSize() <= 1+maxAskedPeers
+}
+
 // samplePeers returns the addresses of a random sample of the other nodes, and the size of the sample, of which some
 // may have no known address.
 func (t *Tracker) samplePeers() (addresses []netip.AddrPort, size int) {
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -156,6 +156,9 @@
 		}
 		o, err = t.findOrigin(ctx, q)
 	}
+	if errors.Is(err, quetzalroad.ErrOriginUnknown) && q.Stream != "" && t.canAskAllPeers() {
+		o, err = t.findAtPeers(ctx, q)
+	}
 	if err != nil {
 		t.unknown.Add(1)
 	}
@@ -168,7 +171,7 @@
 	if settles(own) {
 		return conclude(q.Service, own, nil, 0)
 	}
-	others := t.askPeers(ctx, q)
+	others := t.askPeers(ctx, q, settles)
 	if err := ctx.Err(); err != nil {
 		return quetzalroad.StreamOrigin{}, err
 	}
@@ -179,6 +182,19 @@
 	return o, err
 }
 
+// findAtPeers asks the other nodes for a stream that no record has, although its service has several versions: the node
+// that it began at may not reach the log.
+func (t *Tracker) findAtPeers(ctx context.Context, q quetzalroad.OriginQuestion) (quetzalroad.StreamOrigin, error) {
+	others := t.askPeers(ctx, q, func(r quetzalroad.OriginReport) bool { return r.Found })
+	for _, r := range others.reports {
+		if r.Found {
+			return r.Origin, nil
+		}
+	}
+	t.logger.Info("no other node knows a stream", "resumes", string(q.Stream), "asked", others.asked, "answered", len(others.reports), "failure", others.failure)
+	return quetzalroad.StreamOrigin{}, quetzalroad.ErrOriginUnknown
+}
+
 // isLogAway reports whether the log has not confirmed this node's view for so long that it is not expected to respond.
 func (t *Tracker) isLogAway() bool {
 	return t.node.Freshness != nil && t.node.Freshness.Age() > t.confirmedWithin
