Send no resumed stream to an upstream that was replaced

A server crashed and started again under its id and address with another software version.

The registrations are now read, directly from the log, before a caller's stream is resumed, also if its origin is known; and the request goes to no upstream of which another incarnation is registered. They were read up to now only where a single version was known.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -162,9 +162,9 @@
 	if len(tried) > 0 || len(candidates) == 0 {
 		candidates = d.node.CapacityEstimator.Candidates(now, r.Service.Name, tried)
 	}
-	candidates = ofVersion(r, candidates)
+	candidates = d.ofVersion(r, candidates)
 	if len(candidates) == 0 {
-		candidates = ofVersion(r, d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil))
+		candidates = d.ofVersion(r, d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil))
 	}
 	if len(candidates) == 0 && r.HasVersion {
 		candidates = d.remainingOfVersion(r)
--- a/decisions/dispatcher/streamorigin.go
+++ b/decisions/dispatcher/streamorigin.go
@@ -74,22 +74,27 @@
 }
 
 // ofVersion returns the upstreams that may run a request that only one software version may run.
-func ofVersion(r *quetzalroad.Request, upstreams []quetzalroad.Upstream) []quetzalroad.Upstream {
-	if !r.HasVersion || !slices.ContainsFunc(upstreams, func(u quetzalroad.Upstream) bool { return u.Version != r.Version }) {
+func (d *Dispatcher) ofVersion(r *quetzalroad.Request, upstreams []quetzalroad.Upstream) []quetzalroad.Upstream {
+	if !r.HasVersion || !slices.ContainsFunc(upstreams, func(u quetzalroad.Upstream) bool { return !d.runsVersion(u, r.Version) }) {
 		return upstreams
 	}
 	var matching []quetzalroad.Upstream
 	for _, u := range upstreams {
-		if u.Version == r.Version {
+		if d.runsVersion(u, r.Version) {
 			matching = append(matching, u)
 		}
 	}
 	return matching
 }
 
+// runsVersion reports whether an upstream runs a software version, as far as that is known.
+func (d *Dispatcher) runsVersion(u quetzalroad.Upstream, v quetzalroad.SoftwareVersion) bool {
+	return u.Version == v && (d.node.StreamTracker == nil || !d.node.StreamTracker.IsReplaced(u.Name))
+}
+
 // remainingOfVersion returns all upstreams of the request's software version that don't drain, also those that get
 // no other work now.
 func (d *Dispatcher) remainingOfVersion(r *quetzalroad.Request) []quetzalroad.Upstream {
-	all := ofVersion(r, d.node.Directory.UpstreamsOf(r.Service.Name))
+	all := d.ofVersion(r, d.node.Directory.UpstreamsOf(r.Service.Name))
 	return slices.DeleteFunc(slices.Clone(all), func(u quetzalroad.Upstream) bool { return u.Draining })
 }
--- a/decisions/dispatcher/streamorigin_test.go
+++ b/decisions/dispatcher/streamorigin_test.go
@@ -47,6 +47,8 @@
 	return quetzalroad.StreamOrigin{}, o.err
 }
 
+func (*origins) IsReplaced(quetzalroad.UpstreamName) bool { return false }
+
 func (*origins) Report(context.Context, quetzalroad.OriginQuestion) quetzalroad.OriginReport {
 	return quetzalroad.OriginReport{}
 }
--- a/proofs/prover/streamversions_test.go
+++ b/proofs/prover/streamversions_test.go
@@ -44,8 +44,10 @@
 	kill  context.CancelFunc
 
 	mu sync.Mutex
-	// crashed holds the engines that have crashed, and is guarded by mu.
-	crashed map[quetzalroad.UpstreamName]bool
+	// crashed holds the engines that have crashed, and upgraded the versions of those that have started again under their
+	// ids with another one. Both are guarded by mu.
+	crashed  map[quetzalroad.UpstreamName]bool
+	upgraded map[string]quetzalroad.SoftwareVersion
 }
 
 func runVersionedFleet(t *testing.T, check func(t *testing.T, f *versionedFleet)) {
@@ -143,6 +145,25 @@
 	return f.crashed[id]
 }
 
+// upgrade has an engine start again under its id and address with another version.
+func (f *versionedFleet) upgrade(u quetzalroad.Upstream, version quetzalroad.SoftwareVersion) {
+	f.mu.Lock()
+	if f.upgraded == nil {
+		f.upgraded = make(map[string]quetzalroad.SoftwareVersion)
+	}
+	f.upgraded[u.InstanceID] = version
+	f.mu.Unlock()
+	u.Version = version
+	f.log.Put(quetzalroad.LogStreamUpstreams, u.InstanceID, quetzalroad.UpstreamRegistration{Sequence: 1, StartedAt: time.Now(), Upstream: u})
+}
+
+// versionOf returns the version that an engine runs, whatever a node believes.
+func (f *versionedFleet) versionOf(u quetzalroad.Upstream) quetzalroad.SoftwareVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.upgraded[u.InstanceID], u.Version)
+}
+
 // respond generates the rest of a stream, until its engine crashes.
 func (f *versionedFleet) respond(_ context.Context, a *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
 	u := a.Upstream
@@ -161,7 +182,7 @@
 		return nil
 	}}
 	for id := a.ResumeAfter + 1; id <= eventsOfStream; id++ {
-		response.Chunks = append(response.Chunks, quetzalroad.BodyChunk{EventID: id, Data: []byte(u.Version)})
+		response.Chunks = append(response.Chunks, quetzalroad.BodyChunk{EventID: id, Data: []byte(f.versionOf(u))})
 	}
 	return response, nil
 }
--- a/proofs/prover/unseenversions_test.go
+++ b/proofs/prover/unseenversions_test.go
@@ -265,3 +265,24 @@
 		}
 	})
 }
+
+// Guards against streams that go on at an upstream which has started again under its id with another software version, at
+// a node that has not read its new registration yet.
+func TestStreamsDoNotGoOnAtAnUpstreamThatChangedItsVersion(t *testing.T) {
+	for node, name := range []string{"at the node that they began at", "at another node"} {
+		t.Run(name, func(t *testing.T) {
+			runSeparableFleet(t, "", func(t *testing.T, f *separableFleet) {
+				streams := f.leaveAt(0, time.Second, streamInterval/10)
+				f.upgrade(f.nodes[1].Directory.UpstreamsOf("service")[0], "v2")
+				time.Sleep(10 * time.Millisecond)
+				if _, uninformed := f.partition("v2"); !slices.Contains(uninformed, node) {
+					t.Fatal("the node knows the new version, so that the test checks nothing")
+				}
+				f.resumeAt(node, streams)
+				if joined, complete := countJoined(streams), countComplete(streams); joined > 0 || complete < len(streams) {
+					t.Errorf("%d of %d streams are joined, and %d complete", joined, len(streams), complete)
+				}
+			})
+		})
+	}
+}
--- a/state/streamtracker/registrations.go
+++ b/state/streamtracker/registrations.go
@@ -20,8 +20,14 @@
 	logger *slog.Logger
 
 	contentMu sync.Mutex
-	// origins holds the services and versions of the upstreams by key, and is guarded by contentMu.
-	origins map[string]quetzalroad.StreamOrigin
+	// byKey holds the registered upstreams, and is guarded by contentMu.
+	byKey map[string]registeredUpstream
+}
+
+// registeredUpstream is what the registration of an upstream states.
+type registeredUpstream struct {
+	name   quetzalroad.UpstreamName
+	origin quetzalroad.StreamOrigin
 }
 
 func (r *registrations) open(log quetzalroad.KeyedLog, codec quetzalroad.StateCodec, logger *slog.Logger) {
@@ -34,11 +40,11 @@
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
 	if complete {
-		r.origins = make(map[string]quetzalroad.StreamOrigin)
+		r.byKey = make(map[string]registeredUpstream)
 	}
 	for _, record := range list {
 		if record.Value == nil {
-			delete(r.origins, record.Key)
+			delete(r.byKey, record.Key)
 			continue
 		}
 		decoded, err := r.codec.DecodeRegistration(record)
@@ -47,7 +53,10 @@
 			r.logger.Debug("ignoring undecodable upstream registration", "key", record.Key, "offset", int64(record.Offset), "error", err)
 			continue
 		}
-		r.origins[record.Key] = quetzalroad.StreamOrigin{Service: decoded.Upstream.Service, Version: decoded.Upstream.Version}
+		r.byKey[record.Key] = registeredUpstream{
+			name:   quetzalroad.IncarnationName(record.Key, decoded.StartedAt),
+			origin: quetzalroad.StreamOrigin{Service: decoded.Upstream.Service, Version: decoded.Upstream.Version},
+		}
 	}
 }
 
@@ -55,7 +64,19 @@
 func (r *registrations) addTo(versions versionSets) {
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
-	for _, o := range r.origins {
-		versions.add(o)
+	for _, u := range r.byKey {
+		versions.add(u.origin)
+	}
+}
+
+// isReplaced reports whether another incarnation of an upstream is registered, as of a recent read. The published state
+// may be older or newer than an earlier one.
+func (r *registrations) isReplaced(u quetzalroad.UpstreamName) bool {
+	if readAt, _, _ := r.position(); readAt.Age() > maxRegistrationGap {
+		return false
 	}
+	r.contentMu.Lock()
+	defer r.contentMu.Unlock()
+	registered, ok := r.byKey[u.Key()]
+	return ok && registered.name != u
 }
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -22,6 +22,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
@@ -144,6 +145,7 @@
 
 // Origin implements quetzalroad.StreamTracker.
 func (t *Tracker) Origin(ctx context.Context, id quetzalroad.RequestID, s quetzalroad.ServiceName) (quetzalroad.StreamOrigin, error) {
+	calledAt := boottimer.Now()
 	q := quetzalroad.OriginQuestion{Service: s}
 	if isRecordable(id) {
 		q.Stream = id
@@ -161,8 +163,30 @@
 	}
 	if err != nil {
 		t.unknown.Add(1)
+		return o, err
 	}
-	return o, err
+	t.refreshRegistrations(ctx, calledAt)
+	return o, nil
+}
+
+// refreshRegistrations reads which incarnations of upstreams are registered, for IsReplaced, unless that was read since
+// calledAt. While the log is away, none can register.
+func (t *Tracker) refreshRegistrations(ctx context.Context, calledAt boottimer.Instant) {
+	readAt, _, loaded := t.registrations.position()
+	if (loaded && readAt.After(calledAt)) || t.isLogAway() || t.records.isFailing() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.quickTimeout)
+	defer cancel()
+	if err := t.registrations.refresh(ctx); err != nil {
+		t.readFailures.Add(1)
+		t.logger.Info("failed to read the registrations of upstreams", "error", err)
+	}
+}
+
+// IsReplaced implements quetzalroad.StreamTracker.
+func (t *Tracker) IsReplaced(u quetzalroad.UpstreamName) bool {
+	return t.registrations.isReplaced(u)
 }
 
 // findOrigin asks the log, and other nodes if it doesn't respond.
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -31,6 +31,9 @@
 	// ErrOriginUnknown if nobody recorded it although the service has had several versions lately, and another one if
 	// that can't be told.
 	Origin(ctx context.Context, id RequestID, s ServiceName) (StreamOrigin, error)
+	// IsReplaced reports whether another incarnation of an upstream had registered when this node last looked up where a
+	// stream began, so that the upstream may run another software version than the published state says.
+	IsReplaced(u UpstreamName) bool
 	// Report returns what this node knows of a stream's origin, for another node. It reads the log, but asks no other
 	// node.
 	Report(ctx context.Context, q OriginQuestion) OriginReport
