--- a/proofs/prover/streamversions_test.go
+++ b/proofs/prover/streamversions_test.go
@@ -253,11 +253,16 @@
 // open sends streams to all nodes in turn, one each interval, until the duration has passed. The returned function
 // waits for the ends of all.
 func (f *versionedFleet) open(duration, interval time.Duration) (streams []*versionedStream, wait func()) {
+	return f.openAt(duration, interval, func(stream int) int { return stream % len(f.nodes) })
+}
+
+// openAt sends streams as open does, each to the node that a function returns for its number, which counts from one.
+func (f *versionedFleet) openAt(duration, interval time.Duration, nodeOf func(stream int) int) (streams []*versionedStream, wait func()) {
 	var open sync.WaitGroup
 	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(interval) {
 		s := new(versionedStream)
 		streams = append(streams, s)
-		node := len(streams) % len(f.nodes)
+		node := nodeOf(len(streams))
 		open.Go(func() { f.request(node, s) })
 	}
 	return streams, open.Wait
--- a/proofs/prover/unseenversions_test.go
+++ b/proofs/prover/unseenversions_test.go
@@ -125,10 +125,7 @@
 // leaveAt sends streams to one node, one each interval. Their callers lose their connections after the duration. It
 // returns the streams that had begun.
 func (f *separableFleet) leaveAt(node int, duration, interval time.Duration) (begun []*versionedStream) {
-	nodes := f.nodes
-	f.nodes = nodes[node : node+1]
-	streams, wait := f.open(duration, interval)
-	f.nodes = nodes
+	streams, wait := f.openAt(duration, interval, func(int) int { return node })
 	f.kill()
 	wait()
 	f.ended, f.kill = context.WithCancel(context.Background())
