--- a/state/streamtracker/origin.go
+++ b/state/streamtracker/origin.go
@@ -39,7 +39,7 @@
 }
 
 // refreshRegistrations reads which incarnations of upstreams are registered, for IsReplaced, unless that was read since
-// calledAt. While the log is away, none can register.
+// calledAt. While the log doesn't respond, replaced upstreams aren't recognised.
 func (t *Tracker) refreshRegistrations(ctx context.Context, calledAt boottimer.Instant) {
 	readAt, _, loaded := t.registrations.position()
 	if (loaded && readAt.After(calledAt)) || t.isLogAway() || t.records.isFailing() {
