--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -30,7 +30,7 @@
 var cases = map[string]func(options, *record) (bool, error){
 	"mixed-versions":           runMixedVersions,
 	"added-route":              runAddedRoute,
-	"moved-key":                runMovedKey,
+	"kept-channel":             runKeptChannel,
 	"foreign-entry":            runForeignEntry,
 	"streams-of-a-killed-node": runStreamsOfAKilledNode,
 }
