--- a/review/rig3/keptchannel.go
+++ b/review/rig3/keptchannel.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,43 +30,63 @@
 	reader *bufio.Reader
 }
 
-// get sends a request without a body and returns the status of the answer; zero if the node closed the channel
-// without one.
+// get sends a request without a body and returns the status of the answer; zero if the node closed the channel without
+// one.
 func (c *channel) get(path string) int {
+	status, _ := c.ask(http.MethodGet, path, "", "")
+	return status
+}
+
+// chat asks for a stream and reports whether it came whole.
+func (c *channel) chat(path string) bool {
+	const fields = "Model: m\r\nToken-Usage: 826,50\r\nPrompt-Prefix: 5c1e07a2:198,91bd3f06:628\r\n"
+	status, body := c.ask(http.MethodPost, path, fields, "prompt")
+	return status == http.StatusOK && strings.Count(body, "id: ") == shortEvents
+}
+
+// ask sends a request and returns the status and the body of the answer.
+func (c *channel) ask(method, path, fields, body string) (int, string) {
 	if c.conn == nil {
 		conn, err := net.Dial("tcp", c.node.front())
 		if err != nil {
 			c.record.printf("%s: can't connect: %v", c.node.name, err)
-			return 0
+			return 0, ""
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	id := newAttemptID()
-	status, reusable, err := c.exchange(id, path)
-	c.record.printf("%s: %s GET %s: status %d, error %v", c.node.name, id, path, status, err)
-	if err != nil || !reusable {
+	if body != "" {
+		fields += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	status, answer, err := c.exchange(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Attempt-Id: %s\r\nDeadline-Remaining: 2000\r\nAuthorization: Bearer %s\r\n%s\r\n%s",
+		method, path, host, id, callerKey, fields, body), method)
+	c.record.printf("%s: %s %s %s: status %d, %d events, error %v", c.node.name, id, method, path, status, strings.Count(answer, "id: "), err)
+	if err != nil {
 		c.close()
 	}
-	return status
+	return status, answer
 }
 
-func (c *channel) exchange(id, path string) (status int, reusable bool, err error) {
+// errClosing reports that the node said that it closes the channel.
+var errClosing = errors.New("the node closes the channel")
+
+func (c *channel) exchange(text, method string) (status int, body string, err error) {
 	if err := c.conn.SetDeadline(time.Now().Add(channelTimeout)); err != nil {
-		return 0, false, err
+		return 0, "", err
 	}
-	_, err = fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Attempt-Id: %s\r\nDeadline-Remaining: 2000\r\nAuthorization: Bearer %s\r\n\r\n", path, host, id, callerKey)
-	if err != nil {
-		return 0, false, err
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		return 0, "", err
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		return 0, false, err
+		return 0, "", err
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0, false, err
+	data, err := io.ReadAll(response.Body)
+	if err == nil && response.Close {
+		err = errClosing
 	}
-	return response.StatusCode, !response.Close, nil
+	return response.StatusCode, string(data), err
 }
 
 func (c *channel) close() {
@@ -75,21 +97,22 @@
 	}
 }
 
-// runKeptChannel sends requests on a route that was added, and on routes that never existed, on one channel to each node.
+// runKeptChannel asks for streams that may not be repeated on a route that was added, and for routes that never existed,
+// on one channel to each node.
 func runKeptChannel(o options, r *record) (bool, error) {
 	d, err := newDeployment(o, r)
 	if err != nil {
 		return false, err
 	}
 	defer d.close()
-	first := route{Name: "r-first", Host: host, PathPrefix: "/puxa403/", Kind: "safe", TimeoutMs: 1000, TargetMs: 200, Service: "wuno96b", MaxAttempts: 2}
+	first := route{Name: "r-first", Host: host, PathPrefix: "/pufi791/", Kind: "streaming", TimeoutMs: 15000, TargetMs: 400, Service: "huvo11a", MaxAttempts: 1, Sticky: true, GapTargetMs: 250}
 	added := first
 	added.Name, added.PathPrefix = "r-added", "/rela447/"
 	services, teams := []string{first.Service}, map[string][]string{callerTeam: {callerKey}}
 	d.publish([]route{first}, services, teams)
 	zones := []string{"at-east-graz", "at-west-ibk", "de-south-muc"}
 	for i, zone := range zones {
-		if err := d.addServer(&server{id: fmt.Sprintf("i-%d", i), service: first.Service, zone: zone, version: "v1"}); err != nil {
+		if err := d.addServer(&server{id: fmt.Sprintf("i-%d", i), service: first.Service, zone: zone, version: "v1", events: shortEvents, eventInterval: shortInterval}); err != nil {
 			return false, err
 		}
 	}
@@ -107,10 +130,10 @@
 	var mu sync.Mutex
 	served := make(map[string]int)
 	var clients sync.WaitGroup
-	count := func(kind string, status int) {
+	count := func(kind string, whole bool) {
 		mu.Lock()
 		defer mu.Unlock()
-		if status == http.StatusOK {
+		if whole {
 			served[kind]++
 		}
 	}
@@ -125,16 +148,16 @@
 }
 
 // useFirstRoute is a client of the first route.
-func useFirstRoute(c *channel, count func(string, int)) {
+func useFirstRoute(c *channel, count func(string, bool)) {
 	defer c.close()
 	for range addedRequests {
-		count("first", c.get("/puxa403/2f"))
+		count("first", c.chat("/pufi791/2f"))
 		time.Sleep(probeInterval * (unknownRoutes + 1))
 	}
 }
 
 // probeAddedRoute shows which config is in force: the added route has to be there, and the others not.
-func probeAddedRoute(c *channel, withUnknown bool, count func(string, int)) {
+func probeAddedRoute(c *channel, withUnknown bool, count func(string, bool)) {
 	defer c.close()
 	for i := range addedRequests {
 		for k := range unknownRoutes {
@@ -143,7 +166,7 @@
 			}
 			time.Sleep(probeInterval)
 		}
-		count("added", c.get("/rela447/2f"))
+		count("added", c.chat("/rela447/2f"))
 		time.Sleep(probeInterval)
 	}
 }
