Log what an unknown origin of a stream was concluded from

Callers of a node that was killed as a version joined got 503 with the reason stream-origin-unknown, and no log told whether the node had recorded its streams, or what the others knew when they refused. Both are logged now.

--- a/state/streamtracker/origin.go
+++ b/state/streamtracker/origin.go
@@ -32,12 +32,20 @@
 	}
 	if err != nil {
 		t.unknown.Add(1)
+		t.logUnknown(q)
 		return o, err
 	}
 	t.refreshRegistrations(ctx, calledAt)
 	return o, nil
 }
 
+// logUnknown logs what this node knows of a stream's service when it can't tell where the stream began.
+func (t *Tracker) logUnknown(q quetzalroad.OriginQuestion) {
+	t.logger.Info("origin of a stream is unknown", "resumes", string(q.Stream), "service", string(q.Service),
+		"registered", slices.Sorted(maps.Keys(t.registeredVersions()[q.Service])), "recorded-versions", t.records.versionsOf(q.Service),
+		"stream-records", len(t.records.recordOffsets()))
+}
+
 // refreshRegistrations reads which incarnations of upstreams are registered, for IsReplaced, unless that was read since
 // calledAt. While the log doesn't respond, replaced upstreams aren't recognised.
 func (t *Tracker) refreshRegistrations(ctx context.Context, calledAt boottimer.Instant) {
--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -91,6 +91,7 @@
 	}
 	t.streams.setRecorded(streams, true)
 	t.recordsWritten.Add(1)
+	t.logger.Info("streams recorded", "key", t.key, "streams", len(streams))
 	return nil
 }
 
--- a/state/streamtracker/records.go
+++ b/state/streamtracker/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 
@@ -115,6 +116,18 @@
 	return list
 }
 
+// versionsOf returns the versions of a service that the records state to be in use, in order.
+func (r *records) versionsOf(s quetzalroad.ServiceName) []quetzalroad.SoftwareVersion {
+	var list []quetzalroad.SoftwareVersion
+	for _, o := range r.inUse() {
+		if o.Service == s {
+			list = append(list, o.Version)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // recordOffsets returns the offsets of the records of the nodes' streams, by key.
 func (r *records) recordOffsets() map[string]quetzalroad.Offset {
 	r.contentMu.Lock()
