Open a software version once all nodes have recorded their streams

Cause: a node could begin a stream at a new version as soon as it saw it, and recorded its streams some time after. So between the entry and the record the absence of a record told nothing, and the other nodes, which found two versions, refused. A faster record would only shorten that time: a kill at the moment of the entry lost all as well.

Evidence: the killed node had recorded nothing and begun no stream at the new version; the others read the records without failure and found two versions.

Why it works: streams begin at a further version only after the log states that it is open. It is announced first; each node records its streams and acknowledges that in the same write; then it is opened, or after 5 s without a node that is gone. Nodes read the log for each resumption. So while one version is open, a stream without a record began there, and once another is open, the streams that were begun before are in the records. Announcements, openings and deletions are conditional on the log that the node had read.

The majority's answer while the log is away for all has other grounds and is unchanged.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -151,7 +151,7 @@
 	now := time.Now()
 	candidates := d.findCandidates(now, r, held, tried)
 	if len(candidates) == 0 {
-		return quetzalroad.Upstream{}, noCandidateRefusal(r)
+		return quetzalroad.Upstream{}, d.noCandidateRefusal(now, r)
 	}
 	return d.acquireUpstream(now, r, candidates)
 }
@@ -175,14 +175,20 @@
 // noUpstreamRetryAfter is the retry delay suggested to callers when a service has no usable upstream.
 const noUpstreamRetryAfter = 2 * time.Second
 
+// versionOpensAfter is the retry delay suggested to callers whose streams wait for a software version to be open.
+const versionOpensAfter = 500 * time.Millisecond
+
 func noUpstreamRefusal() *quetzalroad.Refusal {
 	return quetzalroad.NewRefusal(quetzalroad.ReasonNoUpstream, "no upstream of the service can take work", noUpstreamRetryAfter)
 }
 
 // noCandidateRefusal returns the refusal of a request that no upstream can run now.
-func noCandidateRefusal(r *quetzalroad.Request) *quetzalroad.Refusal {
-	if r.HasVersion {
+func (d *Dispatcher) noCandidateRefusal(now time.Time, r *quetzalroad.Request) *quetzalroad.Refusal {
+	switch {
+	case r.HasVersion:
 		return quetzalroad.NewRefusal(quetzalroad.ReasonNoUpstreamOfVersion, "no upstream of the software version that began the stream can take work", noUpstreamRetryAfter)
+	case r.BeginsStream && len(d.node.CapacityEstimator.Candidates(now, r.Service.Name, nil)) > 0:
+		return quetzalroad.NewRefusal(quetzalroad.ReasonVersionNotOpen, "streams may not begin yet at the software versions that can take work", versionOpensAfter)
 	}
 	return noUpstreamRefusal()
 }
--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -25,6 +25,7 @@
 		return noUpstreamRefusal()
 	}
 	f.Service = service
+	f.BeginsStream = f.Route.Streaming && f.Route.Resumable
 	if refusal := d.findOrigin(deadlineCtx, f); refusal != nil {
 		return refusal
 	}
--- a/decisions/dispatcher/streamorigin.go
+++ b/decisions/dispatcher/streamorigin.go
@@ -73,20 +73,32 @@
 	}
 }
 
-// ofVersion returns the upstreams that may run a request that only one software version may run.
+// ofVersion returns the upstreams that may run a request: those of its software version if it has one, and of a version at
+// which streams may begin if it begins one.
 func (d *Dispatcher) ofVersion(r *quetzalroad.Request, upstreams []quetzalroad.Upstream) []quetzalroad.Upstream {
-	if !r.HasVersion || !slices.ContainsFunc(upstreams, func(u quetzalroad.Upstream) bool { return !d.runsVersion(u, r.Version) }) {
+	if !slices.ContainsFunc(upstreams, func(u quetzalroad.Upstream) bool { return !d.mayRun(r, u) }) {
 		return upstreams
 	}
 	var matching []quetzalroad.Upstream
 	for _, u := range upstreams {
-		if d.runsVersion(u, r.Version) {
+		if d.mayRun(r, u) {
 			matching = append(matching, u)
 		}
 	}
 	return matching
 }
 
+// mayRun reports whether the software version of an upstream may run a request.
+func (d *Dispatcher) mayRun(r *quetzalroad.Request, u quetzalroad.Upstream) bool {
+	switch {
+	case r.HasVersion:
+		return d.runsVersion(u, r.Version)
+	case r.BeginsStream && d.node.StreamTracker != nil:
+		return d.node.StreamTracker.MayBegin(quetzalroad.StreamOrigin{Service: u.Service, Version: u.Version})
+	}
+	return true
+}
+
 // runsVersion reports whether an upstream runs a software version, as far as that is known.
 func (d *Dispatcher) runsVersion(u quetzalroad.Upstream, v quetzalroad.SoftwareVersion) bool {
 	return u.Version == v && (d.node.StreamTracker == nil || !d.node.StreamTracker.IsReplaced(u.Name))
--- a/decisions/dispatcher/streamorigin_test.go
+++ b/decisions/dispatcher/streamorigin_test.go
@@ -19,6 +19,8 @@
 	known map[quetzalroad.RequestID]quetzalroad.StreamOrigin
 	// err is returned for the others.
 	err error
+	// notOpen is a version at which no stream may begin.
+	notOpen quetzalroad.SoftwareVersion
 	// begun and ended hold what was recorded; the value of ended is whether the stream was complete.
 	begun map[quetzalroad.RequestID]quetzalroad.StreamOrigin
 	ended map[quetzalroad.RequestID]bool
@@ -47,6 +49,9 @@
 	return quetzalroad.StreamOrigin{}, o.err
 }
 
+// MayBegin implements quetzalroad.StreamTracker.
+func (o *origins) MayBegin(origin quetzalroad.StreamOrigin) bool { return origin.Version != o.notOpen }
+
 func (*origins) IsReplaced(quetzalroad.UpstreamName) bool { return false }
 
 func (*origins) Report(context.Context, quetzalroad.OriginQuestion) quetzalroad.OriginReport {
@@ -151,3 +156,35 @@
 		})
 	}
 }
+
+// Guards against streams of a version that no other node knows to be open yet, so that they count as streams of another one.
+func TestForwardBeginsNoStreamAtAVersionThatIsNotOpen(t *testing.T) {
+	o := &origins{notOpen: "2"}
+	runVersionTest(t, o, func(t *testing.T, x *forwardFixture) {
+		x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+			return &faker.ScriptedResponse{EventStream: true, Chunks: eventChunks(1, 2)}, nil
+		}
+		for range 30 {
+			if _, refusal := x.forward(t.Context(), newForwardRequest("stream")); refusal != nil {
+				t.Fatal(refusal)
+			}
+			time.Sleep(time.Second)
+		}
+		for _, v := range x.versionsSent() {
+			if v == o.notOpen {
+				t.Fatal("a stream begins at a version that is not open")
+			}
+		}
+		o.notOpen = "1"
+		x.KeyedLog.Put(quetzalroad.LogStreamUpstreams, "c", nil)
+		time.Sleep(3 * time.Second)
+		_, refusal := x.forward(t.Context(), newForwardRequest("stream"))
+		if refusal == nil || refusal.Reason != quetzalroad.ReasonVersionNotOpen || refusal.Outcome != quetzalroad.OutcomeNotRun || refusal.RetryAfter <= 0 {
+			t.Errorf("refusal %+v, want one that tells to come back", refusal)
+		}
+		plain := newForwardRequest("plain")
+		if _, refusal := x.forward(t.Context(), plain); refusal != nil {
+			t.Errorf("a request that begins no stream is refused: %v", refusal)
+		}
+	})
+}
--- a/refusal.go
+++ b/refusal.go
@@ -49,6 +49,7 @@
 	ReasonRequestMemoryFull       RefusalReason = "request-memory-full"
 	ReasonStreamOriginUnknown     RefusalReason = "stream-origin-unknown"
 	ReasonNoUpstreamOfVersion     RefusalReason = "no-upstream-of-version"
+	ReasonVersionNotOpen          RefusalReason = "version-not-open"
 )
 
 // Refusal is the error of a request that the router does not complete.
--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -4,20 +4,18 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/codecs/streammapper"
 	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/sleeper"
 )
 
 // checkVersions updates which versions are in use, until the node stops.
 func (t *Tracker) checkVersions(ctx context.Context) error {
-	c := versionChecker{tracker: t, sightings: make(versionSightings), records: make(map[string]recordSighting)}
+	c := versionChecker{tracker: t, sightings: make(versionSightings), records: make(map[string]recordSighting), announcements: make(map[quetzalroad.StreamOrigin]recordSighting)}
 	for {
 		if err := sleeper.Sleep(ctx, t.checkInterval); err != nil {
 			return err
@@ -41,6 +39,8 @@
 	sightings versionSightings
 	// records holds when this node first saw the records of streams as they are, by key.
 	records map[string]recordSighting
+	// announcements holds when this node first saw announcements of versions as they are.
+	announcements map[quetzalroad.StreamOrigin]recordSighting
 }
 
 // recordSighting is when a record was first seen at an offset.
@@ -52,22 +52,21 @@
 func (c *versionChecker) check(ctx context.Context) error {
 	t := c.tracker
 	t.streams.forget(time.Now(), t.retention)
+	at := boottimer.Now()
+	if t.records.isLoaded() {
+		// Streams go on beginning while a log that was restored doesn't respond.
+		c.observe(at)
+	}
 	if err := c.keepLoaded(ctx); err != nil {
 		return err
 	}
-	registered := t.registeredVersions()
-	c.sightings.update(registered)
-	c.updateMixed()
+	c.observe(at)
 	if t.fleetIsUnknown() {
 		// The nodes of a fleet that starts would all write at once.
 		return nil
 	}
-	for service, versions := range registered {
-		for version := range versions {
-			if err := c.announce(ctx, quetzalroad.StreamOrigin{Service: service, Version: version}); err != nil {
-				return err
-			}
-		}
+	if err := c.advanceVersions(ctx, at); err != nil {
+		return err
 	}
 	if err := c.retireVersions(ctx); err != nil {
 		return err
@@ -120,44 +119,23 @@
 	return t.records.refresh(ctx)
 }
 
-// announce records that a version is in use, unless another node has done so.
-func (c *versionChecker) announce(ctx context.Context, o quetzalroad.StreamOrigin) error {
-	t := c.tracker
-	if t.records.has(o) {
-		return nil
-	}
-	if err := c.refreshInTurn(ctx); err != nil || t.records.has(o) {
-		return err
-	}
-	data, err := streammapper.EncodeVersion(o)
-	if err != nil {
-		return err
-	}
-	t.logger.Info("software version in use", "service", string(o.Service), "version", string(o.Version))
-	if err := c.put(ctx, versionKey(o), data); err != nil {
-		return err
-	}
-	return t.records.refresh(ctx)
-}
-
 // retireVersions deletes the records of versions of which no upstream has been registered for the retention.
 func (c *versionChecker) retireVersions(ctx context.Context) error {
 	t := c.tracker
-	for _, o := range t.records.inUse() {
+	for _, version := range t.records.inUse() {
+		o := version.Origin
 		if !c.sightings.hasLeft(o, t.retention) {
 			continue
 		}
 		if err := c.refreshInTurn(ctx); err != nil {
 			return err
 		}
-		if !t.records.has(o) {
+		_, position, _ := t.records.position()
+		if _, ok := t.records.version(o); !ok {
 			continue
 		}
 		t.logger.Info("software version no longer in use", "service", string(o.Service), "version", string(o.Version))
-		if err := c.put(ctx, versionKey(o), nil); err != nil {
-			return err
-		}
-		if err := t.records.refresh(ctx); err != nil {
+		if err := c.deleteAt(ctx, versionKey(o), position.Offset); err != nil {
 			return err
 		}
 	}
@@ -180,16 +158,14 @@
 		if err := t.records.refresh(ctx); err != nil {
 			return err
 		}
+		_, position, _ := t.records.position()
 		if current, ok := t.records.recordOffsets()[key]; !ok || current != offset {
 			continue
 		}
-		if err := c.put(ctx, key, nil); err != nil {
+		if err := c.deleteAt(ctx, key, position.Offset); err != nil {
 			return err
 		}
 		delete(c.records, key)
-		if err := t.records.refresh(ctx); err != nil {
-			return err
-		}
 	}
 	return nil
 }
@@ -203,17 +179,26 @@
 		return len(streams) == 0
 	}
 	n := t.node
-	rest := strings.TrimPrefix(key, nodePrefix)
-	name := quetzalroad.NodeName(rest[:max(0, strings.LastIndex(rest, "/"))])
+	name := nodeOfKey(key)
 	if name == n.Name {
 		return true
 	}
 	return n.Fleet != nil && len(n.Fleet.Nodes()) > 0 && !slices.Contains(n.Fleet.Nodes(), name)
 }
 
-func (c *versionChecker) put(ctx context.Context, key string, data []byte) error {
+// deleteAt deletes a record of the log, and reads what follows. Nothing is deleted if the log no longer ends at an offset: a
+// record that another node has written since must not be deleted, nor one that it writes before a delayed call is served.
+func (c *versionChecker) deleteAt(ctx context.Context, key string, end quetzalroad.Offset) error {
+	if err := c.putAt(ctx, key, nil, end); err != nil {
+		return ignoreConflict(err)
+	}
+	return c.tracker.records.refresh(ctx)
+}
+
+// putAt writes a record if the log still ends at an offset.
+func (c *versionChecker) putAt(ctx context.Context, key string, data []byte, end quetzalroad.Offset) error {
 	ctx, cancel := context.WithTimeout(ctx, c.tracker.callTimeout)
 	defer cancel()
-	_, err := c.tracker.writer.PutKeyed(ctx, quetzalroad.LogStreamStreams, key, data)
+	_, err := c.tracker.conditionalWriter.PutKeyedAt(ctx, quetzalroad.LogStreamStreams, key, data, end)
 	return errors.Wrapf(err, "write %s", key)
 }
--- a/state/streamtracker/conclusion_test.go
+++ b/state/streamtracker/conclusion_test.go
@@ -34,6 +34,7 @@
 		"another node knows of no other version":  {own: report("v1"), others: []quetzalroad.OriginReport{current("v1")}, asked: 5, want: "v1"},
 		"another node knows another version":      {own: report("v1"), others: []quetzalroad.OriginReport{current("v1", "v2")}, asked: 5, wantErr: quetzalroad.ErrOriginUnknown},
 		"another node knows only another version": {own: report("v1"), others: []quetzalroad.OriginReport{current("v2")}, asked: 5, wantErr: quetzalroad.ErrOriginUnknown},
+		"another node reads that one is not open": {own: report("v1", "v2"), others: []quetzalroad.OriginReport{current("v1")}, asked: 5, want: "v1"},
 		"cut off from all":                        {own: report("v1"), asked: 2, wantErr: errNoCurrentView},
 		"cut off with a minority":                 {own: report("v1"), others: []quetzalroad.OriginReport{report("v1")}, asked: 4, wantErr: errNoCurrentView},
 		"cut off with half of the nodes":          {own: report("v1"), others: []quetzalroad.OriginReport{report("v1")}, asked: 3, wantErr: errNoCurrentView},
--- a/state/streamtracker/logreader.go
+++ b/state/streamtracker/logreader.go
@@ -36,6 +36,8 @@
 	loaded bool
 	// failedAt is when the last read failed; zero if it didn't.
 	failedAt boottimer.Instant
+	// restoredAt is when a read found that the log had been restored since the one before; zero if none did.
+	restoredAt boottimer.Instant
 }
 
 func (r *logReader) open(log quetzalroad.KeyedLog) {
@@ -94,6 +96,9 @@
 	r.apply(records, reload)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.loaded && r.next.Epoch != bounds.Epoch {
+		r.restoredAt = boottimer.Now()
+	}
 	r.next, r.loaded = bounds.Next(), true
 	return r.next.Offset >= bounds.End, nil
 }
@@ -117,6 +122,13 @@
 	return !r.failedAt.IsZero() && r.failedAt.Age() < r.callTimeout
 }
 
+// wasRestoredWithin reports whether this node found within a time that the log had been restored from an older copy.
+func (r *logReader) wasRestoredWithin(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.restoredAt.IsZero() && r.restoredAt.Age() <= d
+}
+
 // position returns when the last read was sent, the position to read from, and whether anything was read.
 func (r *logReader) position() (readAt boottimer.Instant, next quetzalroad.Position, loaded bool) {
 	r.mu.Lock()
--- a/state/streamtracker/origin.go
+++ b/state/streamtracker/origin.go
@@ -41,8 +41,9 @@
 
 // logUnknown logs what this node knows of a stream's service when it can't tell where the stream began.
 func (t *Tracker) logUnknown(q quetzalroad.OriginQuestion) {
+	open, ok := t.recordedOpenVersions(q.Service)
 	t.logger.Info("origin of a stream is unknown", "resumes", string(q.Stream), "service", string(q.Service),
-		"registered", slices.Sorted(maps.Keys(t.registeredVersions()[q.Service])), "recorded-versions", t.records.versionsOf(q.Service),
+		"registered", slices.Sorted(maps.Keys(t.registeredVersions()[q.Service])), "open", slices.Sorted(maps.Keys(open)), "open-known", ok,
 		"stream-records", len(t.records.recordOffsets()))
 }
 
@@ -132,36 +133,39 @@
 	if err != nil {
 		t.readFailures.Add(1)
 		t.logger.Info("failed to read the origins of streams", "error", err)
-		versions = t.versionsInUse()
+		versions = t.versionsInUse()[q.Service]
 	}
 	if o, ok := t.records.find(q.Stream); ok {
 		return quetzalroad.OriginReport{Origin: o, Found: true}
 	}
 	report := quetzalroad.OriginReport{IsCurrent: err == nil}
 	if t.records.isLoaded() {
-		report.Versions = slices.Sorted(maps.Keys(versions[q.Service]))
+		report.Versions = slices.Sorted(maps.Keys(versions))
 	}
 	return report
 }
 
-// readVersions reads the records and, unless these show several versions of a service, the registrations of its upstreams:
-// other nodes begin streams at a version from its first registration on, and record it later.
-func (t *Tracker) readVersions(ctx context.Context, s quetzalroad.ServiceName) (versionSets, error) {
+// readVersions reads the records, and returns the versions at which streams of a service may have begun. If the records don't
+// tell that, and show one version only, it reads the registrations of its upstreams, too.
+func (t *Tracker) readVersions(ctx context.Context, s quetzalroad.ServiceName) (versionSet, error) {
 	if ctx.Err() != nil || (t.records.isFailing() && !t.mustRecord(s)) {
 		return nil, errLogFailing
 	}
 	if err := t.records.refresh(ctx); err != nil {
 		return nil, err
 	}
+	if open, ok := t.recordedOpenVersions(s); ok {
+		return open, nil
+	}
 	versions := t.versionsInUse()
 	if versions.isMixed(s) {
-		return versions, nil
+		return versions[s], nil
 	}
 	if err := t.registrations.refresh(ctx); err != nil {
 		return nil, err
 	}
 	t.registrations.addTo(versions)
-	return versions, nil
+	return versions[s], nil
 }
 
 // errLogFailing is returned instead of reading a log that has just failed, or is away.
--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -72,15 +72,21 @@
 	return t.node.Fleet != nil && len(t.node.Fleet.Nodes()) == 0
 }
 
-// write records the streams of services with several versions, unless the log has them all.
+// write records the streams of services with several versions, and acknowledges the announcements of versions, unless
+// the log has them all.
 func (t *Tracker) write(ctx context.Context) error {
 	t.streams.forget(time.Now(), t.retention)
-	streams, unrecorded := t.streams.ofServices(t.mustRecord)
-	if !unrecorded {
+	// Streams that begin after this call are recorded next.
+	acknowledged := t.acknowledgements()
+	all, unrecorded := t.streams.ofServices(t.mustRecord)
+	streams := latestStreams(all)
+	if len(streams) < len(all) {
+		clear(acknowledged)
+	}
+	if !unrecorded && containsAll(t.acknowledged, acknowledged) {
 		return nil
 	}
-	streams = latestStreams(streams)
-	data, err := streammapper.EncodeStreams(originsOf(streams))
+	data, err := streammapper.EncodeStreams(quetzalroad.StreamRecord{Origins: originsOf(streams), Acknowledged: acknowledged})
 	if err != nil {
 		return err
 	}
@@ -90,11 +96,22 @@
 		return err
 	}
 	t.streams.setRecorded(streams, true)
+	t.acknowledged = acknowledged
 	t.recordsWritten.Add(1)
-	t.logger.Info("streams recorded", "key", t.key, "streams", len(streams))
+	t.logger.Info("streams recorded", "key", t.key, "streams", len(streams), "acknowledged", len(acknowledged))
 	return nil
 }
 
+// containsAll reports whether acknowledgements contain others.
+func containsAll(all, others map[quetzalroad.StreamOrigin]quetzalroad.Offset) bool {
+	for o, offset := range others {
+		if known, ok := all[o]; !ok || known != offset {
+			return false
+		}
+	}
+	return true
+}
+
 // latestStreams returns the streams that began last, at most maxRecordedStreams.
 func latestStreams(streams map[quetzalroad.RequestID]stream) map[quetzalroad.RequestID]stream {
 	if len(streams) <= maxRecordedStreams {
--- a/state/streamtracker/records.go
+++ b/state/streamtracker/records.go
@@ -23,6 +23,12 @@
 	return versionPrefix + string(o.Service) + "/" + string(o.Version)
 }
 
+// nodeOfKey returns the node of whose process a record is.
+func nodeOfKey(key string) quetzalroad.NodeName {
+	rest := strings.TrimPrefix(key, nodePrefix)
+	return quetzalroad.NodeName(rest[:max(0, strings.LastIndex(rest, "/"))])
+}
+
 // records holds the records of all nodes, as of the last read.
 type records struct {
 	logReader
@@ -30,14 +36,20 @@
 
 	contentMu sync.Mutex
 	// versions and streams hold what the records state, by key. They are guarded by contentMu.
-	versions map[string]quetzalroad.StreamOrigin
+	versions map[string]recordedVersion
 	streams  map[string]nodeStreams
 }
 
-// nodeStreams is the record of the streams of a node.
+// recordedVersion is the record of a software version.
+type recordedVersion struct {
+	quetzalroad.VersionRecord
+	offset quetzalroad.Offset
+}
+
+// nodeStreams is the record of the streams of a process.
 type nodeStreams struct {
-	offset  quetzalroad.Offset
-	origins map[quetzalroad.RequestID]quetzalroad.StreamOrigin
+	quetzalroad.StreamRecord
+	offset quetzalroad.Offset
 }
 
 func (r *records) open(log quetzalroad.KeyedLog, logger *slog.Logger) {
@@ -50,7 +62,7 @@
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
 	if complete {
-		r.versions = make(map[string]quetzalroad.StreamOrigin)
+		r.versions = make(map[string]recordedVersion)
 		r.streams = make(map[string]nodeStreams)
 	}
 	for _, record := range list {
@@ -68,13 +80,13 @@
 	var err error
 	switch {
 	case strings.HasPrefix(record.Key, versionPrefix):
-		var o quetzalroad.StreamOrigin
-		if o, err = streammapper.DecodeVersion(record.Value); err == nil {
-			r.versions[record.Key] = o
+		version := recordedVersion{offset: record.Offset}
+		if version.VersionRecord, err = streammapper.DecodeVersion(record.Value); err == nil {
+			r.versions[record.Key] = version
 		}
 	case strings.HasPrefix(record.Key, nodePrefix):
 		streams := nodeStreams{offset: record.Offset}
-		if streams.origins, err = streammapper.DecodeStreams(record.Value); err == nil {
+		if streams.StreamRecord, err = streammapper.DecodeStreams(record.Value); err == nil {
 			r.streams[record.Key] = streams
 		}
 	default:
@@ -90,42 +102,50 @@
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
 	for _, streams := range r.streams {
-		if o, ok := streams.origins[id]; ok {
+		if o, ok := streams.Origins[id]; ok {
 			return o, true
 		}
 	}
 	return quetzalroad.StreamOrigin{}, false
 }
 
-// has reports whether the records state that a version is in use.
-func (r *records) has(o quetzalroad.StreamOrigin) bool {
+// version returns the record of a software version.
+func (r *records) version(o quetzalroad.StreamOrigin) (recordedVersion, bool) {
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
-	_, ok := r.versions[versionKey(o)]
-	return ok
+	version, ok := r.versions[versionKey(o)]
+	return version, ok
 }
 
-// inUse returns the versions that the records state to be in use.
-func (r *records) inUse() []quetzalroad.StreamOrigin {
+// inUse returns the records of all software versions in use, open and announced ones.
+func (r *records) inUse() []recordedVersion {
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
-	list := make([]quetzalroad.StreamOrigin, 0, len(r.versions))
-	for _, o := range r.versions {
-		list = append(list, o)
+	list := make([]recordedVersion, 0, len(r.versions))
+	for _, version := range r.versions {
+		list = append(list, version)
 	}
 	return list
 }
 
-// versionsOf returns the versions of a service that the records state to be in use, in order.
-func (r *records) versionsOf(s quetzalroad.ServiceName) []quetzalroad.SoftwareVersion {
-	var list []quetzalroad.SoftwareVersion
-	for _, o := range r.inUse() {
-		if o.Service == s {
-			list = append(list, o.Version)
+// versionsOf returns the records of the software versions of a service.
+func (r *records) versionsOf(s quetzalroad.ServiceName) []recordedVersion {
+	return slices.DeleteFunc(r.inUse(), func(v recordedVersion) bool { return v.Origin.Service != s })
+}
+
+// acknowledges reports whether the latest process of a node that has recorded streams has acknowledged the announcement of
+// a version.
+func (r *records) acknowledges(n quetzalroad.NodeName, announced recordedVersion) bool {
+	r.contentMu.Lock()
+	defer r.contentMu.Unlock()
+	latest := nodeStreams{offset: -1}
+	for key, streams := range r.streams {
+		if nodeOfKey(key) == n && streams.offset > latest.offset {
+			latest = streams
 		}
 	}
-	slices.Sort(list)
-	return list
+	offset, ok := latest.Acknowledged[announced.Origin]
+	return ok && offset == announced.offset
 }
 
 // recordOffsets returns the offsets of the records of the nodes' streams, by key.
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -19,6 +19,7 @@
 
 	"github.com/quetzalroad/quetzalroad"
 	"github.com/quetzalroad/quetzalroad/kernel"
+	"github.com/quetzalroad/quetzalroad/support/boottimer"
 	"github.com/quetzalroad/quetzalroad/support/configloader"
 )
 
@@ -34,13 +35,16 @@
 	// node gives access to components whose slots are filled after this one.
 	node   *kernel.Node
 	writer quetzalroad.KeyedWriter
-	logger *slog.Logger
+	// conditionalWriter writes records that depend on others.
+	conditionalWriter quetzalroad.ConditionalWriter
+	logger            *slog.Logger
 
 	retention     time.Duration
 	checkInterval time.Duration
 	writeInterval time.Duration
 	nodeInterval  time.Duration
 	resultDelay   time.Duration
+	openTimeout   time.Duration
 	callTimeout   time.Duration
 	peerTimeout   time.Duration
 	// quickTimeout and confirmedWithin bound the reads while the log may be away.
@@ -52,8 +56,13 @@
 	registrations registrations
 	// mixed holds the versions in use as of the last check.
 	mixed atomic.Pointer[versionSets]
-	// key is that of this process's record.
-	key string
+	// open holds the versions at which streams may begin as of the last check; nil before the first.
+	open atomic.Pointer[openVersions]
+	// key is that of this process's record, and startedAt when the process started.
+	key       string
+	startedAt boottimer.Instant
+	// acknowledged holds the announcements that this process's record acknowledges. Only the task that writes the record uses it.
+	acknowledged map[quetzalroad.StreamOrigin]quetzalroad.Offset
 	// wanted is signalled when a stream is to be recorded, and urgent when it may be resumed right away. Both are
 	// buffered.
 	wanted, urgent chan struct{}
@@ -68,6 +77,7 @@
 	s.Duration("write-interval", &t.writeInterval, 250*time.Millisecond, 10*time.Millisecond, time.Minute, "Minimum time between two records of the streams of this node, while a service has several software versions.")
 	s.Duration("node-interval", &t.nodeInterval, 7500*time.Microsecond, 0, time.Second, "Minimum time between the records of any two nodes on average, which bounds the writes of a large fleet.")
 	s.Duration("result-delay", &t.resultDelay, 400*time.Millisecond, 0, time.Minute, "How long to wait for the record of a stream that another node may be about to write.")
+	s.Duration("open-timeout", &t.openTimeout, 5*time.Second, 0, time.Minute, "How long a further software version of a service waits at most, before streams begin there, for all nodes to record the streams that they have begun at the other one.")
 	s.Duration("call-timeout", &t.callTimeout, 800*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a write, and of the first and each further part of a read.")
 	s.Duration("load-timeout", &t.records.loadTimeout, 3*time.Second, 10*time.Millisecond, time.Minute, "Timeout of a whole read.")
 	s.Duration("quick-timeout", &t.quickTimeout, 300*time.Millisecond, 10*time.Millisecond, time.Minute, "Timeout of a read for another node, and of one for this node while the log has not confirmed its view for longer than confirmed-within.")
@@ -77,10 +87,11 @@
 
 // Build implements kernel.Component.
 func (t *Tracker) Build(n *kernel.Node) error {
-	if n.KeyedLog == nil || n.KeyedWriter == nil || n.StateCodec == nil {
-		return errors.New("the stream tracker requires the slots keyed-log and entries")
+	if n.KeyedLog == nil || n.KeyedWriter == nil || n.ConditionalWriter == nil || n.StateCodec == nil {
+		return errors.New("the stream tracker requires the slots keyed-log, with conditional writes, and entries")
 	}
-	t.node, t.writer, t.logger = n, n.KeyedWriter, n.Logger
+	t.node, t.writer, t.conditionalWriter, t.logger = n, n.KeyedWriter, n.ConditionalWriter, n.Logger
+	t.startedAt = boottimer.Now()
 	t.records.callTimeout = t.callTimeout
 	t.records.open(n.KeyedLog, n.Logger)
 	t.registrations.callTimeout, t.registrations.loadTimeout = t.callTimeout, t.records.loadTimeout
--- a/state/streamtracker/versions.go
+++ b/state/streamtracker/versions.go
@@ -1,11 +1,6 @@
 package streamtracker
 
-import (
-	"time"
-
-	"github.com/quetzalroad/quetzalroad"
-	"github.com/quetzalroad/quetzalroad/support/boottimer"
-)
+import "github.com/quetzalroad/quetzalroad"
 
 // versionSet holds the software versions of a service.
 type versionSet map[quetzalroad.SoftwareVersion]bool
@@ -20,6 +15,21 @@
 	v[o.Service][o.Version] = true
 }
 
+func (v versionSets) contains(o quetzalroad.StreamOrigin) bool {
+	return v[o.Service][o.Version]
+}
+
+// list returns all versions.
+func (v versionSets) list() []quetzalroad.StreamOrigin {
+	var list []quetzalroad.StreamOrigin
+	for service, versions := range v {
+		for version := range versions {
+			list = append(list, quetzalroad.StreamOrigin{Service: service, Version: version})
+		}
+	}
+	return list
+}
+
 // only returns the version of a set of one.
 func (v versionSet) only() quetzalroad.SoftwareVersion {
 	for version := range v {
@@ -48,32 +58,27 @@
 // were in use lately according to the records.
 func (t *Tracker) versionsInUse() versionSets {
 	versions := t.registeredVersions()
-	for _, o := range t.records.inUse() {
-		versions.add(o)
+	for _, version := range t.records.inUse() {
+		versions.add(version.Origin)
 	}
 	return versions
 }
 
-// versionSightings notes when upstreams of each version were last registered.
-type versionSightings map[quetzalroad.StreamOrigin]boottimer.Instant
-
-// update notes the registered versions.
-func (s versionSightings) update(registered versionSets) {
-	now := boottimer.Now()
-	for service, versions := range registered {
-		for version := range versions {
-			s[quetzalroad.StreamOrigin{Service: service, Version: version}] = now
-		}
+// recordedOpenVersions returns the versions at which the streams of a service may have begun lately, according to the records. It
+// returns false if these may lack one: an earlier build of the router began streams at any version, and a restored log
+// may lack the records of versions that were opened before.
+func (t *Tracker) recordedOpenVersions(s quetzalroad.ServiceName) (versionSet, bool) {
+	if t.records.wasRestoredWithin(t.retention) {
+		return nil, false
 	}
-}
-
-// hasLeft reports whether no upstream of a version has been registered for a time. A version that this node never
-// saw counts from the first time that it is asked for.
-func (s versionSightings) hasLeft(o quetzalroad.StreamOrigin, retention time.Duration) bool {
-	seen, ok := s[o]
-	if !ok {
-		s[o] = boottimer.Now()
-		return false
+	open, epoch := make(versionSet), t.records.epoch()
+	for _, version := range t.records.versionsOf(s) {
+		if version.Epoch != epoch {
+			return nil, false
+		}
+		if !version.Announced {
+			open[version.Origin.Version] = true
+		}
 	}
-	return seen.Age() > retention
+	return open, len(open) > 0
 }
