Soak: kill nodes as a version joins, and check that their streams go on

A new kind makes streams last for seconds, has the spare server of another version join, and kills nodes from 0 to 3 s after that, mostly within the first second. The rule 'lost' compares the share of their streams that go on elsewhere with that of the new streams that begin there.

Callers now resume a stream on a new connection to a node that is ready, and repeat a request for the rest that got no answer; before, they sent it once to the killed node.

--- a/cmd/quetzalemu/backendserver/response.go
+++ b/cmd/quetzalemu/backendserver/response.go
@@ -1,6 +1,7 @@
 package backendserver
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -83,7 +84,7 @@
 			return
 		}
 		select {
-		case <-time.After(s.EventInterval):
+		case <-time.After(cmp.Or(faults.EventInterval, s.EventInterval)):
 		case <-r.Context().Done():
 			s.mu.Lock()
 			s.cancelledStreams++
--- a/cmd/quetzalemu/backendserver/server.go
+++ b/cmd/quetzalemu/backendserver/server.go
@@ -19,6 +19,8 @@
 	DropResponses bool
 	// TruncateAfter makes streams end in the middle of the event after this many; zero disables it.
 	TruncateAfter int
+	// EventInterval replaces the server's pause between two events of a stream; zero leaves it.
+	EventInterval time.Duration
 	// MismatchResponses makes the server send a response to another request before the proper one.
 	MismatchResponses bool
 	// Endless makes the server repeat a part of each response without end.
--- a/cmd/quetzalsoak/checker/checker.go
+++ b/cmd/quetzalsoak/checker/checker.go
@@ -119,7 +119,9 @@
 	linkDisruptions map[string][]interval
 	// deadlyCrashes holds the times at which servers crashed under deadly requests.
 	deadlyCrashes []time.Time
-	violations    []Violation
+	// kills holds the kills of nodes whose streams other nodes are expected to go on with.
+	kills      []kill
+	violations []Violation
 }
 
 // ServiceChange is a configuration version that routes a class to another service.
@@ -174,6 +176,13 @@
 	c.plannedStops[node] = append(c.plannedStops[node], at)
 }
 
+// RecordKill records that nodes were killed, of whose streams callers are expected to get the rest from others.
+func (c *Checker) RecordKill(nodes []int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kills = append(c.kills, kill{nodes: nodes, at: at})
+}
+
 // RecordServiceChange records that a class was routed to another service.
 func (c *Checker) RecordServiceChange(change ServiceChange) {
 	c.mu.Lock()
--- a/cmd/quetzalsoak/checker/rules.go
+++ b/cmd/quetzalsoak/checker/rules.go
@@ -35,6 +35,7 @@
 	c.checkAnnouncedDrains(report)
 	c.checkPauses(report)
 	c.checkVersions(report)
+	c.checkKills(report)
 	slices.SortFunc(violations, func(a, b Violation) int { return strings.Compare(a.Rule+a.RequestID, b.Rule+b.RequestID) })
 	return violations
 }
--- a/cmd/quetzalsoak/runner/injector.go
+++ b/cmd/quetzalsoak/runner/injector.go
@@ -75,11 +75,8 @@
 		i.injectServerFault(ctx, f)
 	case scheduler.ServerDrain:
 		i.DrainServer(ctx, server, f.Duration)
-	case scheduler.ServerUpgrade:
-		servers := i.ServersOfStreams(true)
-		i.UpgradeServer(ctx, servers[f.Target%len(servers)])
-	case scheduler.UnseenVersion:
-		i.joinUnseen(ctx, f, node)
+	case scheduler.ServerUpgrade, scheduler.UnseenVersion, scheduler.NodesKilledAtJoin:
+		i.injectVersion(ctx, f, node)
 	case scheduler.ServerTakenAway:
 		i.takeServerAway(ctx, f)
 	case scheduler.ServerCrash:
@@ -102,6 +99,19 @@
 	}
 }
 
+// injectVersion has servers of another software version serve.
+func (i *injector) injectVersion(ctx context.Context, f scheduler.Fault, node *deployer.Node) {
+	switch f.Kind {
+	case scheduler.UnseenVersion:
+		i.joinUnseen(ctx, f, node)
+	case scheduler.NodesKilledAtJoin:
+		i.killNodesAtJoin(ctx, f)
+	default:
+		servers := i.ServersOfStreams(true)
+		i.UpgradeServer(ctx, servers[f.Target%len(servers)])
+	}
+}
+
 // injectServerFault makes a server respond wrongly, or not at all, which affects all nodes.
 func (i *injector) injectServerFault(ctx context.Context, f scheduler.Fault) {
 	servers, faults := i.Servers, serverFaults[f.Kind]
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -49,7 +49,7 @@
 }
 
 // runCaller sends the requests of one caller until the context ends. It keeps its
-// connection until that fails, and then connects to a node that is ready.
+// connection until that fails or a stream breaks off, and then connects to a node that is ready.
 func (l *loadGenerator) runCaller(ctx context.Context, callerIndex int) {
 	random := rand.New(rand.NewPCG(l.seed, uint64(callerIndex)))
 	nodeIndex := callerIndex % len(l.Nodes)
@@ -57,8 +57,13 @@
 	defer caller.Close()
 	var last checker.Exchange
 	for ctx.Err() == nil {
-		exchange, resumes := l.resumeStream(last, nodeIndex)
-		if !resumes {
+		exchange, resumes := l.resumeStream(last)
+		if resumes {
+			nodeIndex = l.pickNode(random)
+			caller.Close()
+			caller = requester.Caller{Address: l.Nodes[nodeIndex].CallerAddress}
+			exchange.Node = nodeIndex
+		} else {
 			exchange = l.newExchange(random, nodeIndex)
 		}
 		response, err := caller.Do(exchange.Request)
@@ -88,20 +93,24 @@
 	return first
 }
 
-// resumeStream returns a request to a node for the rest of a stream that broke off, or false if there is none.
-func (l *loadGenerator) resumeStream(last checker.Exchange, nodeIndex int) (checker.Exchange, bool) {
-	if !last.Class.Retryable || last.Events == 0 || last.Complete || last.Status != http.StatusOK {
+// resumeStream returns a request for the rest of a stream that broke off, or false if there is none. A request for the rest
+// that got no answer is repeated.
+func (l *loadGenerator) resumeStream(last checker.Exchange) (checker.Exchange, bool) {
+	if !last.Class.Retryable || last.Events == 0 || last.Complete {
 		return checker.Exchange{}, false
 	}
-	ids, _, err := requester.EventIDs(last.Response.Body)
-	if err != nil || len(ids) == 0 {
+	resumed := checker.Exchange{Request: last.Request, Class: last.Class, Team: last.Team}
+	switch ids, _, err := requester.EventIDs(last.Response.Body); {
+	case last.Status == 0 && last.LastEventID > 0:
+	case last.Status != http.StatusOK || err != nil || len(ids) == 0:
 		return checker.Exchange{}, false
+	default:
+		resumed.LastEventID = ids[len(ids)-1]
 	}
-	resumed := checker.Exchange{Request: last.Request, Class: last.Class, Node: nodeIndex, Team: last.Team}
 	if resumed.Resumes == "" {
 		resumed.Resumes = last.ID
 	}
-	resumed.ID, resumed.LastEventID = l.newID(), ids[len(ids)-1]
+	resumed.ID = l.newID()
 	return resumed, true
 }
 
--- a/cmd/quetzalsoak/runner/runner_test.go
+++ b/cmd/quetzalsoak/runner/runner_test.go
@@ -48,6 +48,7 @@
 		{78, 9 * time.Second, []scheduler.Kind{scheduler.ServerUpgrade, scheduler.AllNodesKill}},
 		{25, 6 * time.Second, []scheduler.Kind{scheduler.ServerTakenAway}},
 		{15, 7 * time.Second, []scheduler.Kind{scheduler.UnseenVersion}},
+		{159, 8 * time.Second, []scheduler.Kind{scheduler.NodesKilledAtJoin}},
 	} {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			var out strings.Builder
@@ -79,11 +80,16 @@
 		Request: requester.Request{ID: "r0", Events: 20, LastEventID: 3}, Response: requester.Response{Status: http.StatusOK, Body: events},
 		Class: checker.Class{Name: "draft", Retryable: true}, Node: 1, Team: "team",
 	}
-	resumed, ok := new(loadGenerator).resumeStream(broken, 2)
-	want := checker.Exchange{Request: requester.Request{ID: "r1", Events: 20, LastEventID: 5, Resumes: "r0"}, Class: broken.Class, Node: 2, Team: "team"}
+	resumed, ok := new(loadGenerator).resumeStream(broken)
+	want := checker.Exchange{Request: requester.Request{ID: "r1", Events: 20, LastEventID: 5, Resumes: "r0"}, Class: broken.Class, Team: "team"}
 	if diff := cmp.Diff(want, resumed); !ok || diff != "" {
 		t.Errorf("resumed: %v (-want +got):\n%s", ok, diff)
 	}
+	unanswered := resumed
+	unanswered.ID = "r2"
+	if again, ok := new(loadGenerator).resumeStream(unanswered); !ok || again.LastEventID != 5 || again.Resumes != "r0" {
+		t.Errorf("a request for the rest that got no answer is repeated: %v, %+v", ok, again)
+	}
 	for name, modify := range map[string]func(e *checker.Exchange){
 		"complete":       func(e *checker.Exchange) { e.Complete = true },
 		"refused":        func(e *checker.Exchange) { e.Status = http.StatusServiceUnavailable },
@@ -93,7 +99,7 @@
 	} {
 		other := broken
 		modify(&other)
-		if _, ok := new(loadGenerator).resumeStream(other, 2); ok {
+		if _, ok := new(loadGenerator).resumeStream(other); ok {
 			t.Errorf("%s: the stream is resumed", name)
 		}
 	}
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 
 	ServerTakenAway Kind = "server-taken-away"
 	UnseenVersion   Kind = "version-joins-unseen"
+
+	NodesKilledAtJoin Kind = "nodes-killed-as-a-version-joins"
 )
 
 // plannedKinds lists the operations that operators plan, which must not cause any request to fail.
@@ -77,10 +79,11 @@
 	allNodesKillStream
 	takenAwayStream
 	unseenVersionStream
+	killedAtJoinStream
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore, ServerUpgrade, AllNodesKill, ServerTakenAway, UnseenVersion}, laterPlannedKinds, laterKinds, drawnKinds)
+var Kinds = slices.Concat([]Kind{ServerSendsEndlessBytes, StoreRestore, ServerUpgrade, AllNodesKill, ServerTakenAway, UnseenVersion, NodesKilledAtJoin}, laterPlannedKinds, laterKinds, drawnKinds)
 
 // drawnKinds lists the kinds that one random sequence draws, in the order on which the schedules of
 // existing seeds depend.
@@ -165,6 +168,8 @@
 	if !plannedOnly {
 		faults = append(faults, generateOneKind(ServerTakenAway, takenAwayStream, seed, period)...)
 		faults = append(faults, generateUnseenVersion(seed, period)...)
+	} else {
+		faults = append(faults, generateKillAtJoin(seed, period)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
@@ -222,6 +227,16 @@
 	return faults[:min(1, len(faults))]
 }
 
+// generateKillAtJoin returns kills of nodes around the begin of another software version, in a seed without upgrades. Among
+// planned operations alone, most nodes can go on with the streams.
+func generateKillAtJoin(seed uint64, period time.Duration) []Fault {
+	if seed%upgradeDivisor == 0 {
+		return nil
+	}
+	faults := generateOneKind(NodesKilledAtJoin, killedAtJoinStream, seed, period)
+	return faults[:min(1, len(faults))]
+}
+
 // generateOneKind returns the faults of a kind that was added later. It has a random sequence of its own,
 // so that the other faults of existing seeds stay the same.
 func generateOneKind(k Kind, stream, seed uint64, period time.Duration) []Fault {
--- a/cmd/quetzalsoak/scheduler/scheduler_test.go
+++ b/cmd/quetzalsoak/scheduler/scheduler_test.go
@@ -21,7 +21,7 @@
 }
 
 // kindsSinceDigest are the kinds that were added since the digest of schedules was made.
-var kindsSinceDigest = []Kind{ServerGarblesStreams, ServerGarblesResponses, ServerUpgrade, AllNodesKill, ServerTakenAway, UnseenVersion}
+var kindsSinceDigest = []Kind{ServerGarblesStreams, ServerGarblesResponses, ServerUpgrade, AllNodesKill, ServerTakenAway, UnseenVersion, NodesKilledAtJoin}
 
 func TestNewKindsLeaveSchedulesOfExistingSeedsAsTheyAre(t *testing.T) {
 	digest := sha256.New()
