Start no timer that fires at once

Sixteen goroutines that call time.AfterFunc(0, ...) in a bubble crash under the race detector within a second. In the trace of the timer is that of notifyOfInFlight.

Other timers that are due at once may remain, so that it may still happen, rarely.

--- a/decisions/quarantiner/inflight.go
+++ b/decisions/quarantiner/inflight.go
@@ -144,10 +144,17 @@
 		return
 	}
 	q.noticePending = true
-	time.AfterFunc(max(0, q.lastNotice.Add(inFlightInterval).Sub(now)), func() {
-		q.mu.Lock()
-		q.noticePending, q.lastNotice = false, time.Now()
-		q.mu.Unlock()
-		q.notify()
-	})
+	if delay := q.lastNotice.Add(inFlightInterval).Sub(now); delay > 0 {
+		time.AfterFunc(delay, q.giveNotice)
+		return
+	}
+	go q.giveNotice()
+}
+
+// giveNotice gives notice of requests in flight.
+func (q *Quarantiner) giveNotice() {
+	q.mu.Lock()
+	q.noticePending, q.lastNotice = false, time.Now()
+	q.mu.Unlock()
+	q.notify()
 }
--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -47,7 +47,11 @@
 // awaitTurn waits until a record may follow the last one. An urgent one may do so earlier.
 func (t *Tracker) awaitTurn(ctx context.Context, last time.Time) error {
 	interval := max(t.writeInterval, time.Duration(t.fleetSize())*t.nodeInterval)
-	timer := time.NewTimer(time.Until(last.Add(interval)))
+	wait := time.Until(last.Add(interval))
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
