Keep connections usable after a refused request without a body

Cause: for a refused request whose body had not been read, the node sets a read deadline of now, so that the rest isn't waited for. A request without a body never counted as read. The HTTP server reads ahead on its connection to notice that the caller leaves, takes the deadline for its end, and cancels the context of the connection, from which those of all later requests derive, while the connection is kept.

Why it works: the deadline is set only if a part of the body may be unread. Such a connection is closed after the response, so that nothing derives from its context any more. The product's own interface closes its connection wherever it sets such a deadline.

--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -247,11 +247,16 @@
 // the request body is unread: on a connection that stays open, the server would
 // read the rest of the body before it sends the response.
 func (x *exchange) setConnectionClose() {
-	if x.server.node.Stopping() || (!x.bodyRead && x.request.ContentLength != 0) {
+	if x.server.node.Stopping() || x.leavesBodyUnread() {
 		x.writer.Header().Set("Connection", "close")
 	}
 }
 
+// leavesBodyUnread reports whether a part of the request body may not have been read.
+func (x *exchange) leavesBodyUnread() bool {
+	return !x.bodyRead && x.request.ContentLength != 0
+}
+
 // Write implements quetzalroad.ForwardSink.
 func (x *exchange) Write(data []byte) error {
 	if err := x.controller.SetWriteDeadline(time.Now().Add(x.server.writeTimeout)); err != nil {
@@ -287,8 +292,9 @@
 		x.writer.Header()[name] = values
 	}
 	x.setConnectionClose()
-	if !x.bodyRead {
-		// The rest of the body isn't waited for. If this fails, the connection is closed already.
+	if x.leavesBodyUnread() {
+		// The rest of the body isn't waited for. If this fails, the connection is closed already. Where there is no rest, the
+		// HTTP server may be reading ahead, and would take the deadline for the end of a connection that it keeps.
 		_ = x.controller.SetReadDeadline(time.Now())
 	}
 	x.writer.WriteHeader(status)
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -1,9 +1,11 @@
 package forwardserver_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,6 +158,46 @@
 	}
 }
 
+// Guards against connections that are kept after a refused request without a body, and on which the node takes the callers of
+// all later requests for gone.
+func TestConnectionServesRequestsAfterARefusedOneWithoutABody(t *testing.T) {
+	const rounds, refusedEach = 40, 4
+	x := newFixture(t, true)
+	for !x.knowsUpstream() {
+		time.Sleep(time.Millisecond)
+	}
+	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
+		return &faker.ScriptedResponse{Chunks: []quetzalroad.BodyChunk{{Data: []byte("ok")}}}, nil
+	}
+	c, r := x.sendRaw(t, "")
+	for round := range rounds {
+		for range refusedEach {
+			if status := sendOn(t, c, r, "GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n"); status != http.StatusNotFound {
+				t.Fatalf("round %d: status %d for a path without a route, want 404", round, status)
+			}
+		}
+		if status := sendOn(t, c, r, "POST /open/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n\r\nhi"); status != http.StatusOK {
+			t.Fatalf("round %d: status %d after %d refusals on the connection, want 200", round, status, refusedEach*(round+1))
+		}
+	}
+}
+
+// sendOn sends a request on a connection and returns the status of its response.
+func sendOn(t *testing.T, c net.Conn, r *bufio.Reader, text string) int {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
 func TestInterruptedStreamClosesConnection(t *testing.T) {
 	x := newFixture(t, true)
 	x.Script = func(context.Context, *quetzalroad.Attempt) (*faker.ScriptedResponse, error) {
