Read the log just before a version is announced or opened

Nothing that callers saw. In a large fleet the nodes read an announced version seldom, and tried to open it at the end of the log that they had read up to 1.5 s before. While other nodes record streams, such a write fails for sure, and each node repeated it every 0.25 s. They read again at a random moment before a write now, and mostly find that another node has opened the version.

The check also lists the registered upstreams once, where it did so up to five times. Found by reading; the tests of streamtracker and those of versions in prover pass. Not measured at 195 nodes.

--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -35,8 +35,10 @@
 
 // versionChecker compares the registered versions with those in the records.
 type versionChecker struct {
-	tracker   *Tracker
-	sightings versionSightings
+	tracker *Tracker
+	// registered holds the registered versions as of the last call of observe.
+	registered versionSets
+	sightings  versionSightings
 	// records holds when this node first saw the records of streams as they are, by key.
 	records map[string]recordSighting
 	// announcements holds when this node first saw announcements of versions as they are.
@@ -53,14 +55,17 @@
 	t := c.tracker
 	t.streams.forget(time.Now(), t.retention)
 	at := boottimer.Now()
+	mustReload := c.mustReload()
 	if t.records.isLoaded() {
 		// Streams go on beginning while a log that was restored doesn't respond.
 		c.observe(at)
 	}
-	if err := c.keepLoaded(ctx); err != nil {
-		return err
+	if mustReload {
+		if err := c.reload(ctx); err != nil {
+			return err
+		}
+		c.observe(at)
 	}
-	c.observe(at)
 	if t.fleetIsUnknown() {
 		// The nodes of a fleet that starts would all write at once.
 		return nil
@@ -74,17 +79,17 @@
 	return c.deleteStaleRecords(ctx)
 }
 
-// keepLoaded reads the records if this node has not done so, or if the log was restored since. A restored log may
-// lack the record of this node, which is then written again.
-func (c *versionChecker) keepLoaded(ctx context.Context) error {
+// mustReload reports whether this node has not read the records yet, or the log was restored since.
+func (c *versionChecker) mustReload() bool {
 	t := c.tracker
-	if !t.records.isLoaded() {
-		return c.refreshInTurn(ctx)
-	}
-	if t.node.LogEpochs == nil || t.records.epoch() == t.node.LogEpochs.Epoch() {
-		return nil
-	}
-	if err := c.refreshInTurn(ctx); err != nil {
+	return !t.records.isLoaded() || (t.node.LogEpochs != nil && t.records.epoch() != t.node.LogEpochs.Epoch())
+}
+
+// reload reads the records. A restored log may lack the record of this node, which is then written again.
+func (c *versionChecker) reload(ctx context.Context) error {
+	t := c.tracker
+	isFirst := !t.records.isLoaded()
+	if err := c.refreshInTurn(ctx); err != nil || isFirst {
 		return err
 	}
 	all, _ := t.streams.ofServices(func(quetzalroad.ServiceName) bool { return true })
@@ -96,7 +101,8 @@
 // updateMixed stores the versions in use, and has the streams recorded of services that have several.
 func (c *versionChecker) updateMixed() {
 	t := c.tracker
-	versions := t.versionsInUse()
+	versions := c.registered.clone()
+	t.records.addTo(versions)
 	before := t.mixed.Swap(&versions)
 	for service := range versions {
 		if versions.isMixed(service) && !before.isMixed(service) {
--- a/state/streamtracker/opening.go
+++ b/state/streamtracker/opening.go
@@ -84,11 +84,11 @@
 // observe updates which versions this node has seen registered as of a time, which are in use, and which are open.
 func (c *versionChecker) observe(at boottimer.Instant) {
 	t := c.tracker
-	registered := t.registeredVersions()
-	c.sightings.update(registered, at, t.maxAbsence())
+	c.registered = t.registeredVersions()
+	c.sightings.update(c.registered, at, t.maxAbsence())
 	c.updateMixed()
 	open := openVersions{versions: make(versionSets), checkedAt: boottimer.Now()}
-	for _, o := range registered.list() {
+	for _, o := range c.registered.list() {
 		if c.isOpen(o) {
 			open.versions.add(o)
 		}
@@ -110,27 +110,51 @@
 
 // advanceVersions announces or opens the registered versions that are not open.
 func (c *versionChecker) advanceVersions(ctx context.Context, at boottimer.Instant) error {
-	t := c.tracker
 	unsettled := c.unsettledVersions()
 	if len(unsettled) == 0 {
 		return nil
 	}
-	if c.mustRead(unsettled) {
+	isRead := c.mustRead(unsettled)
+	if isRead {
 		if err := c.refreshInTurn(ctx); err != nil {
 			return err
 		}
 	}
+	if c.hasStep(unsettled) {
+		// A write fails if the log has grown since this node read it.
+		if !isRead {
+			if err := c.refreshInTurn(ctx); err != nil {
+				return err
+			}
+		}
+		if err := c.advanceAll(ctx, unsettled); err != nil {
+			return err
+		}
+	}
+	c.observe(at)
+	c.requestAcknowledgement()
+	return nil
+}
+
+// hasStep reports whether one of the versions is to be announced or opened.
+func (c *versionChecker) hasStep(unsettled []quetzalroad.StreamOrigin) bool {
+	return slices.ContainsFunc(unsettled, func(o quetzalroad.StreamOrigin) bool {
+		step := nextStep(c.viewOf(o, false), c.tracker.openTimeout)
+		return step == stepAnnounce || step == stepOpen
+	})
+}
+
+// advanceAll makes the next step about each version.
+func (c *versionChecker) advanceAll(ctx context.Context, unsettled []quetzalroad.StreamOrigin) error {
 	unrecorded := make(map[quetzalroad.ServiceName]bool)
 	for _, o := range unsettled {
-		unrecorded[o.Service] = len(t.records.versionsOf(o.Service)) == 0
+		unrecorded[o.Service] = len(c.tracker.records.versionsOf(o.Service)) == 0
 	}
 	for _, o := range unsettled {
 		if err := c.advance(ctx, o, unrecorded[o.Service]); err != nil {
 			return err
 		}
 	}
-	c.observe(at)
-	c.requestAcknowledgement()
 	return nil
 }
 
@@ -149,15 +173,15 @@
 // unsettledVersions returns the registered versions that are not open, and those that a restored log may lack.
 func (c *versionChecker) unsettledVersions() []quetzalroad.StreamOrigin {
 	t := c.tracker
-	registered, epoch := t.registeredVersions(), t.records.epoch()
-	candidates := registered.list()
+	epoch := t.records.epoch()
+	candidates := c.registered.list()
 	if t.records.wasRestoredWithin(t.retention) {
 		candidates = c.sightings.seenWithin(t.retention)
 	}
 	return slices.DeleteFunc(candidates, func(o quetzalroad.StreamOrigin) bool {
 		version, ok := t.records.version(o)
 		isRecorded := ok && version.Epoch == epoch && !version.Announced
-		return isRecorded && (c.isOpen(o) || !registered.contains(o))
+		return isRecorded && (c.isOpen(o) || !c.registered.contains(o))
 	})
 }
 
--- a/state/streamtracker/records.go
+++ b/state/streamtracker/records.go
@@ -128,6 +128,13 @@
 	return list
 }
 
+// addTo adds the software versions that the records state to be in use.
+func (r *records) addTo(versions versionSets) {
+	for _, version := range r.inUse() {
+		versions.add(version.Origin)
+	}
+}
+
 // versionsOf returns the records of the software versions of a service.
 func (r *records) versionsOf(s quetzalroad.ServiceName) []recordedVersion {
 	return slices.DeleteFunc(r.inUse(), func(v recordedVersion) bool { return v.Origin.Service != s })
--- a/state/streamtracker/versions.go
+++ b/state/streamtracker/versions.go
@@ -1,6 +1,10 @@
 package streamtracker
 
-import "github.com/quetzalroad/quetzalroad"
+import (
+	"maps"
+
+	"github.com/quetzalroad/quetzalroad"
+)
 
 // versionSet holds the software versions of a service.
 type versionSet map[quetzalroad.SoftwareVersion]bool
@@ -19,6 +23,14 @@
 	return v[o.Service][o.Version]
 }
 
+func (v versionSets) clone() versionSets {
+	clone := make(versionSets, len(v))
+	for service, versions := range v {
+		clone[service] = maps.Clone(versions)
+	}
+	return clone
+}
+
 // list returns all versions.
 func (v versionSets) list() []quetzalroad.StreamOrigin {
 	var list []quetzalroad.StreamOrigin
@@ -58,9 +70,7 @@
 // were in use lately according to the records.
 func (t *Tracker) versionsInUse() versionSets {
 	versions := t.registeredVersions()
-	for _, version := range t.records.inUse() {
-		versions.add(version.Origin)
-	}
+	t.records.addTo(versions)
 	return versions
 }
 
