Record streams again whichever read finds a restored log

Callers of a node that dies after a restore of the log lost streams that had begun before, while several versions serve: no record had them.

Cause: the check compared the epoch of its last read with the current one, and a resumption that read the restored log first made them equal. The node then never recorded its streams again.

Evidence: TestStreamsAreRecordedAgainAfterAResumptionFoundTheRestore failed before ('it is not known which software version began the stream') and passes now.

Why it works: the check remembers the epoch for which it had the streams recorded, and compares that with the epoch of the records, whoever read them.

--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -39,6 +39,9 @@
 	// registered holds the registered versions as of the last call of observe.
 	registered versionSets
 	sightings  versionSightings
+	// epoch is that of the log for which this node's streams were last to be recorded; valid only if hasEpoch is set.
+	epoch    quetzalroad.Epoch
+	hasEpoch bool
 	// records holds when this node first saw the records of streams as they are, by key.
 	records map[string]recordSighting
 	// announcements holds when this node first saw announcements of versions as they are.
@@ -61,11 +64,12 @@
 		c.observe(at)
 	}
 	if mustReload {
-		if err := c.reload(ctx); err != nil {
+		if err := c.refreshInTurn(ctx); err != nil {
 			return err
 		}
 		c.observe(at)
 	}
+	c.recordAgain()
 	if t.fleetIsUnknown() {
 		// The nodes of a fleet that starts would all write at once.
 		return nil
@@ -85,17 +89,20 @@
 	return !t.records.isLoaded() || (t.node.LogEpochs != nil && t.records.epoch() != t.node.LogEpochs.Epoch())
 }
 
-// reload reads the records. A restored log may lack the record of this node, which is then written again.
-func (c *versionChecker) reload(ctx context.Context) error {
+// recordAgain has this node's record written again if any read has found that the log was restored, as it may lack it now.
+func (c *versionChecker) recordAgain() {
 	t := c.tracker
-	isFirst := !t.records.isLoaded()
-	if err := c.refreshInTurn(ctx); err != nil || isFirst {
-		return err
+	epoch, isFirst := t.records.epoch(), !c.hasEpoch
+	if !isFirst && epoch == c.epoch {
+		return
+	}
+	c.epoch, c.hasEpoch = epoch, true
+	if isFirst {
+		return
 	}
 	all, _ := t.streams.ofServices(func(quetzalroad.ServiceName) bool { return true })
 	t.streams.setRecorded(all, false)
 	signal(t.wanted)
-	return nil
 }
 
 // updateMixed stores the versions in use, and has the streams recorded of services that have several.
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -265,6 +265,23 @@
 	})
 }
 
+// Guards against a restore that another read of the log finds before the check does, after which nothing is recorded again.
+func TestStreamsAreRecordedAgainAfterAResumptionFoundTheRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(faker.KeyedLog)
+		a := startNodeWithEpochs(t, log, "a", fleet{"a", "b"}, epochs{restoredAt: time.Now().Add(2 * time.Second)}, "v1", "v2")
+		time.Sleep(time.Second)
+		copied := log.Copy()
+		a.RecordBegun(time.Now(), "first", originAt("v1"))
+		time.Sleep(time.Second)
+		log.Restore(copied)
+		a.checkOrigin(t, "second", "")
+		time.Sleep(2 * time.Second)
+		b := startNode(t, log, "b", fleet{"a", "b"}, "v1", "v2")
+		b.checkOrigin(t, "first", "v1")
+	})
+}
+
 // Guards against streams that are interrupted for good because the log can't be read, or are joined because of it.
 func TestOriginWhileTheLogCannotBeRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
