Relay streams whose event ids rise by a step other than one

Cause: each event had to follow the one before it by one, or it counted as malformed.

Why it works: the first two events tell the step, which holds for the whole stream and for all upstreams that generate it. Holes are still found: a first event that would leave one if the step were one is held until the second shows whether it is one. For ids by one nothing changes, and the tests that reject their holes are unchanged.

Open: uneven steps, and a stream of a single event whose id isn't one, are refused as before.

--- a/decisions/dispatcher/forward.go
+++ b/decisions/dispatcher/forward.go
@@ -94,6 +94,8 @@
 	responseStarted bool
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID int64
+	// eventStep is the rise between the ids of two events of the stream; zero until it is known.
+	eventStep int64
 	// eventCount counts the events relayed; each is charged to the team as one token.
 	eventCount int
 	// streamRecorded is set once it was recorded at which software version the stream began.
--- a/decisions/dispatcher/forwardresponse.go
+++ b/decisions/dispatcher/forwardresponse.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// relayEvents relays whole events as they arrive. On streaming routes their ids are consecutive across attempts,
-// and an event that the caller already has is dropped.
+// relayEvents relays whole events as they arrive. On streaming routes their ids rise by one step across
+// attempts, and an event that the caller already has is dropped.
 func (r *forwardRun) relayEvents(ctx context.Context, u quetzalroad.Upstream, start time.Time, response quetzalroad.ForwardResponse) error {
 	head := response.Head()
 	head.ContentLength = -1
@@ -147,8 +147,26 @@
 	}
 }
 
-// relayEvent relays one event, unless the caller has it already.
+// relayEvent relays one event, with the one that is held before it, or holds it.
 func (r *forwardRun) relayEvent(u quetzalroad.Upstream, head quetzalroad.ResponseHead, event quetzalroad.BodyChunk) error {
+	if r.mustHold(event) {
+		r.hold(event)
+		return nil
+	}
+	held, err := r.takeHeld(u, event)
+	if err != nil {
+		return err
+	}
+	if held != nil {
+		if err := r.passEvent(u, head, *held); err != nil {
+			return err
+		}
+	}
+	return r.passEvent(u, head, event)
+}
+
+// passEvent passes one event to the caller, unless the caller has it already.
+func (r *forwardRun) passEvent(u quetzalroad.Upstream, head quetzalroad.ResponseHead, event quetzalroad.BodyChunk) error {
 	if err := r.acceptEvent(u, event); err != nil {
 		return err
 	}
@@ -175,6 +193,9 @@
 
 // checkStreamEnd returns an error if the stream may have broken off, or is shorter than what the caller has of it.
 func (r *forwardRun) checkStreamEnd(ctx context.Context, u quetzalroad.Upstream, response quetzalroad.ForwardResponse) error {
+	if r.attempt.held != nil {
+		return r.gapError(u, r.attempt.held.EventID)
+	}
 	if last := r.attempt.lastEventID; last > 0 && last < r.lastEventID {
 		return malformedEventError(u, errors.Newf("the response ends with event %d, and the caller has event %d", last, r.lastEventID))
 	}
@@ -192,25 +213,3 @@
 
 // errUnframedBreak is the cause of an attempt whose response may have broken off.
 var errUnframedBreak = errors.New("the unframed response ended, and the upstream is not known to have run on")
-
-// acceptEvent records the last event of the response. On a streaming route it returns an error instead if the event
-// does not follow the one before it, or is the first and would leave a gap behind the last one that the caller has.
-func (r *forwardRun) acceptEvent(u quetzalroad.Upstream, event quetzalroad.BodyChunk) error {
-	id, before := event.EventID, r.attempt.lastEventID
-	switch {
-	case !r.request.Route.Streaming:
-		return nil
-	case id == 0:
-		return malformedEventError(u, errors.Newf("event without an id after event %d", max(before, r.lastEventID)))
-	case before > 0 && id != before+1:
-		return malformedEventError(u, errors.Newf("event %d received after event %d", id, before))
-	case before == 0 && id > r.lastEventID+1:
-		return malformedEventError(u, errors.Newf("the response begins with event %d, and the caller has event %d", id, r.lastEventID))
-	}
-	r.attempt.lastEventID = id
-	return nil
-}
-
-func malformedEventError(u quetzalroad.Upstream, cause error) error {
-	return &quetzalroad.AttemptError{Upstream: u.Name, RetryReason: quetzalroad.RetryMalformedResponse, Cause: cause}
-}
--- a/decisions/dispatcher/quarantine.go
+++ b/decisions/dispatcher/quarantine.go
@@ -22,6 +22,10 @@
 	chunks int
 	// lastEventID is the id of the last event of the response; zero before the first.
 	lastEventID int64
+	// held is the first event of the response while it is not known whether it leaves a hole; nil if none is held.
+	held *quetzalroad.BodyChunk
+	// mustEnd is set once an event followed with less than the step.
+	mustEnd bool
 	// eventStream reports whether the response is an event stream.
 	eventStream bool
 	// exposed lists the request's suspects as of the attempt's begin.
