--- a/state/streamtracker/publisher.go
+++ b/state/streamtracker/publisher.go
@@ -106,16 +106,6 @@
 	return nil
 }
 
-// containsAll reports whether acknowledgements contain others.
-func containsAll(all, others map[quetzalroad.StreamOrigin]quetzalroad.Offset) bool {
-	for o, offset := range others {
-		if known, ok := all[o]; !ok || known != offset {
-			return false
-		}
-	}
-	return true
-}
-
 // latestStreams returns the streams that began last, at most maxRecordedStreams.
 func latestStreams(streams map[quetzalroad.RequestID]stream) map[quetzalroad.RequestID]stream {
 	if len(streams) <= maxRecordedStreams {
