--- a/cmd/quetzalsoak/checker/killrules.go
+++ b/cmd/quetzalsoak/checker/killrules.go
@@ -17,8 +17,8 @@
 	// their streams.
 	interruptedWithin = time.Second
 	resumedWithin     = 5 * time.Second
-	// minResumed is the number of resumed streams from which on their share is checked, and minShareRatio the part of the
-	// share of new streams that begin which it must reach.
+	// minResumed is the number of resumed streams from which on their share is checked, and minShareRatio the
+	// part of the share of new streams that begin which it must reach.
 	minResumed    = 6
 	minShareRatio = 0.5
 )
@@ -44,7 +44,8 @@
 	return float64(s.served()) / float64(max(1, len(s)))
 }
 
-// checkKills checks that streams of killed nodes go on at other nodes, compared with the new streams that begin there.
+// checkKills checks that streams of killed nodes go on at other nodes, compared with the new streams that begin
+// there.
 func (c *Checker) checkKills(report reportFunc) {
 	for _, k := range c.kills {
 		resumed, begun := c.countAfter(k)
@@ -54,8 +55,8 @@
 	}
 }
 
-// countAfter counts the streams of killed nodes that callers resumed at other nodes, and those that callers began there
-// meanwhile. What else disturbs these nodes concerns both.
+// countAfter counts the streams of killed nodes that callers resumed at other nodes, and those that callers
+// began there meanwhile. What else disturbs these nodes concerns both.
 func (c *Checker) countAfter(k kill) (resumed, begun streamCounts) {
 	resumed, begun = make(streamCounts), make(streamCounts)
 	interrupted := make(map[string]bool)
--- a/cmd/quetzalsoak/runner/load.go
+++ b/cmd/quetzalsoak/runner/load.go
@@ -93,8 +93,8 @@
 	return first
 }
 
-// resumeStream returns a request for the rest of a stream that broke off, or false if there is none. A request for the rest
-// that got no answer is repeated.
+// resumeStream returns a request for the rest of a stream that broke off, or false if there is none. A request
+// for the rest that got no answer is repeated.
 func (l *loadGenerator) resumeStream(last checker.Exchange) (checker.Exchange, bool) {
 	if !last.Class.Retryable || last.Events == 0 || last.Complete {
 		return checker.Exchange{}, false
--- a/cmd/quetzalsoak/runner/unseen.go
+++ b/cmd/quetzalsoak/runner/unseen.go
@@ -36,9 +36,9 @@
 }
 
 const (
-	// seenAfter is how long after it has joined the other nodes have streams begin at a server, although a node stands still.
-	// Then they begin only there for unseenLoadTime, and for unseenResumeTime callers connect to the node that has not seen it
-	// and still stands still.
+	// seenAfter is how long after it has joined the other nodes have streams begin at a server, although a node
+	// stands still. Then they begin only there for unseenLoadTime, and for unseenResumeTime callers connect to
+	// the node that has not seen it and still stands still.
 	seenAfter        = 8 * time.Second
 	unseenLoadTime   = 1200 * time.Millisecond
 	unseenResumeTime = time.Second
--- a/cmd/quetzalsoak/scheduler/scheduler.go
+++ b/cmd/quetzalsoak/scheduler/scheduler.go
@@ -227,8 +227,8 @@
 	return faults[:min(1, len(faults))]
 }
 
-// generateKillAtJoin returns kills of nodes around the begin of another software version, in a seed without upgrades. Among
-// planned operations alone, most nodes can go on with the streams.
+// generateKillAtJoin returns kills of nodes around the begin of another software version, in a seed without
+// upgrades. Among planned operations alone, most nodes can go on with the streams.
 func generateKillAtJoin(seed uint64, period time.Duration) []Fault {
 	if seed%upgradeDivisor == 0 {
 		return nil
--- a/codecs/streammapper/streammapper.go
+++ b/codecs/streammapper/streammapper.go
@@ -72,8 +72,8 @@
 	return data, errors.Wrap(err, "encode streams")
 }
 
-// DecodeStreams decodes the streams of a process. A record that lists a stream twice, two acknowledgements of a version,
-// or streams without a service, is an error as a whole.
+// DecodeStreams decodes the streams of a process. A record that lists a stream twice, two acknowledgements of a
+// version, or streams without a service, is an error as a whole.
 func DecodeStreams(data []byte) (quetzalroad.StreamRecord, error) {
 	var list []streamsJSON
 	if err := json.Unmarshal(data, &list); err != nil {
--- a/decisions/dispatcher/eventorder.go
+++ b/decisions/dispatcher/eventorder.go
@@ -11,8 +11,8 @@
 // The ids of a stream's events rise by a constant step, which is one in most services. Others number an event by the
 // tokens so far. A larger rise is a hole. Only the last event of a stream may follow with a smaller one.
 
-// mustHold reports whether an event is held until the next one tells the step: it is the first of a response, and would leave
-// a hole if the step were one.
+// mustHold reports whether an event is held until the next one tells the step: it is the first of a response,
+// and would leave a hole if the step were one.
 func (r *forwardRun) mustHold(event quetzalroad.BodyChunk) bool {
 	return r.request.Route.Streaming && r.eventStep == 0 && r.attempt.lastEventID == 0 && r.attempt.held == nil && event.EventID > r.lastEventID+1
 }
@@ -65,7 +65,8 @@
 	return nil
 }
 
-// gapError returns the error of a response whose first event would leave a gap behind the last one that the caller has.
+// gapError returns the error of a response whose first event would leave a gap behind the last one that the
+// caller has.
 func (r *forwardRun) gapError(u quetzalroad.Upstream, first int64) error {
 	return malformedEventError(u, errors.Newf("the response begins with event %d, and the caller has event %d", first, r.lastEventID))
 }
--- a/decisions/dispatcher/eventorder_test.go
+++ b/decisions/dispatcher/eventorder_test.go
@@ -19,8 +19,8 @@
 	return chunks
 }
 
-// Guards against streams that are refused because their ids rise by more than one, and against holes that are taken for
-// larger steps.
+// Guards against streams that are refused because their ids rise by more than one, and against holes that are
+// taken for larger steps.
 func TestForwardRelaysStreamsWhoseIDsRiseByAStep(t *testing.T) {
 	for name, c := range map[string]struct {
 		// has is the last event that the caller has.
--- a/decisions/dispatcher/streamorigin.go
+++ b/decisions/dispatcher/streamorigin.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// ofVersion returns the upstreams that may run a request: those of its software version if it has one, and of a version at
-// which streams may begin if it begins one.
+// ofVersion returns the upstreams that may run a request: those of its software version if it has one, and of a
+// version at which streams may begin if it begins one.
 func (d *Dispatcher) ofVersion(r *quetzalroad.Request, upstreams []quetzalroad.Upstream) []quetzalroad.Upstream {
 	if !slices.ContainsFunc(upstreams, func(u quetzalroad.Upstream) bool { return !d.mayRun(r, u) }) {
 		return upstreams
--- a/decisions/dispatcher/streamorigin_test.go
+++ b/decisions/dispatcher/streamorigin_test.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// Guards against streams of a version that no other node knows to be open yet, so that they count as streams of another one.
+// Guards against streams of a version that no other node knows to be open yet, so that they count as streams of
+// another one.
 func TestForwardBeginsNoStreamAtAVersionThatIsNotOpen(t *testing.T) {
 	o := &origins{notOpen: "2"}
 	runVersionTest(t, o, func(t *testing.T, x *forwardFixture) {
--- a/proofs/prover/joiningversion_test.go
+++ b/proofs/prover/joiningversion_test.go
@@ -17,8 +17,8 @@
 	unrecordedTime = 500 * time.Millisecond
 )
 
-// killAsVersionJoins sends streams to some nodes, has a version join, and kills these nodes after a delay. It returns the
-// streams that had begun, and when the nodes were killed.
+// killAsVersionJoins sends streams to some nodes, has a version join, and kills these nodes after a delay. It
+// returns the streams that had begun, and when the nodes were killed.
 func (f *separableFleet) killAsVersionJoins(t *testing.T, victims int, delay time.Duration) (begun []*versionedStream, killedAt time.Time) {
 	t.Helper()
 	time.AfterFunc(joinTime, func() { f.setEngines("v2", 3) })
@@ -42,8 +42,9 @@
 	return slices.DeleteFunc(streams, func(s *versionedStream) bool { return len(s.versions) == 0 || s.complete }), killedAt
 }
 
-// Guards against streams that are lost, or joined from two versions, when their nodes are killed as a version joins, whatever
-// the moment: between its registration and the record of the streams, nothing told where they had begun.
+// Guards against streams that are lost, or joined from two versions, when their nodes are killed as a version
+// joins, whatever the moment: between its registration and the record of the streams, nothing told where they
+// had begun.
 func TestStreamsOfNodesKilledAsAVersionJoinsGoOn(t *testing.T) {
 	const (
 		latestKill = 2700 * time.Millisecond
@@ -78,8 +79,8 @@
 	}
 }
 
-// Guards against streams that find no upstream, or are joined, as all upstreams of the version that was there are about to
-// leave when the new one joins.
+// Guards against streams that find no upstream, or are joined, as all upstreams of the version that was there
+// are about to leave when the new one joins.
 func TestStreamsBeginAtAVersionThatReplacesAnother(t *testing.T) {
 	runSeparableFleet(t, "", func(t *testing.T, f *separableFleet) {
 		const drainAfter = 100 * time.Millisecond
--- a/request.go
+++ b/request.go
@@ -17,8 +17,8 @@
 	// Version is the only software version that may run the request; valid only if HasVersion is set.
 	Version    SoftwareVersion
 	HasVersion bool
-	// BeginsStream is set if callers may resume the stream that the request begins or goes on with, so that the node has to
-	// know at which software version it began.
+	// BeginsStream is set if callers may resume the stream that the request begins or goes on with, so that the
+	// node has to know at which software version it began.
 	BeginsStream bool
 	// Model is the requested model; empty for plain services.
 	Model ModelName
--- a/servers/forwardserver/exchange.go
+++ b/servers/forwardserver/exchange.go
@@ -293,8 +293,9 @@
 	}
 	x.setConnectionClose()
 	if x.leavesBodyUnread() {
-		// The rest of the body isn't waited for. If this fails, the connection is closed already. Where there is no rest, the
-		// HTTP server may be reading ahead, and would take the deadline for the end of a connection that it keeps.
+		// The rest of the body isn't waited for. If this fails, the connection is closed already. Where there
+		// is no rest, the HTTP server may be reading ahead, and would take the deadline for the end of a
+		// connection that it keeps.
 		_ = x.controller.SetReadDeadline(time.Now())
 	}
 	x.writer.WriteHeader(status)
--- a/servers/forwardserver/server_test.go
+++ b/servers/forwardserver/server_test.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// Guards against connections that are kept after a refused request without a body, and on which the node takes the callers of
-// all later requests for gone.
+// Guards against connections that are kept after a refused request without a body, and on which the node takes
+// the callers of all later requests for gone.
 func TestConnectionServesRequestsAfterARefusedOneWithoutABody(t *testing.T) {
 	const rounds, refusedEach = 40, 4
 	x := newFixture(t, true)
--- a/state/streamtracker/acknowledgement.go
+++ b/state/streamtracker/acknowledgement.go
@@ -15,8 +15,9 @@
 	return !slices.ContainsFunc(nodes, func(n quetzalroad.NodeName) bool { return !t.records.acknowledges(n, announced) })
 }
 
-// acknowledgements returns the announcements that this process acknowledges with its next record. A process that has just
-// started leaves time for callers to resume the streams of the one before, which may not have recorded them.
+// acknowledgements returns the announcements that this process acknowledges with its next record. A process
+// that has just started leaves time for callers to resume the streams of the one before, which may not have
+// recorded them.
 func (t *Tracker) acknowledgements() map[quetzalroad.StreamOrigin]quetzalroad.Offset {
 	acknowledged := make(map[quetzalroad.StreamOrigin]quetzalroad.Offset)
 	if t.startedAt.Age() < t.openTimeout {
@@ -30,8 +31,8 @@
 	return acknowledged
 }
 
-// requestAcknowledgement has this node's record written if announcements are to be acknowledged. There is no write if the
-// last one acknowledged them all.
+// requestAcknowledgement has this node's record written if announcements are to be acknowledged. There is no
+// write if the last one acknowledged them all.
 func (c *versionChecker) requestAcknowledgement() {
 	if len(c.tracker.acknowledgements()) > 0 {
 		signal(c.tracker.wanted)
--- a/state/streamtracker/checker.go
+++ b/state/streamtracker/checker.go
@@ -89,7 +89,8 @@
 	return !t.records.isLoaded() || (t.node.LogEpochs != nil && t.records.epoch() != t.node.LogEpochs.Epoch())
 }
 
-// recordAgain has this node's record written again if any read has found that the log was restored, as it may lack it now.
+// recordAgain has this node's record written again if any read has found that the log was restored, as it may
+// lack it now.
 func (c *versionChecker) recordAgain() {
 	t := c.tracker
 	epoch, isFirst := t.records.epoch(), !c.hasEpoch
@@ -199,8 +200,9 @@
 	return n.Fleet != nil && len(n.Fleet.Nodes()) > 0 && !slices.Contains(n.Fleet.Nodes(), name)
 }
 
-// deleteAt deletes a record of the log, and reads what follows. Nothing is deleted if the log no longer ends at an offset: a
-// record that another node has written since must not be deleted, nor one that it writes before a delayed call is served.
+// deleteAt deletes a record of the log, and reads what follows. Nothing is deleted if the log no longer ends at
+// an offset: a record that another node has written since must not be deleted, nor one that it writes before a
+// delayed call is served.
 func (c *versionChecker) deleteAt(ctx context.Context, key string, end quetzalroad.Offset) error {
 	if err := c.putAt(ctx, key, nil, end); err != nil {
 		return ignoreConflict(err)
--- a/state/streamtracker/conclusion.go
+++ b/state/streamtracker/conclusion.go
@@ -12,11 +12,12 @@
 // conclude returns where a stream began that is resumed at a service, according to this node and to those of the asked
 // nodes that responded.
 //
-// A stream of which nobody knows more began at the only version that the service has had lately. To know that there is
-// only one takes a view that is more recent than the stream. What older views show beside it doesn't count: no stream
-// begins at a version before the log states that it is open. If no node has such a view, most nodes have to say so: then the
-// log responds to hardly any node, and nodes can't have learned of another version in the meantime. A node that finds
-// only itself, or a minority, cut off from the log can't tell what the others know.
+// A stream of which nobody knows more began at the only version that the service has had lately. To know that
+// there is only one takes a view that is more recent than the stream. What older views show beside it doesn't
+// count: no stream begins at a version before the log states that it is open. If no node has such a view, most
+// nodes have to say so: then the log responds to hardly any node, and nodes can't have learned of another
+// version in the meantime. A node that finds only itself, or a minority, cut off from the log can't tell what
+// the others know.
 func conclude(s quetzalroad.ServiceName, own quetzalroad.OriginReport, others []quetzalroad.OriginReport, asked int) (quetzalroad.StreamOrigin, error) {
 	versions, older := make(versionSet), make(versionSet)
 	current, informed := false, 0
--- a/state/streamtracker/opening.go
+++ b/state/streamtracker/opening.go
@@ -25,8 +25,8 @@
 	return open != nil && open.versions.contains(o) && open.checkedAt.Age() <= t.maxAbsence()
 }
 
-// maxAbsence is the time for which a version may be absent, or this node stand still, without the version's record being
-// read again. Another node deletes the record after the retention only.
+// maxAbsence is the time for which a version may be absent, or this node stand still, without the version's
+// record being read again. Another node deletes the record after the retention only.
 func (t *Tracker) maxAbsence() time.Duration {
 	return t.retention / 2
 }
@@ -49,8 +49,8 @@
 type versionView struct {
 	// isRecorded reports whether the log has a record of the version, and isAnnounced what it states.
 	isRecorded, isAnnounced bool
-	// isRestored reports whether the log may lack records of the service, as it was restored, or has such of an earlier
-	// build.
+	// isRestored reports whether the log may lack records of the service, as it was restored, or has such of an
+	// earlier build.
 	isRestored bool
 	// isFirst reports whether the log had no record of the service.
 	isFirst bool
@@ -58,15 +58,15 @@
 	otherOpen int
 	// othersTakeWork reports whether an upstream of one of them is registered and not draining.
 	othersTakeWork bool
-	// isAcknowledged reports whether all nodes have acknowledged the announcement, and announcedFor how long this node
-	// has known it.
+	// isAcknowledged reports whether all nodes have acknowledged the announcement, and announcedFor how long
+	// this node has known it.
 	isAcknowledged bool
 	announcedFor   time.Duration
 }
 
-// nextStep decides what to do about a version. While one version is open, streams that nobody recorded began there. So before
-// another one is opened, the nodes record their streams, or those of a node that dies then are lost. It is not waited for
-// beyond openTimeout, nor if nothing else serves.
+// nextStep decides what to do about a version. While one version is open, streams that nobody recorded began
+// there. So before another one is opened, the nodes record their streams, or those of a node that dies then are
+// lost. It is not waited for beyond openTimeout, nor if nothing else serves.
 func nextStep(v versionView, openTimeout time.Duration) openingStep {
 	switch {
 	case v.isRecorded && !v.isAnnounced && !v.isRestored:
@@ -96,8 +96,8 @@
 	t.open.Store(&open)
 }
 
-// isOpen reports whether streams may begin at a version that is registered. After the log was restored, those that were open
-// remain so until they are recorded again.
+// isOpen reports whether streams may begin at a version that is registered. After the log was restored, those
+// that were open remain so until they are recorded again.
 func (c *versionChecker) isOpen(o quetzalroad.StreamOrigin) bool {
 	t := c.tracker
 	readAt, _, _ := t.records.position()
@@ -158,8 +158,8 @@
 	return nil
 }
 
-// mustRead reports whether the records have to be read for the next steps. While versions wait for acknowledgements, the nodes of
-// a large fleet read them seldom.
+// mustRead reports whether the records have to be read for the next steps. While versions wait for
+// acknowledgements, the nodes of a large fleet read them seldom.
 func (c *versionChecker) mustRead(unsettled []quetzalroad.StreamOrigin) bool {
 	t := c.tracker
 	readAt, _, _ := t.records.position()
@@ -185,8 +185,8 @@
 	})
 }
 
-// advance makes the next step about a version. If another node has written to the log since this one read it, the step is
-// left to the next check.
+// advance makes the next step about a version. If another node has written to the log since this one read it,
+// the step is left to the next check.
 func (c *versionChecker) advance(ctx context.Context, o quetzalroad.StreamOrigin, isFirst bool) error {
 	t := c.tracker
 	_, position, _ := t.records.position()
--- a/state/streamtracker/opening_test.go
+++ b/state/streamtracker/opening_test.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalroad/quetzalroad/proofs/faker"
 )
 
-// Guards against versions that are opened before the streams of the others are recorded, and against versions that wait
-// although that tells nothing, or that nothing else serves.
+// Guards against versions that are opened before the streams of the others are recorded, and against versions
+// that wait although that tells nothing, or that nothing else serves.
 func TestNextStep(t *testing.T) {
 	const openTimeout = 5 * time.Second
 	announced := versionView{isRecorded: true, isAnnounced: true, otherOpen: 1, othersTakeWork: true}
@@ -132,8 +132,8 @@
 	})
 }
 
-// Guards against a node that stands still while a version's record is deleted and written again, and begins streams there
-// before the others count it as open.
+// Guards against a node that stands still while a version's record is deleted and written again, and begins
+// streams there before the others count it as open.
 func TestNodeThatStoodStillReadsVersionsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := new(faker.KeyedLog)
@@ -148,8 +148,8 @@
 	})
 }
 
-// Guards against a log that was restored from a copy of before a version was opened: its streams are not recorded there, and
-// must not be taken for those of the version that the copy states.
+// Guards against a log that was restored from a copy of before a version was opened: its streams are not
+// recorded there, and must not be taken for those of the version that the copy states.
 func TestVersionsThatARestoredLogLacksStayOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := new(faker.KeyedLog)
--- a/state/streamtracker/origin.go
+++ b/state/streamtracker/origin.go
@@ -145,8 +145,8 @@
 	return report
 }
 
-// readVersions reads the records, and returns the versions at which streams of a service may have begun. If the records don't
-// tell that, and show one version only, it reads the registrations of its upstreams, too.
+// readVersions reads the records, and returns the versions at which streams of a service may have begun. If the
+// records don't tell that, and show one version only, it reads the registrations of its upstreams, too.
 func (t *Tracker) readVersions(ctx context.Context, s quetzalroad.ServiceName) (versionSet, error) {
 	if ctx.Err() != nil || (t.records.isFailing() && !t.mustRecord(s)) {
 		return nil, errLogFailing
--- a/state/streamtracker/records.go
+++ b/state/streamtracker/records.go
@@ -140,8 +140,8 @@
 	return slices.DeleteFunc(r.inUse(), func(v recordedVersion) bool { return v.Origin.Service != s })
 }
 
-// acknowledges reports whether the latest process of a node that has recorded streams has acknowledged the announcement of
-// a version.
+// acknowledges reports whether the latest process of a node that has recorded streams has acknowledged the
+// announcement of a version.
 func (r *records) acknowledges(n quetzalroad.NodeName, announced recordedVersion) bool {
 	r.contentMu.Lock()
 	defer r.contentMu.Unlock()
--- a/state/streamtracker/tracker.go
+++ b/state/streamtracker/tracker.go
@@ -61,7 +61,8 @@
 	// key is that of this process's record, and startedAt when the process started.
 	key       string
 	startedAt boottimer.Instant
-	// acknowledged holds the announcements that this process's record acknowledges. Only the task that writes the record uses it.
+	// acknowledged holds the announcements that this process's record acknowledges. Only the task that writes
+	// the record uses it.
 	acknowledged map[quetzalroad.StreamOrigin]quetzalroad.Offset
 	// wanted is signalled when a stream is to be recorded, and urgent when it may be resumed right away. Both are
 	// buffered.
--- a/state/streamtracker/tracker_test.go
+++ b/state/streamtracker/tracker_test.go
@@ -265,7 +265,8 @@
 	})
 }
 
-// Guards against a restore that another read of the log finds before the check does, after which nothing is recorded again.
+// Guards against a restore that another read of the log finds before the check does, after which nothing is
+// recorded again.
 func TestStreamsAreRecordedAgainAfterAResumptionFoundTheRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := new(faker.KeyedLog)
--- a/state/streamtracker/versions.go
+++ b/state/streamtracker/versions.go
@@ -74,9 +74,9 @@
 	return versions
 }
 
-// recordedOpenVersions returns the versions at which the streams of a service may have begun lately, according to the records. It
-// returns false if these may lack one: an earlier build of the router began streams at any version, and a restored log
-// may lack the records of versions that were opened before.
+// recordedOpenVersions returns the versions at which the streams of a service may have begun lately, according
+// to the records. It returns false if these may lack one: an earlier build of the router began streams at any
+// version, and a restored log may lack the records of versions that were opened before.
 func (t *Tracker) recordedOpenVersions(s quetzalroad.ServiceName) (versionSet, bool) {
 	if t.records.wasRestoredWithin(t.retention) {
 		return nil, false
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -20,8 +20,8 @@
 // VersionRecord is what the log states of a software version that a service has in use.
 type VersionRecord struct {
 	Origin StreamOrigin
-	// Announced is set while no stream may begin at the version, as nodes have yet to record the streams that they have
-	// begun at another one. Otherwise the version is open.
+	// Announced is set while no stream may begin at the version, as nodes have yet to record the streams that
+	// they have begun at another one. Otherwise the version is open.
 	Announced bool
 	// Epoch is the log's epoch in which the record was written. A log that was restored since may lack records of
 	// versions that were opened before it was.
@@ -75,8 +75,8 @@
 	// Origin is where the stream began; valid only if Found is set.
 	Origin StreamOrigin
 	Found  bool
-	// Versions are the software versions at which streams of the service may have begun lately, as far as the node knows.
-	// There are none if the node has not read from the log yet.
+	// Versions are the software versions at which streams of the service may have begun lately, as far as the
+	// node knows. There are none if the node has not read from the log yet.
 	Versions []SoftwareVersion
 	// IsCurrent reports whether the log has told the node these versions since it got the question. Others may know
 	// versions that a node without a current view doesn't.
